--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operate a teaselpond fleet from the command line."""
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the contracts, settings and messages shared by all programs."""
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/contracts/hosts.py
@@ -0,0 +1,61 @@
+"""Describe hosts, their addresses and the platform's list of them."""
+
+import enum
+from typing import Protocol
+
+from attrs import frozen
+
+
+class HostKind(enum.Enum):
+    """Name what runs on a host."""
+
+    ENTRY = "entry"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class HostState(enum.Enum):
+    """Name a host's place in its life."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen
+class Address:
+    """Hold an IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``ip:port``; raise ValueError when it is not one."""
+        ip, separator, port = text.rpartition(":")
+        if not separator or not ip:
+            raise ValueError(f"not an address: {text!r}")
+        return cls(ip, int(port))
+
+
+@frozen
+class Host:
+    """Describe one host as the platform lists it."""
+
+    host_id: str
+    address: Address
+    zone: str
+    kind: HostKind
+    state: HostState = HostState.LIVE
+
+
+class HostDirectory(Protocol):
+    """List the hosts that the platform knows; the list lags."""
+
+    async def list_hosts(self) -> tuple[Host, ...]:
+        """Return every listed host; raise StoreUnavailable."""
+
+    async def register(self, host: Host) -> None:
+        """Add or update this process's own host; raise StoreUnavailable."""
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, the engines and the services."""
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/__init__.py
@@ -0,0 +1,1 @@
+"""Route chats, jobs and service calls to upstreams."""
