Give entry hosts a peer address in the host list

Cause: daemons link to each other on a port of their own, and the list named only the callers' address. Change: Host.peer_address, absent on upstream hosts. Result: make test passes, 3 tests.

--- a/packages/teaselpond-model/src/teaselpond_model/contracts/hosts.py
+++ b/packages/teaselpond-model/src/teaselpond_model/contracts/hosts.py
@@ -42,13 +42,17 @@
 
 @frozen
 class Host:
-    """Describe one host as the platform lists it."""
+    """Describe one host as the platform lists it.
+
+    ``peer_address`` is where an entry host takes links from other daemons.
+    """
 
     host_id: str
     address: Address
     zone: str
     kind: HostKind
     state: HostState = HostState.LIVE
+    peer_address: Address | None = None
 
 
 class HostDirectory(Protocol):
