Add settings, logs, metrics, the stand-in fleet and the demo's steps

Cause: the daemon and the demo need their frame before the parts arrive. Change: checked settings from flags and environment, JSON-line logs, counters, a fleet of plain processes, a caller that retries elsewhere, demo steps.

--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/demo/demo.py
@@ -0,0 +1,62 @@
+"""Run every step of the demo against one fleet."""
+
+import asyncio
+import time
+
+import aiohttp
+
+from ..fleet import Caller, Fleet, FleetPlan
+from .report import Report
+from .steps import (
+    ChatStep,
+    DaemonLossStep,
+    EngineLossStep,
+    LocateStep,
+    OrderStep,
+    PlanStep,
+    Step,
+    ZoneStep,
+)
+
+DEMO_TIMEOUT_SECONDS = 55.0
+STEPS: tuple[type[Step], ...] = (
+    LocateStep,
+    ChatStep,
+    OrderStep,
+    PlanStep,
+    EngineLossStep,
+    DaemonLossStep,
+    ZoneStep,
+)
+
+
+class Demo:
+    """Drive a fleet through the steps and print what happened."""
+
+    def __init__(self, plan: FleetPlan | None = None) -> None:
+        self.plan = plan or FleetPlan()
+        self.report = Report()
+
+    async def run(self) -> bool:
+        """Run the steps; return whether all of them held."""
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout(DEMO_TIMEOUT_SECONDS):
+                await self._run_steps()
+        except TimeoutError:
+            self.report.failed("time", f"not done in {DEMO_TIMEOUT_SECONDS:.0f} s")
+        self.report.close(time.monotonic() - started)
+        return self.report.held
+
+    async def _run_steps(self) -> None:
+        self.report.title("Starting a fleet of plain processes on loopback")
+        async with Fleet(self.plan) as fleet, aiohttp.ClientSession() as session:
+            self.report.fleet(fleet)
+            for step_class in STEPS:
+                caller = Caller(session, fleet.live_addresses(), "axams")
+                step = step_class(fleet, caller, self.report)
+                self.report.title(step.title)
+                try:
+                    await step.run()
+                except Exception as error:
+                    self.report.failed(step_class.__name__, repr(error))
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/callers.py
@@ -0,0 +1,132 @@
+"""Read who calls, for what and until when from a request's headers."""
+
+import hashlib
+import hmac
+import re
+import uuid
+
+from aiohttp import web
+from attrs import frozen
+
+from teaselpond_model.configuration import Document, Workspace
+
+from ..exceptions import Refused
+from ..reasons import Reason
+
+WORKSPACE_HEADER = "X-Workspace"
+CHAT_HEADER = "X-Chat"
+REQUEST_ID_HEADER = "X-Request-Id"
+CLASS_HEADER = "X-Class"
+DEADLINE_HEADER = "X-Deadline-Seconds"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+LAST_EVENT_ID_HEADER = "Last-Event-ID"
+AFFINITY_HEADER = "X-Affinity"
+CALLER_CLASSES = ("interactive", "label")
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_LAST_EVENT_ID_LENGTH = 2048
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@/+=-]{0,127}")
+
+
+@frozen
+class CallContext:
+    """Hold what a call's headers say; the deadline is on the given clock."""
+
+    request_id: str
+    workspace: Workspace
+    chat: str
+    request_class: str
+    deadline: float
+    peer: str
+    last_event_id: str = ""
+    idempotency_key: str = ""
+    affinity: str = ""
+
+
+def read_call(
+    request: web.Request, document: Document, now: float, default_deadline: float
+) -> CallContext:
+    """Return the call's context; raise Refused when a header is wrong."""
+    workspace = _read_workspace(request, document)
+    return CallContext(
+        request_id=read_request_id(request),
+        workspace=workspace,
+        chat=_read_name(request, CHAT_HEADER),
+        request_class=_read_class(request),
+        deadline=now + _read_deadline(request, default_deadline),
+        peer=request.remote or "",
+        last_event_id=_read_last_event_id(request),
+        idempotency_key=_read_name(request, IDEMPOTENCY_KEY_HEADER),
+        affinity=request.headers.get(AFFINITY_HEADER, "")[:MAX_LAST_EVENT_ID_LENGTH],
+    )
+
+
+def read_request_id(request: web.Request) -> str:
+    """Return the caller's request id, or a new one when there is none."""
+    return _read_name(request, REQUEST_ID_HEADER) or uuid.uuid4().hex
+
+
+def _read_workspace(request: web.Request, document: Document) -> Workspace:
+    workspace_id = _read_name(request, WORKSPACE_HEADER)
+    if not workspace_id:
+        raise _bad_request(f"the header {WORKSPACE_HEADER} is missing")
+    workspace = document.workspaces_by_id.get(workspace_id)
+    if workspace is None:
+        raise Refused.not_run(
+            Reason.UNKNOWN_WORKSPACE, f"there is no workspace {workspace_id}"
+        )
+    if workspace.key_digests and not _key_matches(request, workspace):
+        raise Refused.not_run(Reason.UNAUTHORIZED, "the workspace's key is wrong")
+    return workspace
+
+
+def _key_matches(request: web.Request, workspace: Workspace) -> bool:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return False
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    return any(
+        hmac.compare_digest(digest, known.lower()) for known in workspace.key_digests
+    )
+
+
+def _read_name(request: web.Request, header: str) -> str:
+    value = request.headers.get(header, "")
+    if value and not NAME_PATTERN.fullmatch(value):
+        raise _bad_request(f"the header {header} is not a name of up to 128 characters")
+    return value
+
+
+def _read_class(request: web.Request) -> str:
+    value = request.headers.get(CLASS_HEADER, CALLER_CLASSES[0])
+    if value not in CALLER_CLASSES:
+        raise _bad_request(
+            f"the header {CLASS_HEADER} is none of {', '.join(CALLER_CLASSES)}"
+        )
+    return value
+
+
+def _read_deadline(request: web.Request, default: float) -> float:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return default
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds <= MAX_DEADLINE_SECONDS:
+        raise _bad_request(
+            f"the header {DEADLINE_HEADER} is not between 0 and "
+            f"{MAX_DEADLINE_SECONDS:.0f} seconds"
+        )
+    return seconds
+
+
+def _read_last_event_id(request: web.Request) -> str:
+    value = request.headers.get(LAST_EVENT_ID_HEADER, "")
+    if len(value) > MAX_LAST_EVENT_ID_LENGTH:
+        raise _bad_request(f"the header {LAST_EVENT_ID_HEADER} is too long")
+    return value
+
+
+def _bad_request(message: str) -> Refused:
+    return Refused.not_run(Reason.BAD_REQUEST, message)
