Add the platform's clients and its stand-in

Cause: every part of the fleet needs the table, the objects, the host list and the weights, over HTTP and in memory, with the faults of the platform.

Ruled out: leaving resends to the client library. aiohttp sends a PUT or DELETE a second time when a kept-alive connection drops, so a write whose answer was lost looked like a plain success. Its private switch is avoided by a client middleware, forbid_resend, which other clients can use too.

Before: no clients. After: teaselpond_model.platform maps each ending of a call to StoreUnavailable (nothing written) or StoreOutcomeUnknown; the stand-in shows refuse, drop, slow, lost, slow-answer, rubbish, stale and down.

--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/platform/http.py
@@ -0,0 +1,120 @@
+"""Send one HTTP call to the platform and sort out how it ended."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import aiohttp
+import cattrs
+from attrs import field, frozen
+
+from ..exceptions import StoreOutcomeUnknown, StoreUnavailable
+from ..resends import forbid_resend
+from .converters import make_converter
+
+DEFAULT_TIMEOUT_SECONDS = 2.0
+# A platform that turns out to be gone is given up on sooner than a slow one.
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+T = TypeVar("T")
+
+# aiohttp raises these before the first byte of a request has left.
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+LOST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+@frozen
+class PlatformAnswer:
+    """Hold the status and the body of an answer that came whole."""
+
+    status: int
+    content: bytes
+
+    def expect_status(self, status: int) -> None:
+        """Raise ValueError when the answer has another status."""
+        if self.status != status:
+            raise ValueError(f"status {self.status}")
+
+    def parse(self, kind: type[T]) -> T:
+        """Read the JSON body as an object; raise ValueError."""
+        try:
+            return make_converter().structure(json.loads(self.content), kind)
+        except (ValueError, RecursionError, cattrs.BaseValidationError) as error:
+            start = self.content[:80]
+            raise ValueError(f"not a {kind.__name__}: {start!r}") from error
+
+
+@frozen
+class PlatformConnection:
+    """Hold the session and the base URL that the platform's clients share."""
+
+    session: aiohttp.ClientSession
+    base_url: str
+    timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS
+    _timeout: aiohttp.ClientTimeout = field(init=False)
+
+    @_timeout.default
+    def _make_timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=self.timeout_seconds,
+            sock_connect=min(CONNECT_TIMEOUT_SECONDS, self.timeout_seconds),
+        )
+
+    async def read(
+        self, path: str, step: str, params: Mapping[str, Any] | None = None
+    ) -> PlatformAnswer:
+        """Send a GET and return its answer; raise StoreUnavailable."""
+        try:
+            answer = await self._send("GET", path, params=params)
+        except LOST_ERRORS as error:
+            raise self.unavailable(step, error) from error
+        if answer.status >= 500:
+            raise self.unavailable(step, f"status {answer.status}")
+        return answer
+
+    async def write(
+        self, method: str, path: str, step: str, body: Any = None
+    ) -> PlatformAnswer:
+        """Send a write, of raw bytes or of an object as JSON, only once.
+
+        Return an answer below 500. Raise StoreUnavailable when nothing was
+        written, or else StoreOutcomeUnknown.
+        """
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        try:
+            answer = await self._send(
+                method, path, data=data, middlewares=(forbid_resend,)
+            )
+        except NOT_SENT_ERRORS as error:
+            raise self.unavailable(step, error) from error
+        except LOST_ERRORS as error:
+            raise self.outcome_unknown(step, error) from error
+        if answer.status == 503:
+            raise self.unavailable(step, "status 503")
+        if answer.status >= 500:
+            raise self.outcome_unknown(step, f"status {answer.status}")
+        return answer
+
+    async def _send(self, method: str, path: str, **arguments: Any) -> PlatformAnswer:
+        async with self.session.request(
+            method,
+            self.base_url + path,
+            allow_redirects=False,
+            timeout=self._timeout,
+            **arguments,
+        ) as response:
+            return PlatformAnswer(response.status, await response.read())
+
+    def unavailable(self, step: str, cause: object) -> StoreUnavailable:
+        """Return the error of a call that wrote nothing."""
+        return StoreUnavailable(_describe(cause), step=step, peer=self.base_url)
+
+    def outcome_unknown(self, step: str, cause: object) -> StoreOutcomeUnknown:
+        """Return the error of a write whose answer is missing or unusable."""
+        return StoreOutcomeUnknown(_describe(cause), step=step, peer=self.base_url)
+
+
+def _describe(cause: object) -> str:
+    if isinstance(cause, BaseException):
+        return f"{type(cause).__name__}: {cause}"
+    return str(cause)
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/platform/platform.py
@@ -0,0 +1,51 @@
+"""Open all clients of the platform over one session."""
+
+import aiohttp
+from attrs import frozen
+
+from .hosts import HttpHostDirectory
+from .http import DEFAULT_TIMEOUT_SECONDS, PlatformConnection
+from .objects import HttpObjectStore
+from .table import HttpTableService
+from .weights import HttpWeightStore
+
+
+@frozen
+class Platform:
+    """Hold the platform's clients, and the session that they share."""
+
+    session: aiohttp.ClientSession
+    table: HttpTableService
+    objects: HttpObjectStore
+    hosts: HttpHostDirectory
+    weights: HttpWeightStore
+
+    @classmethod
+    def open(
+        cls, base_url: str, timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS
+    ) -> "Platform":
+        """Return the platform's clients; call inside a running loop."""
+        session = aiohttp.ClientSession()
+        url = base_url.rstrip("/")
+        return cls.over(PlatformConnection(session, url, timeout_seconds))
+
+    @classmethod
+    def over(cls, connection: PlatformConnection) -> "Platform":
+        """Return the platform's clients over a session already open."""
+        return cls(
+            session=connection.session,
+            table=HttpTableService(connection),
+            objects=HttpObjectStore(connection),
+            hosts=HttpHostDirectory(connection),
+            weights=HttpWeightStore(connection),
+        )
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self.session.close()
+
+    async def __aenter__(self) -> "Platform":
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.close()
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/platform/weights.py
@@ -0,0 +1,24 @@
+"""Reach the platform's rate-limited weight store."""
+
+from attrs import field, frozen
+
+from ..contracts import WeightGrant
+from .http import PlatformConnection
+
+
+@frozen
+class HttpWeightStore:
+    """Ask the platform's weight store for downloads."""
+
+    _connection: PlatformConnection = field(alias="connection")
+
+    async def request(self, host_id: str, model: str, version: str) -> WeightGrant:
+        """Ask to start one download; raise StoreUnavailable."""
+        step = "weights.request"
+        body = {"host_id": host_id, "model": model, "version": version}
+        answer = await self._connection.write("POST", "/weights", step, body)
+        try:
+            answer.expect_status(200)
+            return answer.parse(WeightGrant)
+        except ValueError as error:
+            raise self._connection.outcome_unknown(step, error) from error
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/platform.py
@@ -0,0 +1,21 @@
+"""Serve the platform's stand-in."""
+
+import asyncio
+
+from ..platform import PlatformStandin
+from ..serving import serve
+
+
+class PlatformCommand:
+    """Serve the platform's stand-in until SIGTERM."""
+
+    def handle(
+        self, port: int = 0, lag_seconds: float = 0.0, downloads_per_second: float = 2.0
+    ) -> None:
+        """Serve on a port, with a host list and weights of these rates."""
+        standin = PlatformStandin(
+            port=port,
+            lag_seconds=lag_seconds,
+            downloads_per_second=downloads_per_second,
+        )
+        asyncio.run(serve(standin))
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/platform/table.py
@@ -0,0 +1,109 @@
+"""Keep a transactional table in memory."""
+
+from bisect import bisect_right
+from typing import Any
+
+from attrs import define, field
+
+from teaselpond_model.contracts import (
+    ABSENT_VERSION,
+    Check,
+    Delete,
+    Put,
+    ScanPage,
+    TableEntry,
+)
+from teaselpond_model.exceptions import TransactionConflict
+
+from .faults import PlatformFault, PlatformFaultKind, PlatformFaults
+
+
+@define
+class MemoryTable:
+    """Implement TableService in memory, with faults on demand."""
+
+    faults: PlatformFaults = field(factory=PlatformFaults)
+    _version: int = 0
+    _history_by_key: dict[str, list[TableEntry]] = field(factory=dict)
+    _replica_version: int = 0
+
+    @property
+    def version(self) -> int:
+        """Return the version that the last transaction made."""
+        return self._version
+
+    def hold_replica(self) -> None:
+        """Let the reads that a STALE fault strikes see the table as of now."""
+        self._replica_version = self._version
+
+    async def get(self, key: str) -> TableEntry | None:
+        """Return the live entry at a key; raise StoreUnavailable."""
+        fault = await self.faults.enter("table.get", key)
+        entry = self._entry_at(key, self._readable_version(fault))
+        await self.faults.leave("table.get", fault)
+        return entry if entry is not None and entry.value is not None else None
+
+    async def scan(self, prefix: str, after_version: int = 0) -> ScanPage:
+        """Return the entries under a prefix that changed after a version.
+
+        Tombstones are among them. Raise StoreUnavailable.
+        """
+        fault = await self.faults.enter("table.scan", prefix)
+        page = self._scan_at(prefix, after_version, self._readable_version(fault))
+        await self.faults.leave("table.scan", fault)
+        return page
+
+    async def transact(
+        self, checks: tuple[Check, ...], writes: tuple[Put | Delete, ...]
+    ) -> int:
+        """Apply all writes if all checks hold, and return the new version.
+
+        Raise TransactionConflict, StoreUnavailable (nothing was written) or
+        StoreOutcomeUnknown (it may have been).
+        """
+        operation = "table.transact"
+        keys = [check.key for check in checks] + [write.key for write in writes]
+        fault = await self.faults.enter(operation, *keys)
+        conflicts = tuple(check.key for check in checks if not self._holds(check))
+        if conflicts:
+            await self.faults.leave(operation, fault)
+            raise TransactionConflict(conflicts, step=operation, peer="standin")
+        version = self._apply(writes)
+        await self.faults.leave(operation, fault)
+        return version
+
+    def _readable_version(self, fault: PlatformFault | None) -> int:
+        if fault is not None and fault.kind is PlatformFaultKind.STALE:
+            return self._replica_version
+        return self._version
+
+    def _entry_at(self, key: str, version: int) -> TableEntry | None:
+        history = self._history_by_key.get(key, [])
+        index = bisect_right(history, version, key=lambda entry: entry.version)
+        return history[index - 1] if index else None
+
+    def _scan_at(self, prefix: str, after_version: int, version: int) -> ScanPage:
+        if after_version >= version:
+            return ScanPage((), version)
+        found = (
+            self._entry_at(key, version)
+            for key in self._history_by_key
+            if key.startswith(prefix)
+        )
+        changed = [entry for entry in found if entry and entry.version > after_version]
+        changed.sort(key=lambda entry: entry.key)
+        return ScanPage(tuple(changed), version)
+
+    def _holds(self, check: Check) -> bool:
+        entry = self._entry_at(check.key, self._version)
+        if entry is None or entry.value is None:
+            return check.version == ABSENT_VERSION
+        return check.version == entry.version
+
+    def _apply(self, writes: tuple[Put | Delete, ...]) -> int:
+        self._version += 1
+        for write in writes:
+            value: Any = write.value if isinstance(write, Put) else None
+            entry = TableEntry(write.key, value, self._version)
+            self._history_by_key.setdefault(write.key, []).append(entry)
+        return self._version
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/server.py
@@ -0,0 +1,98 @@
+"""Serve a stand-in on loopback, and let it vanish and come back."""
+
+import asyncio
+
+from aiohttp import web
+from attrs import define, field
+
+from teaselpond_model.contracts import Address
+
+LOOPBACK = "127.0.0.1"
+SHUTDOWN_SECONDS = 1.0
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@define
+class LoopbackServer:
+    """Serve an application on one loopback port, kept over outages."""
+
+    app: web.Application
+    port: int = 0
+    # Whether a caller that goes away ends the handler of its request.
+    cancels_handlers: bool = False
+    _runner: web.AppRunner | None = field(default=None, init=False)
+    _site: web.TCPSite | None = field(default=None, init=False)
+    _return: asyncio.Task | None = field(default=None, init=False)
+
+    @property
+    def address(self) -> Address:
+        """Return the address served, once started."""
+        return Address(LOOPBACK, self.port)
+
+    @property
+    def base_url(self) -> str:
+        """Return the URL served, once started."""
+        return f"http://{self.address}"
+
+    async def start(self) -> None:
+        """Listen, on a port that the system chooses if it is 0."""
+        self._runner = web.AppRunner(
+            self.app,
+            access_log=None,
+            handler_cancellation=self.cancels_handlers,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self._runner.setup()
+        await self._listen()
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection."""
+        if self._return is not None:
+            self._return.cancel()
+        if self._runner is not None:
+            self.abort_connections()
+            await self._runner.cleanup()
+        self._runner = self._site = None
+
+    async def go_down(self, seconds: float | None = None) -> None:
+        """Refuse connections and reset the open ones, for good or a time."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        self.abort_connections()
+        if seconds is not None:
+            self._return = asyncio.create_task(self._come_back_after(seconds))
+
+    async def _come_back_after(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self.come_back()
+
+    async def come_back(self) -> None:
+        """Listen again on the same port after going down."""
+        if self._site is None:
+            await self._listen()
+
+    def abort_connections(self) -> None:
+        """Reset every open connection."""
+        if self._runner is None or self._runner.server is None:
+            return
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def _listen(self) -> None:
+        self._site = web.TCPSite(self._runner, LOOPBACK, self.port)
+        await self._site.start()
+        self.port = self._runner.addresses[-1][1]
+
+
+def abort(request: web.Request) -> web.Response:
+    """Reset a request's connection; the response returned is never sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def make_app() -> web.Application:
+    """Return an application that takes large bodies."""
+    return web.Application(client_max_size=MAX_BODY_BYTES)
