Describe, read and check the configuration document

Ruled out: reading by cattrs alone, whose errors don't name file, section, key and the allowed values, and stop at the first fault of an item. Before: no document. After: attrs items with one rule a key, TOML reading and registered cross-section checks that report all faults as one exception group, checks of dangerous changes, entries and digests.

--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/document.py
@@ -0,0 +1,110 @@
+"""Hold the whole configuration document."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import attrs
+from attrs import Factory, evolve, frozen
+
+from .digests import add_entry_digest, entry_digest
+from .rules import rule_of
+from .sections import (
+    HostItem,
+    Item,
+    ModelItem,
+    PolicyItem,
+    PoolItem,
+    ServiceItem,
+    ServiceState,
+    WorkspaceItem,
+    ZoneItem,
+)
+
+
+@frozen
+class Section:
+    """Tie a section to its item type, its TOML path and its collection."""
+
+    name: str
+    item_type: type
+    path: tuple[str, ...]
+    collection: str
+
+    def header(self, item_id: str) -> str:
+        """Return the TOML header of one item."""
+        return ".".join(self.path if self.name == "policy" else (*self.path, item_id))
+
+
+SECTIONS_BY_NAME: Mapping[str, Section] = {
+    section.name: section
+    for section in (
+        Section("zones", ZoneItem, ("zones",), "zones_by_id"),
+        Section("hosts", HostItem, ("hosts",), "hosts_by_id"),
+        Section("capacity", PoolItem, ("capacity", "pools"), "pools_by_id"),
+        Section("models", ModelItem, ("models",), "models_by_id"),
+        Section("workspaces", WorkspaceItem, ("workspaces",), "workspaces_by_id"),
+        Section("services", ServiceItem, ("services",), "services_by_id"),
+        Section("policy", PolicyItem, ("policy",), ""),
+    )
+}
+
+
+@frozen
+class Document:
+    """Hold every section of the configuration by the items' ids."""
+
+    zones_by_id: Mapping[str, ZoneItem] = Factory(dict)
+    hosts_by_id: Mapping[str, HostItem] = Factory(dict)
+    pools_by_id: Mapping[str, PoolItem] = Factory(dict)
+    models_by_id: Mapping[str, ModelItem] = Factory(dict)
+    workspaces_by_id: Mapping[str, WorkspaceItem] = Factory(dict)
+    services_by_id: Mapping[str, ServiceItem] = Factory(dict)
+    policy: PolicyItem = PolicyItem()
+
+    def items_by_id(self, section: str) -> Mapping[str, Item]:
+        """Return the items of a section."""
+        if section == "policy":
+            return {self.policy.policy_id: self.policy}
+        return getattr(self, SECTIONS_BY_NAME[section].collection)
+
+    def items(self) -> Iterator[tuple[str, str, Item]]:
+        """Yield section, id and item of the whole document."""
+        for section in SECTIONS_BY_NAME:
+            for item_id, item in self.items_by_id(section).items():
+                yield section, item_id, item
+
+    def replacing(self, section: str, items_by_id: Mapping[str, Item]) -> "Document":
+        """Return a document with another section."""
+        if section == "policy":
+            policy = items_by_id.get("policy", PolicyItem())
+            return evolve(self, policy=policy)
+        return evolve(self, **{SECTIONS_BY_NAME[section].collection: items_by_id})
+
+    def digest(self, section: str) -> str:
+        """Return the digest of a section; equal sections have equal ones."""
+        total = 0
+        for item_id, item in self.items_by_id(section).items():
+            value = item_to_value(item)
+            total = add_entry_digest(total, entry_digest(section, item_id, value))
+        return f"{total:032x}"
+
+    def is_zone_in(self, zone_id: str) -> bool:
+        """Tell whether a zone is known and may take new work."""
+        zone = self.zones_by_id.get(zone_id)
+        return zone is not None and zone.state is ServiceState.IN
+
+    def is_host_in(self, host_id: str, zone_id: str) -> bool:
+        """Tell whether a host and its zone may take new work."""
+        host = self.hosts_by_id.get(host_id)
+        if host is not None and host.state is ServiceState.OUT:
+            return False
+        return self.is_zone_in(zone_id)
+
+
+def item_to_value(item: Item) -> dict[str, Any]:
+    """Convert an item to a JSON value, without its id."""
+    return {
+        attribute.name: rule.write(getattr(item, attribute.name))
+        for attribute in attrs.fields(type(item))
+        if (rule := rule_of(attribute)) is not None
+    }
--- /dev/null
+++ b/packages/teaselpond-model/tests/configuration/test_reading.py
@@ -0,0 +1,144 @@
+"""Check how documents are read, and what their faults say."""
+
+import testtools
+
+from teaselpond_model.configuration import (
+    Document,
+    DocumentInvalid,
+    ServiceState,
+    changes_between,
+    document_from_values,
+    read_toml,
+    render_changes,
+    values_by_key,
+)
+
+DOCUMENT = """
+version = 7
+[zones.innsbruck]
+region = "tyrol"
+[zones.lienz]
+region = "tyrol"
+state = "out"
+[hosts.e2]
+[capacity.pools.fitting]
+model = "fitting"
+hosts = ["e1", "e2"]
+[models.fitting]
+version = "3"
+[workspaces.axams]
+models = ["fitting"]
+services = ["orders"]
+[services.orders]
+hosts = ["s1"]
+contract = "at-most-once"
+[policy]
+load_multiple = 1.5
+"""
+
+FAULTS = (
+    ("[zones.a]", "[zones.a] region", "E007"),
+    ("[zones.a]\nregion = 3", "[zones.a] region", "E008"),
+    ('[zones.a]\nregion = "t"\nstate = "off"', '"in" or "out"', "E008"),
+    ('[zones.A]\nregion = "t"', "[zones.A]", "E005"),
+    ("[zone.a]", "workspaces", "E003"),
+    ("[capacity.pool.a]", "allowed: pools", "E003"),
+    ("capacity = 3", "[capacity.pools]", "E004"),
+    ("zones = 3", "[zones]", "E004"),
+    ("[zones]\na = 3", "[zones.a]", "E004"),
+    ("[policy]\nload_multiple = true", "[policy] load_multiple", "E008"),
+    ("[policy]\nload_multiple = 0.5", "1.01 to 10", "E008"),
+    ("[policy]\nqueue_limit = 1.5", "a whole number", "E008"),
+    ("[policy]\nqueue = 1", "allowed: load_multiple", "E006"),
+    ('[capacity.pools.a]\nmodel="m"\nhosts=["e1","e1"]', "without repeats", "E008"),
+    ('[workspaces.a]\nkey_digests=["x"]', "SHA-256", "E008"),
+    ("version = -1", "0 or more", "E002"),
+    ("= 3", "not TOML", "E001"),
+)
+
+
+class ReadTomlTests(testtools.TestCase):
+    """Check documents in TOML."""
+
+    def test_a_document_is_read(self) -> None:
+        """Read every section."""
+        read = read_toml(DOCUMENT)
+        document = read.document
+        self.assertEqual(7, read.base_version)
+        self.assertEqual("tyrol", document.zones_by_id["innsbruck"].region)
+        self.assertIs(ServiceState.OUT, document.hosts_by_id["e2"].state)
+        self.assertEqual(("e1", "e2"), document.pools_by_id["fitting"].hosts)
+        self.assertEqual(1.5, document.policy.load_multiple)
+        for host_id, zone_id, is_in in (
+            ("e1", "innsbruck", True),
+            ("e2", "innsbruck", False),
+            ("e1", "lienz", False),
+            ("e1", "elsewhere", False),
+        ):
+            self.assertIs(is_in, document.is_host_in(host_id, zone_id))
+
+    def test_each_fault_says_where_and_what_is_allowed(self) -> None:
+        """Name the file, the section, the key and the allowed values."""
+        for text, expected, check_id in FAULTS:
+            with testtools.ExpectedException(DocumentInvalid):
+                try:
+                    read_toml(text, "d.toml")
+                except DocumentInvalid as group:
+                    self.assertEqual(1, len(group.exceptions), text)
+                    fault = str(group.exceptions[0])
+                    self.assertIn("d.toml", fault)
+                    self.assertIn(expected, fault)
+                    self.assertIn(check_id, fault)
+                    raise
+
+    def test_all_faults_come_at_once(self) -> None:
+        """Report the faults of every section together."""
+        text = "\n".join(text for text, _, _ in FAULTS[1:2] + FAULTS[9:10])
+        try:
+            read_toml(text)
+        except DocumentInvalid as group:
+            self.assertEqual(2, len(group.exceptions))
+        else:
+            self.fail("the document was accepted")
+
+
+class EntriesTests(testtools.TestCase):
+    """Check the conversion from and to entries."""
+
+    def test_entries_give_the_document_back(self) -> None:
+        """Convert there and back."""
+        document = read_toml(DOCUMENT).document
+        self.assertEqual(document, document_from_values(values_by_key(document)))
+
+    def test_unknown_keys_and_sections_are_passed_over(self) -> None:
+        """Read what a newer program wrote."""
+        values = values_by_key(read_toml(DOCUMENT).document)
+        for value in values.values():
+            value["added_later"] = 1
+        key = next(iter(values))
+        values[type(key)("added", "x")] = {}
+        document = document_from_values(values)
+        self.assertEqual(read_toml(DOCUMENT).document, document)
+
+    def test_digest_follows_the_content_only(self) -> None:
+        """Digest equal sections alike and others not."""
+        document = read_toml(DOCUMENT).document
+        zones = dict(reversed(document.zones_by_id.items()))
+        same = document.replacing("zones", zones)
+        self.assertEqual(document.digest("zones"), same.digest("zones"))
+        zones.pop("lienz")
+        fewer = document.replacing("zones", zones)
+        self.assertNotEqual(document.digest("zones"), fewer.digest("zones"))
+
+    def test_changes_are_rendered(self) -> None:
+        """Show what a change does, key by key."""
+        text = DOCUMENT.replace('state = "out"', 'state = "in"')
+        before = values_by_key(read_toml(DOCUMENT).document)
+        after = values_by_key(read_toml(text).document)
+        self.assertEqual(
+            '[zones.lienz]\n- state = "out"\n+ state = "in"',
+            render_changes(changes_between(before, after)),
+        )
+        self.assertEqual((), changes_between(before, before))
+        everything = changes_between({}, values_by_key(Document()))
+        self.assertEqual(["policy"], [change.key.item_id for change in everything])
