Take over engines without exceeding the cap beside a former owner

Two daemons may believe for seconds that they own one engine. A claimant now admits nothing until a load report was taken after the former owner must have learned of the change, then at most half of the cap until it is confirmed. Work that the owner did not grant counts by the engine's own reports.

Ruled out: reserving a slot of every engine for a claimant at all times; it costs a seventh of a cap of seven. Sums leave out contested engines, which would count twice, and are totalled as they come, so that a decision costs the same with more owners.

--- a/packages/teaselpond/src/teaselpond/policy/cap.py
+++ b/packages/teaselpond/src/teaselpond/policy/cap.py
@@ -6,6 +6,8 @@
 
 from .messages import LoadSum
 
+EXPIRY_CHECK_SECONDS = 1.0
+
 
 @frozen
 class FleetLoad:
@@ -41,38 +43,62 @@
 
 @define
 class SumTable:
-    """Keep the latest sums of the other owners of one model."""
+    """Keep the latest sums of the other owners of one model.
+
+    The totals are kept as sums come, so that a decision does not cost more
+    with more owners.
+    """
 
     stale_seconds: float
-    _heard: dict[tuple[str, str], HeardSum] = field(factory=dict)
+    _heard_by_owner: dict[str, dict[str, HeardSum]] = field(factory=dict)
+    _total: FleetLoad = FleetLoad()
+    _checked_at: float = float("-inf")
 
     def observe(self, load_sum: LoadSum, now: float) -> None:
         """Take a sum, unless a newer one of its owner is known."""
-        key = (load_sum.owner_id, load_sum.zone)
-        known = self._heard.get(key)
+        heard_by_zone = self._heard_by_owner.setdefault(load_sum.owner_id, {})
+        known = heard_by_zone.get(load_sum.zone)
         if known and known.load_sum.version > load_sum.version:
             return
-        self._heard[key] = HeardSum(load_sum, now)
+        if known:
+            self._count(known.load_sum, -1)
+        heard_by_zone[load_sum.zone] = HeardSum(load_sum, now)
+        self._count(load_sum, 1)
 
     def forget(self, owner_id: str) -> None:
         """Drop the sums of a daemon that is gone or started anew."""
-        for key in [key for key in self._heard if key[0] == owner_id]:
-            del self._heard[key]
+        for heard in self._heard_by_owner.pop(owner_id, {}).values():
+            self._count(heard.load_sum, -1)
 
-    def fresh(self, now: float) -> list[LoadSum]:
-        """Return the sums that are not too old to count."""
-        return [
+    def of_owner(self, owner_id: str, now: float) -> tuple[LoadSum, ...]:
+        """Return an owner's sums that are not too old to count."""
+        return tuple(
             heard.load_sum
-            for heard in self._heard.values()
+            for heard in self._heard_by_owner.get(owner_id, {}).values()
             if now - heard.heard_at <= self.stale_seconds
-        ]
+        )
 
     def total(self, now: float) -> FleetLoad:
         """Return the other owners' load in sum."""
-        in_flight = slots = engines = ejected = 0
-        for load_sum in self.fresh(now):
-            in_flight += load_sum.in_flight
-            slots += load_sum.slots
-            engines += load_sum.engines
-            ejected += load_sum.ejected
-        return FleetLoad(in_flight, slots, engines, ejected)
+        if now - self._checked_at > EXPIRY_CHECK_SECONDS:
+            self._checked_at = now
+            self._expire(now)
+        return self._total
+
+    def _expire(self, now: float) -> None:
+        for owner_id, heard_by_zone in list(self._heard_by_owner.items()):
+            for zone, heard in list(heard_by_zone.items()):
+                if now - heard.heard_at > self.stale_seconds:
+                    del heard_by_zone[zone]
+                    self._count(heard.load_sum, -1)
+            if not heard_by_zone:
+                del self._heard_by_owner[owner_id]
+
+    def _count(self, load_sum: LoadSum, sign: int) -> None:
+        total = self._total
+        self._total = FleetLoad(
+            total.in_flight + sign * load_sum.in_flight,
+            total.slots + sign * load_sum.slots,
+            total.engines + sign * load_sum.engines,
+            total.ejected + sign * load_sum.ejected,
+        )
--- a/packages/teaselpond/src/teaselpond/policy/claims.py
+++ b/packages/teaselpond/src/teaselpond/policy/claims.py
@@ -6,6 +6,8 @@
 
 from .settings import PolicySettings
 
+CLAIMANTS = 2
+
 
 class ClaimState(enum.Enum):
     """Name how sure an owner is to be the only one."""
@@ -19,10 +21,11 @@
 class Claim:
     """Hold how far an owner may go with an engine.
 
-    While it waits, it admits nothing, so that the former owner has learned of
-    the change when it begins. While the claim is contested, each claimant
-    holds at most half of the cap. It uses all of the cap once the former
-    owner has handed over, or once the claim has stood unopposed.
+    While it waits, it admits nothing, until a load report was taken after the
+    former owner must have learned of the change. While the claim is
+    contested, each claimant holds at most half of the cap. It uses all of the
+    cap once the former owner has handed over, or once the claim has stood
+    unopposed.
     """
 
     state: ClaimState = ClaimState.CONFIRMED
@@ -48,14 +51,12 @@
         """Accept the former owner's word that it has let go."""
         self.state = ClaimState.CONFIRMED
 
-    def advance(self, foreign: int, settings: PolicySettings, now: float) -> None:
-        """Move on by time; work of others keeps the claim contested."""
-        if self.state is ClaimState.WAITING and now >= self.waits_until:
-            self.state = ClaimState.CONTESTED
-        if self.state is ClaimState.CONTESTED and foreign > 0:
-            self.contested_until = max(
-                self.contested_until, now + settings.claim_wait_seconds
-            )
+    def advance(self, reported_at: float, now: float) -> None:
+        """Move on by time and by the last load report."""
+        if self.state is ClaimState.WAITING:
+            has_seen = reported_at >= self.waits_until
+            if now >= self.waits_until and (has_seen or now >= self.contested_until):
+                self.state = ClaimState.CONTESTED
         if self.state is ClaimState.CONTESTED and now >= self.contested_until:
             self.state = ClaimState.CONFIRMED
 
@@ -64,7 +65,7 @@
         if self.state is ClaimState.WAITING:
             return 0
         if self.state is ClaimState.CONTESTED:
-            return max(1, cap // 2)
+            return max(1, cap // CLAIMANTS)
         return cap
 
     def next_change(self) -> float:
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -50,6 +50,7 @@
         self.grants = GrantBook(f"{daemon_id}.{incarnation}")
         self._placement = Placement(self.directory, self.settings)
         self._displaced = DisplacedChats(self.settings.displaced_chats)
+        self._shed: list[Refusal] = []
         self._sum_version = 0
 
     # What the daemon learns of the fleet.
@@ -183,7 +184,8 @@
         """Grant, pass on or give up what is queued, as soon as it is due."""
         for engine in self.engines.by_id.values():
             engine.advance(now)
-        decisions: list[Grant | Redirect | Refusal] = []
+        decisions: list[Grant | Redirect | Refusal] = list(self._shed)
+        self._shed.clear()
         for pool in self.pools_by_model.values():
             decisions.extend(self._drain(pool, now))
             decisions.extend(self._give_up(pool, now))
@@ -191,6 +193,8 @@
 
     def next_deadline(self, now: float) -> float:
         """Return when ``advance`` is due at the latest."""
+        if self._shed:
+            return now
         due = min(
             (engine.claim.next_change() for engine in self.engines.by_id.values()),
             default=float("inf"),
@@ -279,15 +283,27 @@
         if not any(True for _ in pool.able(now)):
             return self._refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
         ahead = pool.queue.ahead_of(request)
+        if not self._make_room(pool, request, now):
+            wait = pool.wait_seconds(ahead, now)
+            return self._refuse(request, RefusalReason.QUEUE_FULL, wait)
         wait = pool.wait_seconds(ahead, now)
         if now + wait > request.deadline:
             return self._refuse(request, RefusalReason.DEADLINE_OUT_OF_REACH, wait)
-        room = max(1, int(self.settings.queue_per_slot * pool.capacity(now)))
-        if len(pool.queue) >= room:
-            return self._refuse(request, RefusalReason.QUEUE_FULL, wait)
         pool.queue.push(request, now)
         return Queued(request.request_id, ahead + 1)
 
+    def _make_room(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
+        room = max(1, int(self.settings.queue_per_slot * pool.capacity(now)))
+        if len(pool.queue) < room:
+            return True
+        last = pool.queue.least_urgent()
+        if last is None or last.urgency <= URGENCY_BY_CLASS[request.request_class]:
+            return False
+        pool.queue.remove(last.request.request_id)
+        wait = pool.wait_seconds(len(pool.queue), now)
+        self._shed.append(self._refuse(last.request, RefusalReason.SHED, wait))
+        return True
+
     def _drain(self, pool: ModelPool, now: float) -> list[Grant]:
         grants: list[Grant] = []
         granted = True
@@ -302,9 +318,13 @@
                     break
         return grants
 
-    def _give_up(self, pool: ModelPool, now: float) -> list[Refusal]:
-        refusals = []
+    def _give_up(self, pool: ModelPool, now: float) -> list[Redirect | Refusal]:
+        refusals: list[Redirect | Refusal] = []
         for waiting in pool.queue:
+            redirect = self._pass_on(pool, waiting.request, now)
+            if redirect is not None:
+                refusals.append(redirect)
+                continue
             reason = self._reason_to_give_up(pool, waiting, now)
             if reason is not None:
                 pool.queue.remove(waiting.request.request_id)
@@ -312,6 +332,17 @@
                 refusals.append(self._refuse(waiting.request, reason, wait))
         return refusals
 
+    def _pass_on(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Redirect | None:
+        """Send a queued request to an owner that has room by now."""
+        if request.attempt >= self.settings.attempts_per_request:
+            return None
+        redirect = self._redirect(pool, request, now)
+        if redirect is not None:
+            pool.queue.remove(request.request_id)
+        return redirect
+
     def _reason_to_give_up(
         self, pool: ModelPool, waiting: Waiting, now: float
     ) -> RefusalReason | None:
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -7,7 +7,8 @@
 
 from teaselpond_model.contracts import CacheEvent, CacheEventPage, LoadReport
 
-from .claims import Claim
+from .cap import FleetLoad, load_cap
+from .claims import Claim, ClaimState
 from .messages import Handover, Outcome, Release
 from .outliers import OutlierDetector
 from .prefixes import PrefixIndex
@@ -19,6 +20,7 @@
 
 BLOCK_TOKENS = 16
 FORMER_INCARNATIONS = 8
+FOREIGN_TOLERANCE = 1
 
 
 @define
@@ -66,13 +68,27 @@
         """Tell whether the engine counts in the mean and may get work."""
         return self.profile.takes_work and not self.outliers.is_ejected(now)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether this daemon is sure to be the only owner."""
+        return self.claim.state is ClaimState.CONFIRMED
+
     def usable_slots(self) -> int:
         """Return the slots that the engine can bear as warm as it is."""
         return min(self.profile.slots, self.warmup.limit)
 
+    def has_room(self, load: FleetLoad) -> bool:
+        """Tell whether one more request keeps the engine within its bounds."""
+        limit = self.usable_slots()
+        settings = self.settings
+        cap = load_cap(load, limit, settings.load_multiple, settings.load_floor)
+        limit = min(limit, cap)
+        own = len(self.slots.uses_by_grant)
+        return self.slots.in_flight < limit and own < self.claim.limit(limit)
+
     def advance(self, now: float) -> None:
         """Let time pass: claims ripen, and a quiet engine counts as cold."""
-        self.claim.advance(self.slots.foreign, self.settings, now)
+        self.claim.advance(self.slots.reported_at, now)
         quiet = now - self.heard_at > self.settings.quiet_seconds
         if quiet and self.warmup.reason is not ColdReason.QUIET:
             self.warmup.start(ColdReason.QUIET, now)
@@ -85,12 +101,15 @@
             if report.sequence <= self._report_sequence:
                 return
         self._report_sequence = report.sequence
+        known = self.slots.foreign
         self.slots.observe(report, now)
         self._hear(now)
         if self.warmup.reason is ColdReason.FIRST_SEEN:
             # A new owner learns from what the engine bears how warm it is.
             self.warmup.raise_to(report.running)
-        if self.slots.foreign > 1:
+        if self.slots.foreign > known + FOREIGN_TOLERANCE:
+            # Work of a former owner drains; work that grows is granted by
+            # another daemon now.
             self.claim.contest(self.settings, now)
 
     def accept(self, handover: Handover, now: float) -> None:
--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from .cap import FleetLoad
 from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .messages import SlotRequest
@@ -72,25 +73,28 @@
     ) -> Home | None:
         """Return another owner whose engines are likely to have room."""
         load = pool.fleet_load(now)
-        free_by_owner: dict[str, float] = {}
-        for load_sum in pool.sums.fresh(now):
-            room = self.settings.load_multiple * load_sum.slots * load.in_flight
-            free = min(load_sum.slots, room / max(1, load.slots)) - load_sum.in_flight
-            known = free_by_owner.get(load_sum.owner_id, 0.0)
-            free_by_owner[load_sum.owner_id] = known + free
         candidates = self.directory.candidates(
             request.workspace, request.chat, request.model
         )
         for engine_id in candidates:
-            owner = self.directory.owner(engine_id)
-            if owner is None or owner.host_id == owner_id:
+            place = self.directory.home_at(engine_id)
+            if place is None or place.owner_id == owner_id:
                 continue
             if engine_id in request.excluded:
                 continue
-            if free_by_owner.get(owner.host_id, 0.0) >= 1.0:
-                return Home(engine_id, owner.host_id)
+            if self._free_slots(pool, place.owner_id, load, now) >= 1.0:
+                return place
         return None
 
+    def _free_slots(
+        self, pool: ModelPool, owner_id: str, load: FleetLoad, now: float
+    ) -> float:
+        sums = pool.sums.of_owner(owner_id, now)
+        slots = sum(load_sum.slots for load_sum in sums)
+        in_flight = sum(load_sum.in_flight for load_sum in sums)
+        mean = load.in_flight / max(1, load.slots)
+        return min(slots, self.settings.load_multiple * mean * slots) - in_flight
+
     def _cost(
         self,
         request: SlotRequest,
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from .cap import FleetLoad, SumTable, load_cap
+from .cap import FleetLoad, SumTable
 from .engines import OwnedEngine
 from .messages import LoadSum, SlotRequest
 from .outliers import ejections_allowed
@@ -65,22 +65,13 @@
             own.ejected + others.ejected,
         )
 
-    def limit(self, engine: OwnedEngine, load: FleetLoad) -> int:
-        """Return the most requests that an engine may hold now."""
-        usable = engine.usable_slots()
-        cap = load_cap(
-            load, usable, self.settings.load_multiple, self.settings.load_floor
-        )
-        return min(usable, engine.claim.limit(cap))
-
     def roomy(self, request: SlotRequest, now: float) -> list[OwnedEngine]:
         """Return the engines that have room for a request."""
         load = self.fleet_load(now)
         return [
             engine
             for engine in self.able(now)
-            if engine.slots.in_flight < self.limit(engine, load)
-            and engine.engine_id not in request.excluded
+            if engine.has_room(load) and engine.engine_id not in request.excluded
         ]
 
     def capacity(self, now: float) -> int:
@@ -116,7 +107,12 @@
         return [self._sum(zone, owner_id, version, now) for zone in zones]
 
     def _sum(self, zone: str, owner_id: str, version: int, now: float) -> LoadSum:
-        able = [e for e in self.able(now) if e.profile.host.zone == zone]
+        # An engine that two daemons claim would count twice.
+        able = [
+            engine
+            for engine in self.able(now)
+            if engine.profile.host.zone == zone and engine.is_confirmed
+        ]
         return LoadSum(
             model=self.model,
             zone=zone,
--- a/packages/teaselpond/src/teaselpond/policy/slots.py
+++ b/packages/teaselpond/src/teaselpond/policy/slots.py
@@ -41,7 +41,8 @@
 
     uses_by_grant: dict[str, SlotUse] = field(factory=dict)
     foreign: int = 0
-    foreign_at: float = float("-inf")
+    reported_at: float = float("-inf")
+    _trusted_from: float = float("-inf")
     _history: deque[Sample] = field(factory=deque)
 
     @property
@@ -62,17 +63,22 @@
 
     def observe(self, report: LoadReport, now: float) -> None:
         """Take the engine's own count, which lags."""
+        if report.age > HISTORY_SECONDS:
+            return
         taken_at = now - report.age
         own = self._most_in_use(
             taken_at - REPORT_SLACK_SECONDS, taken_at + REPORT_SLACK_SECONDS
         )
-        self.foreign = max(0, report.running + report.waiting - own)
-        self.foreign_at = now
+        foreign = max(0, report.running + report.waiting - own)
+        if taken_at < self._trusted_from:
+            foreign = max(foreign, self.foreign)
+        self.foreign = foreign
+        self.reported_at = max(self.reported_at, taken_at)
 
     def expect_foreign(self, count: int, now: float) -> None:
-        """Take a former owner's word for what it still has running."""
+        """Take a former owner's word, until a report is newer than it."""
         self.foreign = max(self.foreign, count)
-        self.foreign_at = now
+        self._trusted_from = now
 
     def _record(self, now: float) -> None:
         self._history.append(Sample(now, len(self.uses_by_grant)))
