Prove the load cap while two daemons claim one engine

A stateful test mixes cuts, surges, ends and late reports in any order. It showed 11 requests under a cap of 10 where daemons met again: the owner counted itself confirmed while the other had not yet let go. An owner is now contested for a moment when a claimant comes back, and a claim ends only after a report that shows what the other granted last.

The bound holds for a cut shorter than claim_seconds; a longer one is seen by growing foreign load.

--- a/packages/teaselpond/src/teaselpond/policy/claims.py
+++ b/packages/teaselpond/src/teaselpond/policy/claims.py
@@ -31,6 +31,7 @@
     state: ClaimState = ClaimState.CONFIRMED
     waits_until: float = float("-inf")
     contested_until: float = float("-inf")
+    report_seconds: float = 0.0
 
     @classmethod
     def begin(cls, settings: PolicySettings, now: float) -> "Claim":
@@ -39,13 +40,14 @@
             ClaimState.WAITING,
             now + settings.claim_wait_seconds,
             now + settings.claim_seconds,
+            settings.claim_report_seconds,
         )
 
-    def contest(self, settings: PolicySettings, now: float) -> None:
+    def contest(self, seconds: float, now: float) -> None:
         """Doubt the claim, since another daemon may be claiming as well."""
         if self.state is ClaimState.CONFIRMED:
             self.state = ClaimState.CONTESTED
-        self.contested_until = max(self.contested_until, now + settings.claim_seconds)
+        self.contested_until = max(self.contested_until, now + seconds)
 
     def confirm(self) -> None:
         """Accept the former owner's word that it has let go."""
@@ -55,10 +57,15 @@
         """Move on by time and by the last load report."""
         if self.state is ClaimState.WAITING:
             has_seen = reported_at >= self.waits_until
-            if now >= self.waits_until and (has_seen or now >= self.contested_until):
+            is_silent = now >= self.waits_until + self.report_seconds
+            if has_seen or is_silent:
                 self.state = ClaimState.CONTESTED
-        if self.state is ClaimState.CONTESTED and now >= self.contested_until:
-            self.state = ClaimState.CONFIRMED
+        if self.state is ClaimState.CONTESTED:
+            # The last report must show what the other claimant granted last.
+            has_seen = reported_at >= self.contested_until
+            is_silent = now >= self.contested_until + self.report_seconds
+            if has_seen or is_silent:
+                self.state = ClaimState.CONFIRMED
 
     def limit(self, cap: int) -> int:
         """Return this claimant's part of an engine's cap."""
@@ -71,7 +78,7 @@
     def next_change(self) -> float:
         """Return when time alone changes the claim."""
         if self.state is ClaimState.WAITING:
-            return self.waits_until
+            return self.waits_until + self.report_seconds
         if self.state is ClaimState.CONTESTED:
-            return self.contested_until
+            return self.contested_until + self.report_seconds
         return float("inf")
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -110,7 +110,7 @@
         if self.slots.foreign > known + FOREIGN_TOLERANCE:
             # Work of a former owner drains; work that grows is granted by
             # another daemon now.
-            self.claim.contest(self.settings, now)
+            self.claim.contest(self.settings.claim_seconds, now)
 
     def accept(self, handover: Handover, now: float) -> None:
         """Take the former owner's word for the engine's state."""
@@ -166,7 +166,7 @@
         elif release.outcome is Outcome.FAILED:
             self.outliers.fail(may_eject, self.settings, now)
         elif release.outcome is Outcome.REFUSED_BY_ENGINE:
-            self.claim.contest(self.settings, now)
+            self.claim.contest(self.settings.claim_seconds, now)
         if self._is_slow(release):
             self.warmup.start(ColdReason.SLOW_FIRST_TOKEN, now)
 
--- a/packages/teaselpond/src/teaselpond/policy/settings.py
+++ b/packages/teaselpond/src/teaselpond/policy/settings.py
@@ -17,6 +17,7 @@
     # Change of owner
     claim_wait_seconds: float = 2.0
     claim_seconds: float = 10.0
+    claim_report_seconds: float = 10.0
     # Cold starts
     quiet_seconds: float = 10.0
     slow_first_token_factor: float = 4.0
--- a/packages/teaselpond/src/teaselpond/policy/takeover.py
+++ b/packages/teaselpond/src/teaselpond/policy/takeover.py
@@ -50,26 +50,34 @@
     def contest(
         self, former: Mapping[str, Host], settings: PolicySettings, now: float
     ) -> None:
-        """Doubt claims that a daemon which dropped out of sight may make.
+        """Doubt claims when a daemon that may claim as well comes or goes.
 
-        It would claim the engines for which it comes next; a daemon that
-        loses half of the others may itself be the one cut off.
+        One that dropped out of sight would claim the engines for which it
+        comes next. One that is in sight again lets go of them, but a moment
+        later. A daemon that loses half of the others may itself be cut off.
         """
         present = self.directory.daemons_by_id
-        lost = {
-            host_id
-            for host_id, host in former.items()
-            if host_id not in present and host.state is HostState.LIVE
-        }
-        lost.discard(self.daemon_id)
-        if not lost:
+        lost = _live_ids(former) - present.keys()
+        back = _live_ids(present) - former.keys()
+        self._contest_claims_of(lost, former, settings.claim_seconds, now)
+        self._contest_claims_of(back, present, settings.claim_wait_seconds, now)
+
+    def _contest_claims_of(
+        self,
+        claimants: set[str],
+        daemons: Mapping[str, Host],
+        seconds: float,
+        now: float,
+    ) -> None:
+        claimants.discard(self.daemon_id)
+        if not claimants:
             return
-        is_cut_off = 2 * len(lost) >= len(former)
+        is_cut_off = 2 * len(claimants) >= len(daemons)
         for engine in self.by_id.values():
-            ranking = rank_owners(engine.profile.host, former.values())
-            following = [daemon.host_id for daemon in ranking[1:2]]
-            if is_cut_off or lost.intersection(following):
-                engine.claim.contest(settings, now)
+            ranking = rank_owners(engine.profile.host, daemons.values())
+            following = {daemon.host_id for daemon in ranking[1:2]}
+            if is_cut_off or claimants & following:
+                engine.claim.contest(seconds, now)
 
     def former_owner(self, engine: OwnedEngine) -> Home | None:
         """Return who owned an engine before, while the claim on it waits."""
@@ -111,3 +119,9 @@
             limit=engine.warmup.limit,
             incarnation=engine.warmup.incarnation,
         )
+
+
+def _live_ids(daemons: Mapping[str, Host]) -> set[str]:
+    return {
+        host_id for host_id, host in daemons.items() if host.state is HostState.LIVE
+    }
--- a/packages/teaselpond/tests/policy/test_dispatcher.py
+++ b/packages/teaselpond/tests/policy/test_dispatcher.py
@@ -21,7 +21,9 @@
 )
 from teaselpond_model.contracts import Address, Host, HostKind, LoadReport
 
-SETTINGS = PolicySettings(claim_wait_seconds=0.0, claim_seconds=0.0)
+SETTINGS = PolicySettings(
+    claim_wait_seconds=0.0, claim_seconds=0.0, claim_report_seconds=0.0
+)
 
 
 def host(host_id: str, zone: str = "a", kind: HostKind = HostKind.ENTRY) -> Host:
