--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -0,0 +1,355 @@
+"""Relay one chat from one engine."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field
+
+from teaselpond_model.contracts import Address
+
+from ..exceptions import (
+    CallerGone,
+    TeaselpondError,
+    UpstreamBroken,
+    UpstreamRefused,
+    UpstreamSilent,
+    UpstreamStreamMissing,
+    UpstreamUnavailable,
+)
+from ..policy import Grant, Outcome, Release, RetryReason
+from ..upstreams import EngineStream, EventBatch
+from .answers import AnswerText
+from .chats import ChatCall, engine_body
+from .sinks import AnswerHead, Sink
+from .tokens import StreamPlace
+from .verdicts import Exit, RunHistory, refuse
+
+if TYPE_CHECKING:
+    from .relay import ChatRelay
+
+MAX_RESUMES = 2
+RESUME_IDLE_SECONDS = 5.0
+RESUME_DELAY_SECONDS = 0.05
+DONE_EVENT = b"data: [DONE]\n\n"
+ID_LINE = b"id: "
+
+
+class AttemptFailed(TeaselpondError):
+    """Report that an attempt brought no whole answer."""
+
+    def __init__(
+        self,
+        reason: RetryReason,
+        exit_: Exit,
+        peer: str,
+        outcome: Outcome = Outcome.FAILED,
+    ) -> None:
+        super().__init__(reason.value, step=exit_.value, peer=peer)
+        self.reason = reason
+        self.exit = exit_
+        self.outcome = outcome
+
+
+@define
+class Progress:
+    """Hold what a caller has been sent so far, by all attempts."""
+
+    history: RunHistory = field(factory=RunHistory)
+    text: AnswerText = field(factory=AnswerText)
+    events: int = 0
+    begun: bool = False
+
+
+class Attempt:
+    """Send a chat to one engine and pass its events on to the caller."""
+
+    def __init__(
+        self,
+        relay: "ChatRelay",
+        engine_id: str,
+        address: Address,
+        sink: Sink,
+        progress: Progress,
+        call: ChatCall | None = None,
+    ) -> None:
+        self._relay = relay
+        self._engine_id = engine_id
+        self._address = address
+        self._sink = sink
+        self._progress = progress
+        self._call = call
+        self._opening: asyncio.Task[EngineStream] | None = None
+        self._stream: EngineStream | None = None
+        self._place: StreamPlace | None = None
+        self._id_line = b""
+        self._sent_at = 0.0
+        self._first_event_at: float | None = None
+        self._events_before = progress.events
+        self.caller_left = False
+
+    # Running
+
+    async def run(self, priority: int) -> None:
+        """Relay to the end; raise AttemptFailed, Refused or CallerGone."""
+        call = self._call
+        quarantine = self._relay.quarantine
+        if not quarantine.is_suspect(call.fingerprint, self._relay.wall_clock()):
+            await self._run(priority)
+            return
+        turn = quarantine.turn(self._engine_id)
+        await self._enter(turn)
+        try:
+            await self._run(priority)
+        finally:
+            await turn.__aexit__(None, None, None)
+        await quarantine.clear(call.fingerprint)
+
+    async def _enter(self, turn) -> None:
+        remaining = self._call.deadline - self._relay.clock()
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                await turn.__aenter__()
+        except TimeoutError as error:
+            raise refuse(Exit.DEADLINE_BEFORE_SEND) from error
+
+    async def _run(self, priority: int) -> None:
+        call = self._call
+        stream = await self._open(priority)
+        self._relay.deaths.learn(self._engine_id, stream.head.incarnation)
+        self._place = StreamPlace(
+            call.workspace,
+            call.request_id,
+            self._engine_id,
+            str(self._address),
+            stream.head.stream_id,
+            int(self._relay.wall_clock()),
+        )
+        await self._relay_whole(stream)
+
+    async def resume(self, place: StreamPlace, after: int) -> None:
+        """Relay what follows an event; raise AttemptFailed or CallerGone."""
+        self._place = place
+        stream = await self._reopen(after)
+        await self._relay_whole(stream)
+        await stream.finish()
+
+    async def _open(self, priority: int) -> EngineStream:
+        progress = self._progress
+        body = engine_body(self._call, progress.text.text, progress.text.tokens)
+        progress.history.sending()
+        self._sent_at = self._relay.clock()
+        self._opening = asyncio.create_task(
+            self._relay.engines.open_stream(
+                self._address,
+                body,
+                request_id=self._call.request_id,
+                priority=priority,
+                idle_seconds=self._relay.settings.event_idle_seconds,
+            )
+        )
+        try:
+            # A cancelled wait leaves the request running until its head
+            # names the stream to cancel.
+            return await asyncio.shield(self._opening)
+        except UpstreamUnavailable:
+            progress.history.not_run()
+            raise self._failed(
+                RetryReason.ENGINE_UNREACHABLE, Exit.CONNECT_FAILED
+            ) from None
+        except UpstreamRefused as error:
+            raise self._refused(error) from None
+        except UpstreamSilent:
+            raise self._failed(RetryReason.ANSWER_SILENT, Exit.ANSWER_SILENT) from None
+        except UpstreamBroken:
+            await self._relay.deaths.check(self._engine_id)
+            raise self._failed(RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN) from None
+
+    def _refused(self, error: UpstreamRefused) -> AttemptFailed:
+        if not error.not_run:
+            return self._failed(RetryReason.ANSWER_CUT, Exit.UPSTREAM_ERROR)
+        self._progress.history.not_run()
+        return self._failed(
+            RetryReason.ENGINE_REFUSED,
+            Exit.ENGINE_REFUSED,
+            Outcome.REFUSED_BY_ENGINE,
+        )
+
+    # Relaying
+
+    async def _relay_whole(self, stream: EngineStream) -> None:
+        resumes = 0
+        while True:
+            self._stream = stream
+            start = stream.last_number
+            try:
+                await self._forward_all(stream)
+                return
+            except UpstreamBroken as error:
+                stream.close()
+                broken = error
+            resumes = 0 if stream.last_number > start else resumes + 1
+            if resumes > MAX_RESUMES:
+                await self._end_broken(broken)
+                return
+            self._relay.counters.incr("streams.resumed")
+            await asyncio.sleep(RESUME_DELAY_SECONDS * resumes)
+            try:
+                stream = await self._reopen(stream.last_number)
+            except AttemptFailed:
+                await self._end_broken(broken)
+                return
+
+    async def _reopen(self, after: int) -> EngineStream:
+        place = self._place
+        resumes = 0
+        while True:
+            try:
+                return await self._relay.engines.resume(
+                    self._address,
+                    place.stream_id,
+                    after,
+                    request_id=place.request_id,
+                    idle_seconds=RESUME_IDLE_SECONDS,
+                )
+            except UpstreamBroken as error:
+                resumes += 1
+                missing = isinstance(error, UpstreamStreamMissing)
+                if missing or resumes > MAX_RESUMES:
+                    raise self._failed(
+                        RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN
+                    ) from error
+            except (UpstreamUnavailable, UpstreamRefused) as error:
+                raise self._failed(
+                    RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN
+                ) from error
+            await asyncio.sleep(RESUME_DELAY_SECONDS * resumes)
+
+    async def _end_broken(self, error: UpstreamBroken) -> None:
+        """End a stream that can't be resumed; raise AttemptFailed."""
+        if self._call is None:
+            raise self._failed(RetryReason.ANSWER_CUT, Exit.STREAM_BROKEN) from error
+        incarnation = self._stream.head.incarnation
+        await self._relay.deaths.check(self._engine_id, incarnation)
+        if self._progress.text.finished:
+            # Only the terminal event is missing; the text is whole.
+            await self._write(DONE_EVENT)
+            return
+        silent = isinstance(error, UpstreamSilent)
+        reason = RetryReason.ANSWER_SILENT if silent else RetryReason.ANSWER_CUT
+        began = self._progress.events > 0
+        exit_ = Exit.STREAM_BROKEN if began else Exit.ANSWER_BROKEN
+        raise self._failed(reason, exit_) from error
+
+    async def _forward_all(self, stream: EngineStream) -> None:
+        prefix = self._relay.tokens.prefix(self._place).encode()
+        self._id_line = ID_LINE + prefix + b"."
+        async for batch in stream.batches():
+            await self._forward(batch)
+
+    async def _forward(self, batch: EventBatch) -> None:
+        progress = self._progress
+        progress.history.answered()
+        progress.events += batch.count
+        progress.text.add(batch.raw)
+        if self._first_event_at is None:
+            self._first_event_at = self._relay.clock()
+        await self._write(self._mark(batch.raw))
+
+    def _mark(self, raw: bytes) -> bytes:
+        """Put the resume token into each event id.
+
+        Data lines hold JSON, which has no line breaks, so that only the
+        lines of the event stream itself match.
+        """
+        marked = raw.replace(b"\n" + ID_LINE, b"\n" + self._id_line)
+        if marked.startswith(ID_LINE):
+            return self._id_line + marked[len(ID_LINE) :]
+        return marked
+
+    async def _write(self, raw: bytes) -> None:
+        try:
+            async with asyncio.timeout(self._relay.settings.caller_seconds):
+                if not self._progress.begun:
+                    self._progress.begun = True
+                    await self._sink.begin(self._head())
+                await self._sink.write(raw)
+        except TimeoutError as error:
+            raise CallerGone("takes no bytes", step="write") from error
+
+    def _head(self) -> AnswerHead:
+        head = self._stream.head
+        return AnswerHead(
+            self._place.request_id,
+            self._engine_id,
+            head.cached_tokens,
+            head.prompt_tokens,
+        )
+
+    # Ending
+
+    def release(self, grant: Grant, outcome: Outcome) -> Release:
+        """Return what to tell the slot's owner."""
+        release = Release(grant.grant_id, outcome)
+        if self._stream is None:
+            return release
+        head = self._stream.head
+        first = self._first_event_at
+        return evolve(
+            release,
+            first_token_seconds=None if first is None else first - self._sent_at,
+            prompt_tokens=head.prompt_tokens,
+            cached_tokens=head.cached_tokens,
+            output_tokens=self._progress.events - self._events_before,
+            incarnation=head.incarnation,
+        )
+
+    def close(self) -> None:
+        """Free the connection and leave the engine at its work."""
+        if self._stream is not None:
+            self._stream.close()
+
+    async def stop(self) -> None:
+        """See the engine's work on this request ended."""
+        stream = self._stream or await self._head_after_cancel()
+        if stream is None:
+            return
+        if not stream.whole and self.caller_left and self._call.resumable:
+            await self._read_out(stream)
+        if stream.whole:
+            await stream.finish()
+            return
+        stream.close()
+        if not stream.head.stream_id:
+            return
+        try:
+            await self._relay.engines.cancel(
+                self._address,
+                stream.head.stream_id,
+                request_id=self._call.request_id,
+            )
+        except (TeaselpondError, ValueError):
+            # An engine that can't be reached has no more use of its slot.
+            return
+
+    async def _head_after_cancel(self) -> EngineStream | None:
+        if self._opening is None:
+            return None
+        try:
+            limit = self._relay.settings.head_after_cancel_seconds
+            async with asyncio.timeout(limit):
+                return await self._opening
+        except (TimeoutError, TeaselpondError, ValueError):
+            return None
+
+    async def _read_out(self, stream: EngineStream) -> None:
+        """Let the engine finish for a caller that may come for the rest."""
+        try:
+            async for _batch in stream.batches():
+                pass
+        except UpstreamBroken:
+            return
+
+    def _failed(
+        self, reason: RetryReason, exit_: Exit, outcome: Outcome = Outcome.FAILED
+    ) -> AttemptFailed:
+        return AttemptFailed(reason, exit_, str(self._address), outcome)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/chats.py
@@ -0,0 +1,148 @@
+"""Read chat requests and write those that engines get."""
+
+import json
+
+from attrs import field, frozen
+
+from teaselpond_model.prefixes import (
+    content_text,
+    count_tokens,
+    prefix_hashes,
+    prompt_text,
+)
+
+from ..policy import RequestClass, select_prefixes
+from .poison import chat_fingerprint
+from .verdicts import Exit, refuse
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_MESSAGES = 10_000
+MAX_ID_CHARACTERS = 128
+ROLES = frozenset({"system", "developer", "user", "assistant", "tool"})
+
+
+@frozen
+class ChatCall:
+    """Hold one chat request as it was read.
+
+    ``deadline`` is in seconds of this daemon's monotonic clock. The answer
+    of a ``resumable`` call is finished at the engine when the caller's
+    connection ends, so that the caller can come for the rest.
+    """
+
+    workspace: str
+    chat: str
+    request_id: str
+    model: str
+    request_class: RequestClass
+    deadline: float
+    document: dict = field(repr=False)
+    prompt_tokens: int
+    prefixes: tuple[str, ...]
+    fingerprint: str
+    streamed: bool = False
+    resumable: bool = False
+    hint_engine: str = ""
+
+
+def parse_chat(
+    body: bytes,
+    *,
+    workspace: str,
+    chat: str,
+    request_id: str,
+    request_class: RequestClass,
+    deadline: float,
+    resumable: bool = False,
+    hint_engine: str = "",
+) -> ChatCall:
+    """Read a chat request's body; raise Refused for one that can't be run."""
+    for name, value in (
+        ("workspace", workspace),
+        ("chat", chat),
+        ("request id", request_id),
+    ):
+        check_id(name, value)
+    document = parse_document(body)
+    model = document.get("model")
+    if not isinstance(model, str) or not model:
+        raise refuse(Exit.INPUT_INVALID, "model: a name is needed")
+    if document.get("n", 1) != 1:
+        raise refuse(Exit.INPUT_INVALID, "n: only one answer a request")
+    streamed = document.get("stream", False)
+    if not isinstance(streamed, bool):
+        raise refuse(Exit.INPUT_INVALID, "stream: true or false")
+    limit = document.get("max_tokens")
+    if limit is not None and (type(limit) is not int or limit < 1):
+        raise refuse(Exit.INPUT_INVALID, "max_tokens: a whole number above 0")
+    messages = _check_messages(document.get("messages"))
+    prompt = prompt_text(messages)
+    return ChatCall(
+        workspace=workspace,
+        chat=chat,
+        request_id=request_id,
+        model=model,
+        request_class=request_class,
+        deadline=deadline,
+        document=document,
+        prompt_tokens=count_tokens(prompt),
+        prefixes=select_prefixes(prefix_hashes(prompt)),
+        fingerprint=chat_fingerprint(workspace, model, prompt.encode()),
+        streamed=streamed,
+        resumable=resumable,
+        hint_engine=hint_engine,
+    )
+
+
+def parse_document(body: bytes) -> dict:
+    """Read a JSON object; raise Refused."""
+    if len(body) > MAX_BODY_BYTES:
+        raise refuse(Exit.INPUT_TOO_LARGE)
+    try:
+        document = json.loads(body.decode("utf-8"))
+        # Lone surrogates can be written in JSON and not in UTF-8.
+        json.dumps(document, ensure_ascii=False).encode("utf-8")
+    except (ValueError, RecursionError) as error:
+        raise refuse(Exit.INPUT_INVALID, "the body is not JSON in UTF-8") from error
+    if not isinstance(document, dict):
+        raise refuse(Exit.INPUT_INVALID, "the body is not a JSON object")
+    return document
+
+
+def check_id(name: str, value: str) -> None:
+    """Raise Refused for an id that can't be passed on in a header."""
+    if not value or len(value) > MAX_ID_CHARACTERS:
+        raise refuse(Exit.INPUT_INVALID, f"{name}: 1 to {MAX_ID_CHARACTERS} characters")
+    if not all("!" <= character <= "~" for character in value):
+        raise refuse(Exit.INPUT_INVALID, f"{name}: printable ASCII without blanks")
+
+
+def engine_body(call: ChatCall, sent_text: str = "", sent_tokens: int = 0) -> bytes:
+    """Return the body for an engine, to continue from text already sent."""
+    document = dict(call.document)
+    document["stream"] = True
+    if sent_text:
+        document["messages"] = _continued(document["messages"], sent_text)
+        limit = document.get("max_tokens")
+        if limit is not None:
+            document["max_tokens"] = max(1, limit - sent_tokens)
+    return json.dumps(document, ensure_ascii=False).encode()
+
+
+def _continued(messages: list[dict], sent_text: str) -> list[dict]:
+    last = messages[-1]
+    if last["role"] != "assistant":
+        return [*messages, {"role": "assistant", "content": sent_text}]
+    joined = {**last, "content": content_text(last.get("content")) + sent_text}
+    return [*messages[:-1], joined]
+
+
+def _check_messages(messages: object) -> list[dict]:
+    if not isinstance(messages, list) or not 0 < len(messages) <= MAX_MESSAGES:
+        raise refuse(Exit.INPUT_INVALID, f"messages: 1 to {MAX_MESSAGES} of them")
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict) or message.get("role") not in ROLES:
+            raise refuse(Exit.INPUT_INVALID, f"messages[{index}]: unknown role")
+        if not isinstance(message.get("content"), str | list | None):
+            raise refuse(Exit.INPUT_INVALID, f"messages[{index}]: content not text")
+    return messages
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/deaths.py
@@ -0,0 +1,69 @@
+"""Find out whether an engine's process ended while it ran requests."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from ..exceptions import TeaselpondError, UpstreamSilent
+from ..upstreams import EngineClient
+from .chats import ChatCall
+from .poison import EngineDeath, Quarantine
+from .slots import EngineAddresses
+
+
+class DeathWatch:
+    """Know what this daemon runs on each engine, and report deaths."""
+
+    def __init__(
+        self, engines: EngineClient, quarantine: Quarantine, addresses: EngineAddresses
+    ) -> None:
+        self._engines = engines
+        self._quarantine = quarantine
+        self._addresses = addresses
+        self._running_by_engine: dict[str, dict[str, ChatCall]] = {}
+        self._incarnations_by_engine: dict[str, str] = {}
+
+    @contextmanager
+    def running(self, engine_id: str, call: ChatCall) -> Iterator[None]:
+        """Count a request as running on an engine."""
+        calls = self._running_by_engine.setdefault(engine_id, {})
+        calls[call.request_id] = call
+        try:
+            yield
+        finally:
+            calls.pop(call.request_id, None)
+            if not calls and self._running_by_engine.get(engine_id) is calls:
+                del self._running_by_engine[engine_id]
+
+    def learn(self, engine_id: str, incarnation: str) -> None:
+        """Note the incarnation that an engine's answer names."""
+        if incarnation:
+            self._incarnations_by_engine[engine_id] = incarnation
+
+    async def check(self, engine_id: str, incarnation: str = "") -> bool:
+        """Tell whether an engine died, and have it recorded if so.
+
+        ``incarnation`` is the one that was seen to run the request.
+        """
+        incarnation = incarnation or self._incarnations_by_engine.get(engine_id, "")
+        if not await self._is_dead(engine_id, incarnation):
+            return False
+        calls = tuple(self._running_by_engine.get(engine_id, {}).values())
+        await self._quarantine.record_death(
+            EngineDeath(engine_id, incarnation),
+            tuple((call.workspace, call.fingerprint) for call in calls),
+            zone=self._addresses.zone_of(engine_id),
+        )
+        return True
+
+    async def _is_dead(self, engine_id: str, incarnation: str) -> bool:
+        address = self._addresses.address_of(engine_id)
+        if address is None:
+            return False
+        try:
+            report = await self._engines.load(address)
+        except UpstreamSilent:
+            # Something between the two ends may have lost the connection.
+            return False
+        except TeaselpondError:
+            return True
+        return bool(incarnation) and report.incarnation != incarnation
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/job_holding.py
@@ -0,0 +1,113 @@
+"""Hold one claimed job, with writes that a later claim fences off."""
+
+import asyncio
+
+from attrs import evolve
+
+from teaselpond_model.exceptions import StoreUnavailable
+
+from .confirm import Overtaken
+from .job_records import HeldJob, JobRecord, JobState, result_name, structure_job
+from .job_store import JobStore
+from .verdicts import Exit, refuse
+
+RETRY_SECONDS = 1.0
+STORE_SECONDS = 5.0
+
+
+class JobLost(Exception):
+    """Report that another daemon has taken a job over."""
+
+
+class JobHolding:
+    """Hold one claimed job; every write is fenced by the version it knows."""
+
+    def __init__(self, store: JobStore, job: HeldJob) -> None:
+        self.job = job
+        self.lost = False
+        self._store = store
+
+    async def load_input(self) -> bytes:
+        """Return the job's body, however long the store is away."""
+        while True:
+            try:
+                content = await self._store.objects.get(self.job.input_name)
+                break
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_SECONDS)
+        if content is None:
+            raise refuse(Exit.JOB_INPUT_MISSING)
+        return content
+
+    async def note(self, progress: int) -> None:
+        """Write progress down; raise JobLost. An outage is let pass."""
+        if progress == self.job.record.progress:
+            return
+        try:
+            await self._write(evolve(self.job.record, progress=progress))
+        except StoreUnavailable:
+            return
+
+    async def finish(self, content: bytes) -> None:
+        """Store a result, however long the store is away, unless it's late.
+
+        The object's name holds the fence, so that a holder that was taken
+        over can't overwrite its successor's result.
+        """
+        name = result_name(self.job.job_id, self.job.record.fence)
+        while True:
+            try:
+                await self._store.objects.put(name, content)
+                break
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_SECONDS)
+        record = evolve(
+            self.job.record,
+            state=JobState.DONE,
+            result=name,
+            ended_at=self._store.wall_clock(),
+        )
+        await self.settle(record)
+
+    async def settle(self, record: JobRecord) -> None:
+        """Write the end of this claim, however long the store is away."""
+        while not self.lost:
+            try:
+                await self._write(record)
+                return
+            except JobLost:
+                return
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _write(self, record: JobRecord) -> None:
+        while True:
+            result = await self._store.write(
+                self.job.job_id,
+                record,
+                self.job.version,
+                self._store.clock() + STORE_SECONDS,
+            )
+            if isinstance(result, HeldJob):
+                self.job = result
+                return
+            found = self._found(result)
+            if found is None or not self._is_own(found.record):
+                self.lost = True
+                raise JobLost(self.job.job_id)
+            # An earlier write of this claim, whose answer was lost.
+            self.job = found
+
+    def _found(self, overtaken: Overtaken) -> HeldJob | None:
+        entry = overtaken.entry
+        if entry is None:
+            return None
+        return HeldJob(self.job.job_id, structure_job(entry.value), entry.version)
+
+    def _is_own(self, record: JobRecord) -> bool:
+        own = self.job.record
+        return (
+            record.state is JobState.RUNNING
+            and record.fence == own.fence
+            and record.holder == own.holder
+        )
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/job_store.py
@@ -0,0 +1,187 @@
+"""Move durable jobs to and from the platform."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Callable
+
+from attrs import evolve
+
+from teaselpond_model.contracts import Check, Delete, ObjectStore, TableService
+from teaselpond_model.exceptions import (
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    TransactionConflict,
+)
+
+from ..exceptions import Refused
+from .confirm import Overtaken, write_confirmed
+from .job_records import (
+    HeldJob,
+    JobRecord,
+    JobRequest,
+    JobState,
+    input_name,
+    job_key,
+    make_job_id,
+    structure_job,
+    unstructure_job,
+)
+from .verdicts import Exit, refuse
+
+SUBMIT_SECONDS = 5.0
+RETRY_SECONDS = 0.1
+STORE_RETRY_AFTER_SECONDS = 2.0
+KEEP_FETCHED_SECONDS = 3600.0
+KEEP_UNFETCHED_SECONDS = 7 * 24 * 3600.0
+MAX_JOB_ID_CHARACTERS = 64
+
+
+class JobStore:
+    """Move jobs to and from the platform."""
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.table = table
+        self.objects = objects
+        self.clock = clock
+        self.wall_clock = wall_clock
+
+    async def submit(
+        self, workspace: str, key: str, body: bytes, holder: str = ""
+    ) -> HeldJob:
+        """Store a job, and return it or the one stored before under the key.
+
+        With a holder the job is claimed by the same write. Raise Refused.
+        """
+        job_id = make_job_id(workspace, key or uuid.uuid4().hex)
+        request = JobRequest(workspace, job_id, body)
+        record = JobRecord(
+            JobState.WAITING, workspace, request.fingerprint, self.wall_clock()
+        )
+        if holder:
+            record = record.claimed(holder)
+        deadline = self.clock() + SUBMIT_SECONDS
+        await self._store_input(request, deadline)
+        try:
+            result = await self.write(job_id, record, 0, deadline)
+        except StoreOutcomeUnknown as error:
+            raise refuse(
+                Exit.JOB_STORE_UNKNOWN, retry_after=STORE_RETRY_AFTER_SECONDS
+            ) from error
+        except StoreUnavailable as error:
+            raise _not_stored() from error
+        if isinstance(result, HeldJob):
+            return result
+        return self._repeated(request, result)
+
+    async def _store_input(self, request: JobRequest, deadline: float) -> None:
+        name = input_name(request.job_id, request.fingerprint)
+        while True:
+            try:
+                await self.objects.put(name, request.body)
+                return
+            except StoreUnavailable as error:
+                # An object without a record is never run.
+                if self.clock() + RETRY_SECONDS >= deadline:
+                    raise _not_stored() from error
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _repeated(self, request: JobRequest, overtaken: Overtaken) -> HeldJob:
+        entry = overtaken.entry
+        if entry is None:
+            raise _not_stored()
+        record = structure_job(entry.value)
+        if record.fingerprint != request.fingerprint:
+            raise refuse(Exit.KEY_REUSED)
+        return HeldJob(request.job_id, record, entry.version)
+
+    async def write(
+        self, job_id: str, record: JobRecord, expected_version: int, deadline: float
+    ) -> HeldJob | Overtaken:
+        """Write a record by compare-and-set; raise as write_confirmed."""
+        result = await write_confirmed(
+            self.table,
+            job_key(job_id),
+            unstructure_job(record),
+            expected_version=expected_version,
+            is_own=lambda value: structure_job(value) == record,
+            deadline=deadline,
+            clock=self.clock,
+        )
+        if isinstance(result, Overtaken):
+            return result
+        return HeldJob(job_id, record, result.version)
+
+    async def load(self, workspace: str, job_id: str) -> HeldJob:
+        """Return a job of a workspace; raise Refused."""
+        if not job_id.isalnum() or len(job_id) > MAX_JOB_ID_CHARACTERS:
+            raise refuse(Exit.JOB_UNKNOWN)
+        try:
+            entry = await self.table.get(job_key(job_id))
+        except StoreUnavailable as error:
+            raise refuse(
+                Exit.LOOKUP_FAILED, retry_after=STORE_RETRY_AFTER_SECONDS
+            ) from error
+        if entry is None:
+            raise refuse(Exit.JOB_UNKNOWN)
+        record = structure_job(entry.value)
+        if record.workspace != workspace:
+            # Another workspace's job is not even shown to exist.
+            raise refuse(Exit.JOB_UNKNOWN)
+        return HeldJob(job_id, record, entry.version)
+
+    async def fetch_result(self, job: HeldJob) -> bytes:
+        """Return a finished job's result and note that; raise Refused."""
+        try:
+            content = await self.objects.get(job.record.result)
+        except StoreUnavailable as error:
+            raise refuse(
+                Exit.LOOKUP_FAILED, retry_after=STORE_RETRY_AFTER_SECONDS
+            ) from error
+        if content is None:
+            raise refuse(Exit.JOB_UNKNOWN)
+        return content
+
+    async def note_fetched(self, job: HeldJob) -> None:
+        """Start the time after which a fetched result is removed."""
+        if job.record.fetched_at:
+            return
+        record = evolve(job.record, fetched_at=self.wall_clock())
+        try:
+            await self.write(
+                job.job_id, record, job.version, self.clock() + SUBMIT_SECONDS
+            )
+        except StoreUnavailable:
+            # Unnoted, the result is only kept for longer.
+            return
+
+    async def remove(self, job: HeldJob) -> None:
+        """Remove an expired job; one that changed meanwhile stays."""
+        checks = (Check(job.key, job.version),)
+        try:
+            await self.table.transact(checks, (Delete(job.key),))
+            await self.objects.delete(job.input_name)
+            if job.record.result:
+                await self.objects.delete(job.record.result)
+        except (StoreUnavailable, TransactionConflict):
+            return
+
+
+def is_expired(record: JobRecord, now: float) -> bool:
+    """Tell whether an ended job may be removed; ``now`` is wall-clock time."""
+    if not record.state.ended:
+        return False
+    if record.fetched_at:
+        return now >= record.fetched_at + KEEP_FETCHED_SECONDS
+    return now >= record.ended_at + KEEP_UNFETCHED_SECONDS
+
+
+def _not_stored() -> Refused:
+    return refuse(Exit.JOB_NOT_STORED, retry_after=STORE_RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/plans.py
@@ -0,0 +1,40 @@
+"""Run fitting plans, which are long chats, as durable jobs."""
+
+import time
+from collections.abc import Callable
+
+from ..policy import RequestClass
+from .chats import parse_chat
+from .relay import ChatRelay
+
+PLAN_SECONDS = 1800.0
+
+
+class PlanRunner:
+    """Run each plan as a chat of the least urgent class."""
+
+    def __init__(
+        self,
+        relay: ChatRelay,
+        *,
+        plan_seconds: float = PLAN_SECONDS,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._relay = relay
+        self._plan_seconds = plan_seconds
+        self._clock = clock
+
+    async def run(
+        self, job_id: str, workspace: str, body: bytes, report: Callable[[int], None]
+    ) -> bytes:
+        """Return the whole answer's body; raise Refused."""
+        call = parse_chat(
+            body,
+            workspace=workspace,
+            chat=job_id,
+            request_id=f"job-{job_id}",
+            request_class=RequestClass.PLAN,
+            deadline=self._clock() + self._plan_seconds,
+        )
+        answer = await self._relay.answer(call, report)
+        return answer.body
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -0,0 +1,231 @@
+"""Bring each chat to a whole answer, over one engine or several."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from attrs import frozen
+
+from ..exceptions import CallerGone, Refused
+from ..policy import Grant, Outcome, Release, RetryReason, SlotRequest
+from ..upstreams import EngineClient
+from .attempts import Attempt, AttemptFailed, Progress
+from .chats import ChatCall
+from .counters import Counters, NoCounters
+from .deaths import DeathWatch
+from .poison import Quarantine
+from .retries import RetryPolicy
+from .sinks import Sink, WholeAnswer
+from .slots import EngineAddresses, SlotSource
+from .tokens import InvalidToken, ResumeTokens
+from .verdicts import Exit, Run, refuse
+
+EVENT_IDLE_SECONDS = 20.0
+CALLER_SECONDS = 30.0
+CONTINUE_SECONDS = 30.0
+MAX_CONTINUATIONS = 8
+HEAD_AFTER_CANCEL_SECONDS = 5.0
+
+
+@frozen
+class RelaySettings:
+    """Hold the relay's times in seconds.
+
+    ``event_idle_seconds`` is how long an engine may send nothing,
+    ``caller_seconds`` how long a caller may take nothing, and
+    ``continue_seconds`` how long an answer that has begun is retried.
+    """
+
+    event_idle_seconds: float = EVENT_IDLE_SECONDS
+    caller_seconds: float = CALLER_SECONDS
+    continue_seconds: float = CONTINUE_SECONDS
+    head_after_cancel_seconds: float = HEAD_AFTER_CANCEL_SECONDS
+
+
+class ChatRelay:
+    """Run chats: acquire a slot, relay the stream, mend it, release."""
+
+    def __init__(
+        self,
+        *,
+        slots: SlotSource,
+        addresses: EngineAddresses,
+        engines: EngineClient,
+        quarantine: Quarantine,
+        tokens: ResumeTokens,
+        retries: RetryPolicy,
+        daemon: str,
+        settings: RelaySettings | None = None,
+        counters: Counters | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.engines = engines
+        self.quarantine = quarantine
+        self.tokens = tokens
+        self.settings = settings or RelaySettings()
+        self.counters = counters or NoCounters()
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.deaths = DeathWatch(engines, quarantine, addresses)
+        self._slots = slots
+        self._addresses = addresses
+        self._retries = retries
+        self._daemon = daemon
+        self._cleanups: set[asyncio.Task] = set()
+
+    async def run(self, call: ChatCall, sink: Sink) -> None:
+        """Write a whole answer to the sink; raise Refused or CallerGone.
+
+        However this ends, the slot is released and an engine that still runs
+        the request is told to stop, unless the caller may come back for it.
+        """
+        progress = Progress()
+        try:
+            await self._run(call, sink, progress)
+        except Refused as refused:
+            raise progress.history.apply(refused) from refused
+        self._retries.succeed()
+
+    async def answer(
+        self, call: ChatCall, report: Callable[[int], None] | None = None
+    ) -> WholeAnswer:
+        """Return a whole answer that isn't streamed; raise Refused.
+
+        ``report`` is told of the number of events as they come.
+        """
+        progress = Progress()
+        sink = WholeAnswer(call, report)
+        try:
+            async with asyncio.timeout(max(0.0, call.deadline - self.clock())):
+                await self._run(call, sink, progress)
+        except TimeoutError:
+            exit_ = _deadline_exit(progress)
+            raise progress.history.apply(refuse(exit_)) from None
+        except Refused as refused:
+            raise progress.history.apply(refused) from refused
+        self._retries.succeed()
+        sink.finish(progress.text)
+        return sink
+
+    async def resume(self, token: str, workspace: str, sink: Sink) -> None:
+        """Write what follows an event id; raise Refused or CallerGone."""
+        try:
+            resumed = self.tokens.read(token, workspace, self.wall_clock())
+        except InvalidToken as error:
+            raise refuse(Exit.STREAM_TOKEN_INVALID) from error
+        place = resumed.place
+        attempt = Attempt(self, place.engine_id, place.address, sink, Progress())
+        try:
+            await attempt.resume(place, resumed.after)
+        except AttemptFailed as failed:
+            raise refuse(Exit.STREAM_LOST, peer=failed.peer) from failed
+        finally:
+            attempt.close()
+
+    async def drain(self) -> None:
+        """Wait until every slot is released and every cancel is sent."""
+        while self._cleanups:
+            await asyncio.wait(set(self._cleanups))
+
+    def later(self, awaitable: Awaitable[None]) -> None:
+        """Run a clean-up to its end, whatever becomes of the request."""
+        task = asyncio.ensure_future(awaitable)
+        self._cleanups.add(task)
+        task.add_done_callback(self._cleanups.discard)
+
+    async def _run(self, call: ChatCall, sink: Sink, progress: Progress) -> None:
+        attempt = 0
+        failures = 0
+        excluded: tuple[str, ...] = ()
+        deadline = call.deadline
+        while True:
+            self._check_quarantine(call)
+            attempt += 1
+            events_before = progress.events
+            request = self._slot_request(call, attempt, excluded, deadline)
+            grant = await self._slots.acquire(request)
+            try:
+                await self._attempt(call, grant, sink, progress)
+                return
+            except AttemptFailed as failed:
+                failure = failed
+            excluded = (*excluded, grant.engine_id)
+            progressed = progress.events > events_before
+            failures = 0 if progressed else failures + 1
+            if progress.events:
+                self._check_continuable(progress, attempt)
+                deadline = self.clock() + self.settings.continue_seconds
+            retry = self._retries.decide(
+                failures,
+                failure.reason,
+                now=self.clock(),
+                deadline=deadline,
+                progressed=progressed,
+            )
+            if not retry.allowed:
+                exit_ = Exit.RETRY_BUDGET_EMPTY if retry.budget_empty else failure.exit
+                raise refuse(exit_, peer=failure.peer, retry_after=1.0)
+            await asyncio.sleep(retry.delay)
+
+    async def _attempt(
+        self, call: ChatCall, grant: Grant, sink: Sink, progress: Progress
+    ) -> None:
+        release = Release(grant.grant_id, Outcome.CANCELLED)
+        address = self._addresses.address_of(grant.engine_id)
+        if address is None:
+            await self._slots.release(release)
+            raise AttemptFailed(RetryReason.ENGINE_UNREACHABLE, Exit.CONNECT_FAILED, "")
+        attempt = Attempt(self, grant.engine_id, address, sink, progress, call)
+        try:
+            with self.deaths.running(grant.engine_id, call):
+                await attempt.run(grant.priority)
+            release = attempt.release(grant, Outcome.COMPLETED)
+        except AttemptFailed as failed:
+            release = attempt.release(grant, failed.outcome)
+            raise
+        except (CallerGone, asyncio.CancelledError):
+            attempt.caller_left = True
+            release = attempt.release(grant, Outcome.CANCELLED)
+            raise
+        finally:
+            self.later(self._clean_up(attempt, release))
+
+    async def _clean_up(self, attempt: Attempt, release: Release) -> None:
+        # The slot is in use until the engine has stopped.
+        try:
+            await attempt.stop()
+        finally:
+            await self._slots.release(release)
+
+    def _slot_request(
+        self, call: ChatCall, attempt: int, excluded: tuple[str, ...], deadline: float
+    ) -> SlotRequest:
+        return SlotRequest(
+            request_id=call.request_id,
+            workspace=call.workspace,
+            chat=call.chat,
+            model=call.model,
+            request_class=call.request_class,
+            prompt_tokens=call.prompt_tokens,
+            prefixes=call.prefixes,
+            deadline=deadline,
+            origin_daemon=self._daemon,
+            hint_engine="" if call.hint_engine in excluded else call.hint_engine,
+            excluded=excluded,
+            attempt=attempt,
+        )
+
+    def _check_quarantine(self, call: ChatCall) -> None:
+        if self.quarantine.is_quarantined(call.fingerprint, self.wall_clock()):
+            raise refuse(Exit.QUARANTINED)
+
+    def _check_continuable(self, progress: Progress, attempt: int) -> None:
+        if not progress.text.continuable or attempt > MAX_CONTINUATIONS:
+            raise refuse(Exit.STREAM_BROKEN)
+
+
+def _deadline_exit(progress: Progress) -> Exit:
+    if progress.history.run is Run.NOT_RUN:
+        return Exit.DEADLINE_BEFORE_SEND
+    return Exit.DEADLINE_AFTER_SEND
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/delivery/services.py
@@ -0,0 +1,80 @@
+"""Call idempotent services, again when that may help."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from ..exceptions import UpstreamBroken, UpstreamSilent, UpstreamUnavailable
+from ..policy import RetryReason
+from ..upstreams import Answer, UpstreamClient
+from .outcomes import kept_headers
+from .records import ServiceCall, ServiceOutcome
+from .retries import RetryPolicy
+from .verdicts import Exit, RunHistory, refuse
+
+RETRIED_STATUSES = frozenset({502, 503, 504})
+
+
+class IdempotentCalls:
+    """Run calls that may be repeated under the one retry policy."""
+
+    def __init__(
+        self,
+        client: UpstreamClient,
+        retries: RetryPolicy,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._client = client
+        self._retries = retries
+        self._clock = clock
+
+    async def run(self, call: ServiceCall) -> ServiceOutcome:
+        """Return the first whole answer; raise Refused when none comes."""
+        history = RunHistory()
+        try:
+            async with asyncio.timeout(max(0.0, call.deadline - self._clock())):
+                answer = await self._run(call, history)
+        except TimeoutError:
+            raise history.apply(refuse(Exit.DEADLINE_BEFORE_SEND)) from None
+        self._retries.succeed()
+        return ServiceOutcome(answer.status, kept_headers(answer.headers), answer.body)
+
+    async def _run(self, call: ServiceCall, history: RunHistory) -> Answer:
+        attempt = 0
+        while True:
+            address = call.addresses[attempt % len(call.addresses)]
+            attempt += 1
+            answer = None
+            history.sending()
+            try:
+                answer = await self._client.fetch(
+                    address,
+                    call.method,
+                    call.path,
+                    request_id=call.request_id,
+                    headers_by_name=call.headers_by_name,
+                    body=call.body,
+                )
+                history.answered()
+                if answer.status not in RETRIED_STATUSES:
+                    return answer
+                reason, exit_ = RetryReason.REFUSED, Exit.UPSTREAM_ERROR
+            except UpstreamUnavailable:
+                history.not_run()
+                reason, exit_ = RetryReason.ENGINE_UNREACHABLE, Exit.CONNECT_FAILED
+            except UpstreamSilent:
+                reason, exit_ = RetryReason.ANSWER_SILENT, Exit.ANSWER_SILENT
+            except UpstreamBroken:
+                reason, exit_ = RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN
+            retry = self._retries.decide(
+                attempt, reason, now=self._clock(), deadline=call.deadline
+            )
+            if not retry.allowed:
+                if answer is not None:
+                    return answer
+                if retry.budget_empty:
+                    exit_ = Exit.RETRY_BUDGET_EMPTY
+                refused = refuse(exit_, retry_after=1.0, peer=str(address))
+                raise history.apply(refused)
+            await asyncio.sleep(retry.delay)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/reasons.py
@@ -0,0 +1,55 @@
+"""Name why a request was refused, retried or cut, and whether it ran."""
+
+import enum
+
+from .policy import RetryReason
+
+
+class Run(enum.Enum):
+    """Name what is known about an upstream having run a request."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    RAN = "ran"
+
+
+class Reason(enum.Enum):
+    """Name a reason of a refusal; ``docs/reference/reasons.md`` lists them."""
+
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_MODEL = "unknown-model"
+    UNKNOWN_SERVICE = "unknown-service"
+    NOT_FOUND = "not-found"
+    NOT_READY = "not-ready"
+    LEAVING = "leaving"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no-upstream"
+    DEADLINE = "deadline"
+    RETRIES_EXHAUSTED = "retries-exhausted"
+    RETRY_BUDGET_EMPTY = "retry-budget-empty"
+    UPSTREAM_BROKEN = "upstream-broken"
+    UPSTREAM_SILENT = "upstream-silent"
+    STREAM_LOST = "stream-lost"
+    TOKEN_INVALID = "token-invalid"
+    CALLER_GONE = "caller-gone"
+    CALLER_SLOW = "caller-slow"
+    STORE_UNAVAILABLE = "store-unavailable"
+    KEY_MISSING = "key-missing"
+    KEY_REUSED = "key-reused"
+    KEY_IN_USE = "key-in-use"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    QUARANTINED = "quarantined"
+    JOB_LIMIT = "job-limit"
+    INTERNAL = "internal"
+
+    @property
+    def counter(self) -> str:
+        """Return the statsd counter of refusals for this reason."""
+        return f"refusals.{self.value.replace('-', '_')}"
+
+
+def retry_counter(reason: RetryReason) -> str:
+    """Return the statsd counter of retries for a reason."""
+    return f"retries.{reason.value.replace('-', '_')}"
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -0,0 +1,105 @@
+"""Cut an engine's event stream into whole events without parsing them."""
+
+from attrs import define, field, frozen
+
+from ..exceptions import UpstreamBroken
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id: "
+TERMINAL_DATA = b"data: [DONE]"
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+@frozen
+class EventBatch:
+    """Hold whole events as they came, without gaps.
+
+    ``last_number`` is the number of the last one; ``terminal`` tells whether
+    the stream's terminal event is among them.
+    """
+
+    raw: bytes
+    count: int
+    last_number: int
+    terminal: bool
+
+
+@define
+class EventCutter:
+    """Gather bytes into batches of whole events.
+
+    Events that were seen before are dropped; a gap raises UpstreamBroken.
+    """
+
+    last_number: int = 0
+    terminal: bool = False
+    _pending: bytes = field(default=b"", init=False)
+
+    def feed(self, part: bytes) -> EventBatch | None:
+        """Add bytes and return the whole events so far, if there are any."""
+        if b"\r" in part or b"\r" in self._pending:
+            raise UpstreamBroken("carriage return in an event stream", step="stream")
+        data = self._pending + part
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            self._keep(data)
+            return None
+        end += len(EVENT_END)
+        self._keep(data[end:])
+        return self._batch(data[:end])
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > MAX_EVENT_BYTES:
+            raise UpstreamBroken("event too large", step="stream")
+        self._pending = rest
+
+    def _batch(self, raw: bytes) -> EventBatch | None:
+        count = raw.count(EVENT_END)
+        terminal = TERMINAL_DATA in raw[-64:]
+        last = _last_number(raw)
+        numbered = (b"\n" + raw).count(b"\n" + ID_FIELD)
+        if numbered != count or last != self.last_number + count:
+            return self._batch_each(raw)
+        self.last_number = last
+        self.terminal = self.terminal or terminal
+        return EventBatch(raw, count, last, terminal)
+
+    def _batch_each(self, raw: bytes) -> EventBatch | None:
+        """Go event by event through a batch that isn't gapless and numbered."""
+        kept = []
+        terminal = False
+        for event in raw.split(EVENT_END)[:-1]:
+            number = _number(event)
+            done = TERMINAL_DATA in event
+            if number is None and not done:
+                raise UpstreamBroken("event without a number", step="stream")
+            if number is not None and number <= self.last_number:
+                continue
+            if number is not None and number != self.last_number + 1:
+                raise UpstreamBroken(
+                    f"event {number} after event {self.last_number}", step="stream"
+                )
+            self.last_number = self.last_number + (number is not None)
+            terminal = terminal or done
+            kept.append(event + EVENT_END)
+        self.terminal = self.terminal or terminal
+        if not kept:
+            return None
+        return EventBatch(b"".join(kept), len(kept), self.last_number, terminal)
+
+
+def _number(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD) and line[len(ID_FIELD) :].isdigit():
+            return int(line[len(ID_FIELD) :])
+    return None
+
+
+def _last_number(raw: bytes) -> int:
+    start = raw.rfind(b"\n" + ID_FIELD)
+    start = start + 1 if start >= 0 else 0
+    line = raw[start : raw.find(b"\n", start)]
+    digits = line[len(ID_FIELD) :]
+    if not line.startswith(ID_FIELD) or not digits.isdigit():
+        return -1
+    return int(digits)
