Add the stand-ins of engines and plain services, and their commands

Ruled out: an engine that stops a stream with its reader, since resumption is part of the interface; random answer texts, since only foretold ones let a test compare a continued answer byte by byte.

Before: no upstreams.

--- a/packages/teaselpond-standins/src/teaselpond_standins/commands/platform.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/platform.py
@@ -9,7 +9,9 @@
 class PlatformCommand:
     """Serve the platform's stand-in until SIGTERM."""
 
-    def handle(
+    name = "platform"
+
+    def __call__(
         self, port: int = 0, lag_seconds: float = 0.0, downloads_per_second: float = 2.0
     ) -> None:
         """Serve on a port, with a host list and weights of these rates."""
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
@@ -0,0 +1,278 @@
+"""Run requests as one engine does, through crashes and cold starts."""
+
+import asyncio
+import itertools
+import time
+import uuid
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from attrs import define, evolve, field
+
+from teaselpond_model.contracts import EngineOrder, LoadReport, OrderKind
+from teaselpond_model.prefixes import count_tokens, prefix_hashes, prompt_text
+
+from .answers import Messages, is_poison, remaining_tokens, split_partial_answer
+from .batch import Batch, Run, RunState
+from .cache import PrefixCache
+from .records import EngineRecords
+from .settings import EngineSettings
+from .streams import AnswerStream
+
+
+@define(eq=False)
+class Engine:
+    """Hold one engine's state, most of which a crash takes with it."""
+
+    settings: EngineSettings
+    on_crash: Callable[[], None]
+    records: EngineRecords = field(factory=EngineRecords)
+    incarnation: str = ""
+    model: str = field(init=False)
+    model_version: str = field(init=False)
+    role: str = field(init=False)
+    adapters: tuple[str, ...] = ()
+    fence: int = 0
+    is_loading: bool = False
+    unpaused: asyncio.Event = field(factory=asyncio.Event)
+    batch: Batch = field(init=False)
+    cache: PrefixCache = field(init=False)
+    runs_by_stream_id: dict[str, Run] = field(init=False)
+    _reports: deque[LoadReport] = field(init=False)
+    _report_times: deque[float] = field(init=False)
+    _sequence: itertools.count = field(init=False)
+    _spares_next_overload: bool = False
+    _tasks: list[asyncio.Task] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.model = self.settings.model
+        self.model_version = self.settings.model_version
+        self.role = self.settings.role
+        self.unpaused.set()
+        self._reset()
+
+    def start(self) -> None:
+        """Begin to run, in a new incarnation."""
+        self._tasks = [
+            asyncio.create_task(self.batch.run()),
+            asyncio.create_task(self._report_load()),
+        ]
+
+    async def stop(self) -> None:
+        """End all work."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def crash(self) -> None:
+        """Lose all work, streams and cache, and start cold and anew."""
+        self.records.crashes += 1
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        self.batch.clear()
+        for run in self.runs_by_stream_id.values():
+            run.stream.abandon(time.monotonic())
+        self._reset()
+        self.on_crash()
+
+    def turn_cold(self) -> None:
+        """Lose the warmth and the cache, and tell nobody."""
+        self.batch.answers = 0
+        self.cache.clear(time.monotonic())
+        # What already runs is borne; what is started after one more answer
+        # must keep to the cold limit again.
+        self._spares_next_overload = True
+
+    def pause(self) -> None:
+        """Stand still, with every connection open."""
+        self.unpaused.clear()
+
+    def go_on(self) -> None:
+        """Go on after a pause."""
+        self.unpaused.set()
+
+    def accepts(self, model: str) -> bool:
+        """Tell whether a request for a model would run here now."""
+        return (
+            not self.is_loading
+            and self.role == "serve"
+            and model in (self.model, *self.adapters)
+            and len(self.batch.waiting) < self.settings.max_waiting
+        )
+
+    def submit(
+        self, request_id: str, messages: Messages, priority: int, max_tokens: int | None
+    ) -> Run:
+        """Queue a request and return its run."""
+        tokens = remaining_tokens(messages)
+        wanted = tokens if max_tokens is None else tokens[:max_tokens]
+        text = prompt_text(messages)
+        stream = AnswerStream(
+            stream_id=uuid.uuid4().hex,
+            request_id=request_id,
+            model=self.model,
+            created=int(time.time()),
+        )
+        run = Run(
+            request_id=request_id,
+            priority=priority,
+            messages=messages,
+            prefixes=prefix_hashes(text),
+            prompt_tokens=count_tokens(text),
+            tokens=wanted,
+            finish_reason="stop" if len(wanted) == len(tokens) else "length",
+            stream=stream,
+            is_poison=is_poison(messages),
+        )
+        self._forget_old_streams(time.monotonic())
+        self.runs_by_stream_id[stream.stream_id] = run
+        self.batch.add(run)
+        return run
+
+    def cancel(self, run: Run) -> None:
+        """Stop a request."""
+        self.batch.cancel(run)
+
+    def report(self, now: float) -> LoadReport:
+        """Return the load as it was some time ago."""
+        lag = self.settings.load_lag_seconds * self.settings.time_scale
+        index = 0
+        for position, taken in enumerate(self._report_times):
+            if taken <= now - lag:
+                index = position
+        age = max(now - self._report_times[index], 0.0)
+        return evolve(self._reports[index], age=age)
+
+    async def obey(self, order: EngineOrder) -> bool:
+        """Carry out an order, unless its fence is checked and too old."""
+        if self.settings.checks_fences and order.fence < self.fence:
+            return False
+        self.fence = max(self.fence, order.fence)
+        self.records.orders.append(order)
+        await ORDER_HANDLERS[order.kind](self, order)
+        return True
+
+    async def load_model(self, order: EngineOrder) -> None:
+        """Replace the model, which empties the cache and starts cold."""
+        self.is_loading = True
+        try:
+            seconds = self.settings.load_model_seconds * self.settings.time_scale
+            await asyncio.sleep(seconds)
+        finally:
+            self.is_loading = False
+        self.model = order.model
+        self.model_version = order.model_version
+        self.cache.clear(time.monotonic())
+        self.batch.answers = 0
+
+    async def load_adapter(self, order: EngineOrder) -> None:
+        """Serve one more adapter."""
+        if order.adapter not in self.adapters:
+            self.adapters += (order.adapter,)
+
+    async def set_role(self, order: EngineOrder) -> None:
+        """Change the role."""
+        self.role = order.role
+
+    def _reset(self) -> None:
+        settings = self.settings
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.batch = Batch(
+            settings=settings,
+            on_start=self._on_start,
+            on_prefilled=self._on_prefilled,
+            on_end=self._on_end,
+            on_load=self._on_load,
+            unpaused=self.unpaused,
+        )
+        self.cache = PrefixCache(
+            settings.cache_tokens, settings.cache_event_gap_share, settings.seed
+        )
+        self.runs_by_stream_id = {}
+        self._spares_next_overload = False
+        self._sequence = itertools.count(1)
+        self._reports = deque(maxlen=256)
+        self._report_times = deque(maxlen=256)
+        self._take_report(time.monotonic())
+
+    def _on_start(self, run: Run) -> None:
+        run.cached_tokens = self.cache.match(run.prefixes)
+        run.prefill_left = max(run.prompt_tokens - run.cached_tokens, 1)
+        self.records.note_start(run.request_id, run.prompt_tokens, run.cached_tokens)
+        if len(self.batch.running) <= self.settings.bearing(self.batch.answers):
+            return
+        if not self._spares_next_overload:
+            self.records.cold_crashes += 1
+            self.crash()
+
+    def _on_prefilled(self, run: Run) -> None:
+        if run.is_poison:
+            self.records.poison_crashes += 1
+            self.crash()
+            return
+        self.cache.store(run.prefixes, time.monotonic())
+
+    def _on_end(self, run: Run) -> None:
+        now = time.monotonic()
+        if run.state is RunState.CANCELLED:
+            self.records.cancelled += 1
+            run.stream.abandon(now)
+            return
+        self.records.completed += 1
+        self._spares_next_overload = False
+        self._store_answer(run, now)
+        run.stream.finish(run.finish_reason, run.usage, now)
+
+    def _store_answer(self, run: Run, now: float) -> None:
+        question, partial = split_partial_answer(run.messages)
+        answer = {"role": "assistant", "content": partial + run.stream.text}
+        self.cache.store(prefix_hashes(prompt_text([*question, answer])), now)
+
+    def _on_load(self) -> None:
+        batch = self.batch
+        bearing = self.settings.bearing(batch.answers)
+        if self._spares_next_overload:
+            bearing = self.settings.slots
+        self.records.note_load(
+            len(batch.running), len(batch.waiting), self.settings.slots, bearing
+        )
+
+    def _forget_old_streams(self, now: float) -> None:
+        keep = self.settings.keep_stream_seconds * self.settings.time_scale
+        for stream_id, run in list(self.runs_by_stream_id.items()):
+            ended_at = run.stream.ended_at
+            if ended_at is not None and ended_at + keep < now:
+                del self.runs_by_stream_id[stream_id]
+
+    async def _report_load(self) -> None:
+        interval = self.settings.load_interval_seconds * self.settings.time_scale
+        while True:
+            await self.unpaused.wait()
+            self._take_report(time.monotonic())
+            await asyncio.sleep(interval)
+
+    def _take_report(self, now: float) -> None:
+        report = LoadReport(
+            incarnation=self.incarnation,
+            sequence=next(self._sequence),
+            running=len(self.batch.running),
+            waiting=len(self.batch.waiting),
+            cached_tokens=self.cache.tokens,
+            model=self.model,
+            model_version=self.model_version,
+            adapters=self.adapters,
+            role=self.role,
+            fence=self.fence,
+        )
+        self._reports.append(report)
+        self._report_times.append(now)
+
+
+OrderHandler = Callable[[Engine, EngineOrder], Awaitable[None]]
+ORDER_HANDLERS: dict[OrderKind, OrderHandler] = {
+    OrderKind.LOAD_MODEL: Engine.load_model,
+    OrderKind.LOAD_ADAPTER: Engine.load_adapter,
+    OrderKind.SET_ROLE: Engine.set_role,
+}
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/records.py
@@ -0,0 +1,60 @@
+"""Record what an engine has run, over all its crashes."""
+
+import time
+from collections import Counter
+
+from attrs import define, field, frozen
+
+from teaselpond_model.contracts import EngineOrder
+
+MAX_HISTORY = 200_000
+
+
+@frozen
+class LoadChange:
+    """Tell how many requests ran and waited from a moment on.
+
+    ``time`` is in seconds of the wall clock.
+    """
+
+    time: float
+    running: int
+    waiting: int
+    bearing: int
+
+
+@define
+class EngineRecords:
+    """Count starts by request id, and keep the highest load."""
+
+    starts_by_request_id: Counter[str] = field(factory=Counter)
+    completed: int = 0
+    cancelled: int = 0
+    refused: int = 0
+    crashes: int = 0
+    cold_crashes: int = 0
+    poison_crashes: int = 0
+    max_running: int = 0
+    max_load: int = 0
+    overrun: bool = False
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    orders: list[EngineOrder] = field(factory=list)
+    last_start: float = 0.0
+    history: list[LoadChange] = field(factory=list)
+
+    def note_load(self, running: int, waiting: int, slots: int, bearing: int) -> None:
+        """Record a change of load."""
+        load = running + waiting
+        self.max_running = max(self.max_running, running)
+        self.max_load = max(self.max_load, load)
+        self.overrun = self.overrun or load > slots
+        if len(self.history) < MAX_HISTORY:
+            self.history.append(LoadChange(time.time(), running, waiting, bearing))
+
+    def note_start(self, request_id: str, prompt_tokens: int, cached: int) -> None:
+        """Record that a request begins to run."""
+        self.starts_by_request_id[request_id] += 1
+        self.last_start = time.time()
+        self.prompt_tokens += prompt_tokens
+        self.cached_tokens += cached
--- a/packages/teaselpond-standins/src/teaselpond_standins/server.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/server.py
@@ -34,6 +34,11 @@
         """Return the URL served, once started."""
         return f"http://{self.address}"
 
+    @property
+    def is_listening(self) -> bool:
+        """Tell whether connections are accepted."""
+        return self._site is not None
+
     async def start(self) -> None:
         """Listen, on a port that the system chooses if it is 0."""
         self._runner = web.AppRunner(
@@ -56,9 +61,9 @@
 
     async def go_down(self, seconds: float | None = None) -> None:
         """Refuse connections and reset the open ones, for good or a time."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        site, self._site = self._site, None
+        if site is not None:
+            await site.stop()
         self.abort_connections()
         if seconds is not None:
             self._return = asyncio.create_task(self._come_back_after(seconds))
@@ -81,8 +86,9 @@
                 connection.transport.abort()
 
     async def _listen(self) -> None:
-        self._site = web.TCPSite(self._runner, LOOPBACK, self.port)
-        await self._site.start()
+        site = web.TCPSite(self._runner, LOOPBACK, self.port)
+        await site.start()
+        self._site = site
         self.port = self._runner.addresses[-1][1]
 
 
@@ -93,6 +99,19 @@
     return web.Response()
 
 
+async def send_half(request: web.Request, whole: web.Response) -> web.StreamResponse:
+    """Send half of an answer and reset its connection."""
+    content = whole.body
+    response = web.StreamResponse(status=whole.status, headers=whole.headers)
+    response.content_length = len(content)
+    await response.prepare(request)
+    await response.write(content[: len(content) // 2])
+    # A reset would discard what has not been read yet, so that a client
+    # could not tell half an answer from none.
+    request.transport.close()
+    return response
+
+
 def make_app() -> web.Application:
     """Return an application that takes large bodies."""
     return web.Application(client_max_size=MAX_BODY_BYTES)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/standin.py
@@ -0,0 +1,192 @@
+"""Serve a plain service over HTTP that counts what it ran."""
+
+import asyncio
+import weakref
+from collections import Counter
+
+from aiohttp import web
+from attrs import define, field, frozen
+
+from teaselpond_model.contracts import Address
+from teaselpond_model.platform import make_converter
+
+from ..faults import FaultPlan
+from ..server import LoopbackServer, abort, make_app, send_half
+from .faults import NOT_RUN_KINDS, ServiceFault, ServiceFaultKind
+
+CROSSED_REQUEST_ID = "someone-else"
+REDIRECT_PATH = "/redirected"
+
+
+@frozen
+class FaultOrder:
+    """Hold the body of ``POST /_faults``."""
+
+    kind: ServiceFaultKind
+    key: str = "*"
+    seconds: float = 0.0
+    count: int = 1
+    skip: int = 0
+
+
+@define(eq=False)
+class ServiceStandin:
+    """Stand in for a plain service on one loopback port."""
+
+    port: int = 0
+    work_seconds: float = 0.0
+    faults: FaultPlan[ServiceFault] = field(factory=FaultPlan)
+    runs_by_key: Counter[str] = field(factory=Counter)
+    received_by_key: Counter[str] = field(factory=Counter)
+    redirected: int = 0
+    server: LoopbackServer = field(init=False)
+    _used_transports: weakref.WeakSet = field(factory=weakref.WeakSet, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        # A call goes on when its caller has gone, as most services' do.
+        self.server = LoopbackServer(self._make_app(), self.port)
+
+    @property
+    def address(self) -> Address:
+        """Return the address served, once started."""
+        return self.server.address
+
+    @property
+    def base_url(self) -> str:
+        """Return the URL served, once started."""
+        return self.server.base_url
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection."""
+        await self.server.stop()
+
+    async def __aenter__(self) -> "ServiceStandin":
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.stop()
+
+    def add_fault(
+        self,
+        kind: ServiceFaultKind,
+        *,
+        key: str = "*",
+        seconds: float = 0.0,
+        count: int = 1,
+        skip: int = 0,
+    ) -> None:
+        """Arm a fault for ``count`` calls, after ``skip`` are spared."""
+        self.faults.add(ServiceFault(kind, key, seconds), count, skip)
+
+    def _make_app(self) -> web.Application:
+        app = make_app()
+        app.add_routes(
+            [
+                web.get("/_ran", self._tell_records),
+                web.post("/_faults", self._add_fault),
+                web.delete("/_faults", self._clear_faults),
+                web.route("*", "/{path:.*}", self._call),
+            ]
+        )
+        return app
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        key = request.headers.get("Idempotency-Key", "") or request_id
+        is_reused = request.transport in self._used_transports
+        self._used_transports.add(request.transport)
+        self.received_by_key[key] += 1
+        fault = self.faults.take(lambda armed: armed.fits(key, is_reused))
+        if fault is not None and fault.kind in NOT_RUN_KINDS:
+            return _leave_undone(request, fault)
+        return await self._run(request, key, request_id, fault)
+
+    async def _run(
+        self,
+        request: web.Request,
+        key: str,
+        request_id: str,
+        fault: ServiceFault | None,
+    ) -> web.StreamResponse:
+        content = await request.read()
+        if fault is not None and fault.kind is ServiceFaultKind.SLOW:
+            await asyncio.sleep(fault.seconds)
+        self.runs_by_key[key] += 1
+        self.redirected += request.path.startswith(REDIRECT_PATH)
+        await asyncio.sleep(self.work_seconds)
+        body = {
+            "method": request.method,
+            "path": request.path_qs,
+            "key": key,
+            "run": self.runs_by_key[key],
+            "received": content.decode(errors="replace"),
+        }
+        response = web.json_response(body, headers={"X-Request-Id": request_id})
+        if fault is None:
+            return response
+        return await _spoil(request, response, fault)
+
+    async def _tell_records(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "by_key": dict(self.runs_by_key),
+                "received_by_key": dict(self.received_by_key),
+                "redirected": self.redirected,
+                "total": self.runs_by_key.total(),
+            }
+        )
+
+    async def _add_fault(self, request: web.Request) -> web.Response:
+        order = make_converter().structure(await request.json(), FaultOrder)
+        self.add_fault(
+            order.kind,
+            key=order.key,
+            seconds=order.seconds,
+            count=order.count,
+            skip=order.skip,
+        )
+        return web.Response(status=204)
+
+    async def _clear_faults(self, request: web.Request) -> web.Response:
+        self.faults.clear()
+        return web.Response(status=204)
+
+
+def _leave_undone(request: web.Request, fault: ServiceFault) -> web.Response:
+    match fault.kind:
+        case ServiceFaultKind.REFUSE:
+            return web.Response(status=503, headers={"X-Run": "not-run"})
+        case ServiceFaultKind.REDIRECT:
+            return _redirect(request)
+    return abort(request)
+
+
+async def _spoil(
+    request: web.Request, response: web.Response, fault: ServiceFault
+) -> web.StreamResponse:
+    match fault.kind:
+        case ServiceFaultKind.LATE:
+            await asyncio.sleep(fault.seconds)
+        case ServiceFaultKind.RUN_THEN_FAIL:
+            return web.Response(status=503)
+        case ServiceFaultKind.RUN_THEN_DROP:
+            return abort(request)
+        case ServiceFaultKind.RUN_THEN_REDIRECT:
+            return _redirect(request)
+        case ServiceFaultKind.CROSS:
+            response.headers["X-Request-Id"] = CROSSED_REQUEST_ID
+        case ServiceFaultKind.HALF:
+            return await send_half(request, response)
+        case ServiceFaultKind.SILENCE:
+            await asyncio.Event().wait()
+    return response
+
+
+def _redirect(request: web.Request) -> web.Response:
+    location = REDIRECT_PATH + request.path_qs
+    return web.Response(status=307, headers={"Location": location})
--- a/packages/teaselpond-standins/src/teaselpond_standins/serving.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/serving.py
@@ -5,7 +5,9 @@
 import signal
 from typing import Protocol
 
-from teaselpond_model.contracts import Address, Host
+from attrs import frozen
+
+from teaselpond_model.contracts import Address, Host, HostKind
 from teaselpond_model.platform import Platform
 
 
@@ -23,7 +25,25 @@
         """Stop listening and end every connection."""
 
 
-async def serve(standin: Standin) -> None:
+@frozen
+class Registration:
+    """Say how a stand-in's host is listed by the platform, if it is at all."""
+
+    platform_url: str
+    host_id: str
+    zone: str
+    kind: HostKind
+
+    async def register(self, address: Address) -> None:
+        """Tell the platform of the host; raise StoreUnavailable."""
+        if not self.platform_url:
+            return
+        host = Host(self.host_id, address, self.zone, self.kind)
+        async with Platform.open(self.platform_url) as platform:
+            await platform.hosts.register(host)
+
+
+async def serve(standin: Standin, registration: Registration | None = None) -> None:
     """Serve until SIGTERM or SIGINT, after one JSON line with the address."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -31,13 +51,9 @@
         loop.add_signal_handler(number, stopped.set)
     await standin.start()
     try:
+        if registration is not None:
+            await registration.register(standin.address)
         print(json.dumps({"listening": str(standin.address)}), flush=True)
         await stopped.wait()
     finally:
         await standin.stop()
-
-
-async def register(platform_url: str, host: Host) -> None:
-    """Tell the platform of a host; raise StoreUnavailable."""
-    async with Platform.open(platform_url) as platform:
-        await platform.hosts.register(host)
