Let answers go on to max_tokens, as an engine's do

Cause: a caller that asks for 120 tokens got 24, so that nothing could strike in the middle of its answer. Ruled out: a longer default, which slows every test. Before: 24 words unless the prompt named a length. After: max_tokens bounds an answer that names no length; a continuation under a reduced limit gives the same whole text (seen in test_continued_text_gives_the_rest).

--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/answers.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/answers.py
@@ -5,7 +5,9 @@
 from hashlib import blake2b
 from typing import Any
 
-from teaselpond_model.prefixes import content_text, prompt_text
+from attrs import frozen
+
+from teaselpond_model.prefixes import content_text, count_tokens, prompt_text
 
 DEFAULT_WORDS = 24
 WORD_BYTES = 4
@@ -17,23 +19,32 @@
 Messages = Sequence[Mapping[str, Any]]
 
 
+@frozen
+class Continuation:
+    """Hold the tokens that follow a partial answer, and why they end."""
+
+    tokens: list[str]
+    finish_reason: str
+
+
 def expected_answer(messages: Messages, max_tokens: int | None = None) -> str:
     """Return the whole answer to a prompt, from its first word."""
     question, _ = split_partial_answer(messages)
-    text = prompt_text(question)
-    lengths = _LENGTH.findall(text)
-    count = int(lengths[-1]) if lengths else DEFAULT_WORDS
+    count = _answer_words(question, max_tokens)
     if max_tokens is not None:
         count = min(count, max_tokens)
-    seed = text.encode(errors="surrogatepass")
-    base = blake2b(seed, digest_size=16).digest()
-    return " ".join(_word(base, index) for index in range(count))
+    return _write_words(question, count)
 
 
-def remaining_tokens(messages: Messages) -> list[str]:
-    """Return what follows a partial answer, cut into tokens."""
-    _, partial = split_partial_answer(messages)
-    return _TOKEN.findall(expected_answer(messages)[len(partial) :])
+def continue_answer(messages: Messages, max_tokens: int | None) -> Continuation:
+    """Return what follows the partial answer that messages may end in."""
+    question, partial = split_partial_answer(messages)
+    limit = None if max_tokens is None else count_tokens(partial) + max_tokens + 1
+    whole = _write_words(question, _answer_words(question, limit))
+    tokens = _TOKEN.findall(whole[len(partial) :])
+    if max_tokens is None or len(tokens) <= max_tokens:
+        return Continuation(tokens, "stop")
+    return Continuation(tokens[:max_tokens], "length")
 
 
 def split_partial_answer(messages: Messages) -> tuple[Messages, str]:
@@ -48,6 +59,20 @@
     return _POISON.search(prompt_text(messages)) is not None
 
 
+def _answer_words(question: Messages, max_tokens: int | None) -> int:
+    lengths = _LENGTH.findall(prompt_text(question))
+    if lengths:
+        return int(lengths[-1])
+    # Without a length of its own an answer goes on for as long as it may.
+    return DEFAULT_WORDS if max_tokens is None else max_tokens
+
+
+def _write_words(question: Messages, count: int) -> str:
+    seed = prompt_text(question).encode(errors="surrogatepass")
+    base = blake2b(seed, digest_size=16).digest()
+    return " ".join(_word(base, index) for index in range(count))
+
+
 def _word(base: bytes, index: int) -> str:
     content = base + index.to_bytes(4, "big")
     return blake2b(content, digest_size=WORD_BYTES).hexdigest()
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
@@ -12,7 +12,7 @@
 from teaselpond_model.contracts import EngineOrder, LoadReport, OrderKind
 from teaselpond_model.prefixes import count_tokens, prefix_hashes, prompt_text
 
-from .answers import Messages, is_poison, remaining_tokens, split_partial_answer
+from .answers import Messages, continue_answer, is_poison, split_partial_answer
 from .batch import Batch, Run, RunState
 from .cache import PrefixCache
 from .records import EngineRecords
@@ -106,8 +106,7 @@
         self, request_id: str, messages: Messages, priority: int, max_tokens: int | None
     ) -> Run:
         """Queue a request and return its run."""
-        tokens = remaining_tokens(messages)
-        wanted = tokens if max_tokens is None else tokens[:max_tokens]
+        answer = continue_answer(messages, max_tokens)
         text = prompt_text(messages)
         stream = AnswerStream(
             stream_id=uuid.uuid4().hex,
@@ -121,8 +120,8 @@
             messages=messages,
             prefixes=prefix_hashes(text),
             prompt_tokens=count_tokens(text),
-            tokens=wanted,
-            finish_reason="stop" if len(wanted) == len(tokens) else "length",
+            tokens=answer.tokens,
+            finish_reason=answer.finish_reason,
             stream=stream,
             is_poison=is_poison(messages),
         )
--- a/packages/teaselpond-standins/tests/engine/test_interface.py
+++ b/packages/teaselpond-standins/tests/engine/test_interface.py
@@ -133,6 +133,14 @@
             body = {"model": "fitting", "messages": [*messages, partial]}
             text, _ = await self.chat(body)
             self.assertEqual(whole, whole[:cut] + text)
+        # Without a length of its own, an answer goes on to the limit.
+        messages = ask("please")["messages"]
+        whole = expected_answer(messages, 40)
+        self.assertEqual(40, len(whole.split()))
+        partial = {"role": "assistant", "content": expected_answer(messages, 30)}
+        body = {"model": "fitting", "messages": [*messages, partial], "max_tokens": 10}
+        text, _ = await self.chat(body)
+        self.assertEqual(whole, partial["content"] + text)
 
     async def test_cancel(self) -> None:
         """End a stream at once and make room for others."""
