--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -236,8 +236,9 @@
             return
         silent = isinstance(error, UpstreamSilent)
         reason = RetryReason.ANSWER_SILENT if silent else RetryReason.ANSWER_CUT
-        began = self._progress.events > 0
-        exit_ = Exit.STREAM_BROKEN if began else Exit.ANSWER_BROKEN
+        exit_ = Exit.ANSWER_SILENT if silent else Exit.ANSWER_BROKEN
+        if self._progress.events:
+            exit_ = Exit.STREAM_BROKEN
         raise self._failed(reason, exit_) from error
 
     async def _forward_all(self, stream: EngineStream) -> None:
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -125,9 +125,12 @@
         body: bytes | None = None,
         idle_seconds: float | None = None,
         check_id: bool = True,
+        bare_errors: bool = False,
     ) -> aiohttp.ClientResponse:
         """Send one request and return its answer, of which the head is read.
 
+        With ``bare_errors`` an error status may come without a request id;
+        another request's id is never let pass.
         The caller gives the answer to ``finish``. Raise UpstreamUnavailable
         when nothing was sent, UpstreamSilent, UpstreamCrossed or
         UpstreamBroken when something may have been.
@@ -154,7 +157,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             )
-        if check_id:
+        if check_id and not _is_bare_error(response, bare_errors):
             _check_echo(response, request_id, peer)
         return response
 
@@ -227,6 +230,11 @@
         ) from error
 
 
+def _is_bare_error(response: aiohttp.ClientResponse, allowed: bool) -> bool:
+    bare = "X-Request-Id" not in response.headers
+    return allowed and bare and response.status >= 400
+
+
 def _check_echo(response: aiohttp.ClientResponse, request_id: str, peer: str) -> None:
     echoed = response.headers.get("X-Request-Id")
     if echoed != request_id:
--- a/packages/teaselpond/src/teaselpond/upstreams/engines.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/engines.py
@@ -98,6 +98,8 @@
             batch = self._cutter.feed(part)
             if batch is not None:
                 yield batch
+            if self._cutter.fault:
+                raise UpstreamBroken(self._cutter.fault, step="stream", peer=peer)
 
     async def finish(self) -> None:
         """Free the connection for reuse, once the answer's end is read."""
@@ -152,6 +154,7 @@
             headers_by_name=headers,
             body=body,
             idle_seconds=idle_seconds,
+            bare_errors=True,
         )
         if response.status != 200:
             raise await _read_refusal(self._client, response, address)
@@ -210,7 +213,7 @@
         return _structure(answer, CacheEventPage, address)
 
     async def cache_snapshot(self, address: Address) -> CacheEventPage:
-        """Return the cached prefixes, as events of the last sequence number."""
+        """Return the cached prefixes as events of the last sequence number."""
         answer = await self._get(address, "/cache/snapshot")
         try:
             document = json.loads(answer.body)
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -28,11 +28,13 @@
 class EventCutter:
     """Gather bytes into batches of whole events.
 
-    Events that were seen before are dropped; a gap raises UpstreamBroken.
+    Events that were seen before are dropped. ``fault`` tells of a gap or of
+    an event without a number, after which nothing more is read.
     """
 
     last_number: int = 0
     terminal: bool = False
+    fault: str = ""
     _pending: bytes = field(default=b"", init=False)
 
     def feed(self, part: bytes) -> EventBatch | None:
@@ -65,23 +67,28 @@
         return EventBatch(raw, count, last, terminal)
 
     def _batch_each(self, raw: bytes) -> EventBatch | None:
-        """Go event by event through a batch that isn't gapless and numbered."""
+        """Go event by event through a batch that has repeats or gaps.
+
+        Events before a fault are still handed on: they count as read, so
+        that a resumed stream begins after them.
+        """
         kept = []
         terminal = False
         for event in raw.split(EVENT_END)[:-1]:
             number = _number(event)
             done = TERMINAL_DATA in event
-            if number is None and not done:
-                raise UpstreamBroken("event without a number", step="stream")
             if number is not None and number <= self.last_number:
                 continue
-            if number is not None and number != self.last_number + 1:
-                raise UpstreamBroken(
-                    f"event {number} after event {self.last_number}", step="stream"
-                )
-            self.last_number = self.last_number + (number is not None)
-            terminal = terminal or done
+            expected = self.last_number + 1
+            if number != expected and not (done and number is None):
+                self.fault = f"event {number} in place of event {expected}"
+                break
+            self.last_number = expected if number is not None else self.last_number
             kept.append(event + EVENT_END)
+            if done:
+                # Whatever follows is not part of the answer.
+                terminal = True
+                break
         self.terminal = self.terminal or terminal
         if not kept:
             return None
