--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/answers.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/answers.py
@@ -54,9 +54,10 @@
     return messages, ""
 
 
-def is_poison(messages: Messages) -> bool:
-    """Tell whether a prompt crashes the engine that runs it."""
-    return _POISON.search(prompt_text(messages)) is not None
+def find_poison(messages: Messages) -> str:
+    """Return the word of a prompt that crashes the engine that runs it."""
+    found = _POISON.search(prompt_text(messages))
+    return found.group() if found else ""
 
 
 def _answer_words(question: Messages, max_tokens: int | None) -> int:
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/batch.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/batch.py
@@ -32,7 +32,6 @@
     tokens: list[str]
     finish_reason: str
     stream: AnswerStream
-    is_poison: bool = False
     state: RunState = RunState.WAITING
     cached_tokens: int = 0
     prefill_left: int = 0
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
@@ -12,7 +12,7 @@
 from teaselpond_model.contracts import EngineOrder, LoadReport, OrderKind
 from teaselpond_model.prefixes import count_tokens, prefix_hashes, prompt_text
 
-from .answers import Messages, continue_answer, is_poison, split_partial_answer
+from .answers import Messages, continue_answer, find_poison, split_partial_answer
 from .batch import Batch, Run, RunState
 from .cache import PrefixCache
 from .records import EngineRecords
@@ -42,6 +42,7 @@
     _report_times: deque[float] = field(init=False)
     _sequence: itertools.count = field(init=False)
     _spares_next_overload: bool = False
+    _turned_cold: bool = False
     _tasks: list[asyncio.Task] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -83,7 +84,7 @@
         self.cache.clear(time.monotonic())
         # What already runs is borne; what is started after one more answer
         # must keep to the cold limit again.
-        self._spares_next_overload = True
+        self._spares_next_overload = self._turned_cold = True
 
     def pause(self) -> None:
         """Stand still, with every connection open."""
@@ -123,7 +124,6 @@
             tokens=answer.tokens,
             finish_reason=answer.finish_reason,
             stream=stream,
-            is_poison=is_poison(messages),
         )
         self._forget_old_streams(time.monotonic())
         self.runs_by_stream_id[stream.stream_id] = run
@@ -190,7 +190,7 @@
             settings.cache_tokens, settings.cache_event_gap_share, settings.seed
         )
         self.runs_by_stream_id = {}
-        self._spares_next_overload = False
+        self._spares_next_overload = self._turned_cold = False
         self._sequence = itertools.count(1)
         self._reports = deque(maxlen=256)
         self._report_times = deque(maxlen=256)
@@ -203,12 +203,16 @@
         if len(self.batch.running) <= self.settings.bearing(self.batch.answers):
             return
         if not self._spares_next_overload:
-            self.records.cold_crashes += 1
+            if self._turned_cold:
+                self.records.sudden_cold_crashes += 1
+            else:
+                self.records.cold_crashes += 1
             self.crash()
 
     def _on_prefilled(self, run: Run) -> None:
-        if run.is_poison:
-            self.records.poison_crashes += 1
+        poison = find_poison(run.messages)
+        if poison:
+            self.records.crashes_by_poison[poison] += 1
             self.crash()
             return
         self.cache.store(run.prefixes, time.monotonic())
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/records.py
@@ -23,6 +23,14 @@
     bearing: int
 
 
+@frozen
+class RunStart:
+    """Tell when a request began to run, in seconds of the wall clock."""
+
+    time: float
+    request_id: str
+
+
 @define
 class EngineRecords:
     """Count starts by request id, and keep the highest load."""
@@ -33,15 +41,17 @@
     refused: int = 0
     crashes: int = 0
     cold_crashes: int = 0
-    poison_crashes: int = 0
+    # Those of a cold start that came without notice are counted apart.
+    sudden_cold_crashes: int = 0
+    crashes_by_poison: Counter[str] = field(factory=Counter)
     max_running: int = 0
     max_load: int = 0
     overrun: bool = False
     cached_tokens: int = 0
     prompt_tokens: int = 0
     orders: list[EngineOrder] = field(factory=list)
-    last_start: float = 0.0
     history: list[LoadChange] = field(factory=list)
+    starts: list[RunStart] = field(factory=list)
 
     def note_load(self, running: int, waiting: int, slots: int, bearing: int) -> None:
         """Record a change of load."""
@@ -55,6 +65,7 @@
     def note_start(self, request_id: str, prompt_tokens: int, cached: int) -> None:
         """Record that a request begins to run."""
         self.starts_by_request_id[request_id] += 1
-        self.last_start = time.time()
+        if len(self.starts) < MAX_HISTORY:
+            self.starts.append(RunStart(time.time(), request_id))
         self.prompt_tokens += prompt_tokens
         self.cached_tokens += cached
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/standin.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/standin.py
@@ -250,7 +250,7 @@
     async def _tell_records(self, request: web.Request) -> web.Response:
         body = make_converter().unstructure(self.records)
         if "history" not in request.query:
-            del body["history"]
+            del body["history"], body["starts"]
         starts = self.records.starts_by_request_id
         body |= {"total": starts.total(), "incarnation": self.engine.incarnation}
         return web.json_response(body)
--- a/packages/teaselpond-standins/tests/engine/test_faults.py
+++ b/packages/teaselpond-standins/tests/engine/test_faults.py
@@ -199,14 +199,15 @@
         await asyncio.gather(*(self.look() for _ in range(2)))
         self.assertEqual(0, standin.records.crashes)
         await asyncio.gather(*(self.look() for _ in range(4)))
-        self.assertEqual(1, standin.records.cold_crashes)
+        records = standin.records
+        self.assertEqual((0, 1), (records.cold_crashes, records.sudden_cold_crashes))
 
     async def test_poison(self) -> None:
         """Crash the engine that runs a poison prompt."""
         standin = await self.open_engine()
         seen = await asyncio.gather(self.look("poison-7 please"), self.look())
         self.assertNotIn("whole", [one.ending for one in seen])
-        self.assertEqual(1, standin.records.poison_crashes)
+        self.assertEqual({"poison-7": 1}, standin.records.crashes_by_poison)
 
     async def test_pause(self) -> None:
         """Stand still with open connections, and then go on."""
