Commit the configuration by one transaction, and follow it in daemons

Ruled out: a check on each section's own key beside the head: the head's check already covers it, and the merge against the base decides conflicts. Before: no store of the configuration. After: ConfigurationStore commits an edit on top of what is in force by compare-and-set on the head; the same section (or the same entry, for zones and hosts) is a conflict with a diff; lost answers are settled by the apply id in the history; a rollback is a new version. ConfigurationKeeper follows the table service and its peers. Seen to fail first: without the check on the head test_many_operators and test_racing_operators fail; without looking for the apply id test_fault_table and test_lost_answer_and_a_later_version fail.

--- a/packages/teaselpond-model/src/teaselpond_model/configuration/exceptions.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/exceptions.py
@@ -60,3 +60,19 @@
 
 class HistoryLost(TeaselpondError):
     """Report that a version is older than the history that is kept."""
+
+
+class ReplicaBroken(TeaselpondError):
+    """Report entries that don't give the version that their head names."""
+
+
+class CommitUnsettled(TeaselpondError):
+    """Report a commit of which it couldn't be learned if it took effect."""
+
+    def __init__(self, apply_id: str) -> None:
+        super().__init__(
+            f"it isn't known whether the change {apply_id} was accepted; "
+            "look for it in the history before trying again",
+            step="commit the configuration",
+        )
+        self.apply_id = apply_id
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/proposals.py
@@ -0,0 +1,133 @@
+"""Decide whether a proposed change may follow what others changed."""
+
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import frozen
+
+from .document import Document
+from .entries import Change, EntryKey, changes_between, render_changes, values_by_key
+from .exceptions import ConfigurationConflict, DocumentError
+from .sections import ServiceState
+
+
+class Grain(enum.Enum):
+    """Name how close two operators' changes may come to each other."""
+
+    SECTION = "section"
+    ENTRY = "entry"
+
+
+@frozen
+class DocumentProposal:
+    """Propose a whole document that was edited from a base version."""
+
+    document: Document
+    base_version: int
+
+
+@frozen
+class StateProposal:
+    """Propose to take one zone or host out of service, or back in."""
+
+    section: str
+    item_id: str
+    state: ServiceState
+
+
+@frozen
+class RollbackProposal:
+    """Propose the content of an earlier version as a new one."""
+
+    version: int
+
+
+Proposal = DocumentProposal | StateProposal | RollbackProposal
+
+
+@frozen
+class Edit:
+    """Hold the values that an operator saw and those that are wanted."""
+
+    base_version: int
+    base: Mapping[EntryKey, Any]
+    wanted: Mapping[EntryKey, Any]
+    grain: Grain
+
+    def changes_on(
+        self, current: Mapping[EntryKey, Any], head_version: int
+    ) -> tuple[Change, ...]:
+        """Return the changes that put the edit on top of what is in force.
+
+        Raise ConfigurationConflict when others changed the same sections
+        (or entries) in another way since the base version.
+        """
+        ours = tuple(
+            change
+            for change in changes_between(self.base, self.wanted)
+            if current.get(change.key) != change.after
+        )
+        theirs = changes_between(self.base, current)
+        contested = self._touched(ours) & self._touched(theirs)
+        if contested:
+            raise self._conflict(contested, ours, theirs, head_version)
+        return tuple(
+            Change(change.key, current.get(change.key), change.after) for change in ours
+        )
+
+    def _touched(self, changes: tuple[Change, ...]) -> set[object]:
+        if self.grain is Grain.ENTRY:
+            return {change.key for change in changes}
+        return {change.key.section for change in changes}
+
+    def _conflict(
+        self,
+        contested: set[object],
+        ours: tuple[Change, ...],
+        theirs: tuple[Change, ...],
+        head_version: int,
+    ) -> ConfigurationConflict:
+        ours = tuple(c for c in ours if self._touched((c,)) & contested)
+        theirs = tuple(c for c in theirs if self._touched((c,)) & contested)
+        sections = tuple(sorted({change.key.section for change in ours}))
+        diff = "\n".join(
+            (
+                "what others changed:",
+                render_changes(theirs),
+                "what this change wants:",
+                render_changes(ours),
+            )
+        )
+        return ConfigurationConflict(sections, diff, self.base_version, head_version)
+
+
+def values_with_state(
+    proposal: StateProposal, values: Mapping[EntryKey, Any]
+) -> dict[EntryKey, Any]:
+    """Return the values with one zone or host taken out or back in.
+
+    Raise DocumentError when the zone is not declared.
+    """
+    key = EntryKey(proposal.section, proposal.item_id)
+    known = values.get(key)
+    changed = dict(values)
+    if proposal.section == "hosts" and proposal.state is ServiceState.IN:
+        changed.pop(key, None)
+        return changed
+    if proposal.section == "zones" and known is None:
+        zones = sorted(key.item_id for key in values if key.section == "zones")
+        raise DocumentError(
+            "the zone is not declared",
+            check_id="zones.E002",
+            section=f"zones.{proposal.item_id}",
+            hint=f"allowed: {', '.join(zones)}",
+        )
+    changed[key] = {**(known or {}), "state": proposal.state.value}
+    return changed
+
+
+def document_edit(proposal: DocumentProposal, base: Mapping[EntryKey, Any]) -> Edit:
+    """Return the edit from the base version's values to a document."""
+    wanted = values_by_key(proposal.document)
+    return Edit(proposal.base_version, base, wanted, Grain.SECTION)
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/replica.py
@@ -0,0 +1,186 @@
+"""Hold one consistent copy of the stored configuration."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from attrs import Factory, evolve, frozen
+
+from ..contracts import TableEntry
+from .digests import add_entry_digest, entry_digest, remove_entry_digest
+from .document import Document
+from .entries import ENTRY_PREFIX, HEAD_KEY, EntryKey, apply_values
+from .exceptions import ReplicaBroken
+
+
+@frozen
+class Head:
+    """Describe the last accepted version of the document.
+
+    ``when`` is in seconds since the epoch and only informs.
+    """
+
+    version: int = 0
+    apply_id: str = ""
+    who: str = ""
+    when: float = 0.0
+    digests_by_section: Mapping[str, str] = Factory(dict)
+
+    def to_value(self) -> dict[str, Any]:
+        """Convert to a JSON value."""
+        return {
+            "version": self.version,
+            "apply_id": self.apply_id,
+            "who": self.who,
+            "when": self.when,
+            "digests": dict(self.digests_by_section),
+        }
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> "Head":
+        """Read a JSON value; raise KeyError when a member is missing."""
+        return cls(
+            value["version"],
+            value["apply_id"],
+            value["who"],
+            value["when"],
+            value["digests"],
+        )
+
+
+@frozen
+class Replica:
+    """Hold the entries of one accepted version, and the document they give.
+
+    ``table_version`` is the table version of the transaction that accepted
+    it. Deleted entries stay as tombstones, so that deltas can tell them.
+    """
+
+    head: Head = Head()
+    table_version: int = 0
+    entries_by_key: Mapping[EntryKey, TableEntry] = Factory(dict)
+    digests_by_section: Mapping[str, int] = Factory(dict)
+    document: Document = Document()
+
+    def values_by_key(self) -> dict[EntryKey, Any]:
+        """Return the values that are not deleted."""
+        return {
+            key: entry.value
+            for key, entry in self.entries_by_key.items()
+            if entry.value is not None
+        }
+
+    def changed_after(self, table_version: int) -> tuple[TableEntry, ...]:
+        """Return the head and the entries changed after a table version."""
+        if table_version >= self.table_version:
+            return ()
+        head = TableEntry(HEAD_KEY, self.head.to_value(), self.table_version)
+        return (
+            head,
+            *(
+                entry
+                for entry in self.entries_by_key.values()
+                if entry.version > table_version
+            ),
+        )
+
+    def advanced(self, entries: Iterable[TableEntry]) -> "Replica":
+        """Return the replica with newer entries applied.
+
+        Older and equal heads leave it as it is. Raise ReplicaBroken when
+        the entries don't give what their head says.
+        """
+        entries = tuple(entries)
+        head_entry = next((entry for entry in entries if entry.key == HEAD_KEY), None)
+        if head_entry is None or head_entry.version <= self.table_version:
+            return self
+        changed = self._changed_entries(entries)
+        advanced = evolve(
+            self,
+            head=Head.from_value(head_entry.value),
+            table_version=head_entry.version,
+            entries_by_key={**self.entries_by_key, **changed},
+            digests_by_section=self._digests_with(changed),
+            document=apply_values(
+                self.document, {key: entry.value for key, entry in changed.items()}
+            ),
+        )
+        advanced.verify()
+        return advanced
+
+    def _changed_entries(
+        self, entries: Iterable[TableEntry]
+    ) -> dict[EntryKey, TableEntry]:
+        changed = {}
+        for entry in entries:
+            if not entry.key.startswith(ENTRY_PREFIX):
+                continue
+            key = EntryKey.parse(entry.key)
+            known = self.entries_by_key.get(key)
+            if known is None or entry.version > known.version:
+                changed[key] = entry
+        return changed
+
+    def _digests_with(self, changed: Mapping[EntryKey, TableEntry]) -> dict[str, int]:
+        values = {key: entry.value for key, entry in changed.items()}
+        return digests_after(self.digests_by_section, self.entries_by_key, values)
+
+    def digests(self) -> dict[str, str]:
+        """Return the digests of the sections in hexadecimal."""
+        return render_digests(self.digests_by_section)
+
+    def verify(self) -> None:
+        """Raise ReplicaBroken if the entries don't match the head."""
+        expected = dict(self.head.digests_by_section)
+        if self.digests() != expected:
+            sections = sorted(
+                name
+                for name in expected.keys() | self.digests().keys()
+                if expected.get(name) != self.digests().get(name)
+            )
+            raise ReplicaBroken(
+                f"version {self.head.version} has other digests in "
+                f"{', '.join(sections)}",
+                step="apply a configuration delta",
+            )
+
+
+def render_digests(digests_by_section: Mapping[str, int]) -> dict[str, str]:
+    """Return digests in hexadecimal, without those of empty sections."""
+    return {
+        section: f"{digest:032x}"
+        for section, digest in sorted(digests_by_section.items())
+        if digest
+    }
+
+
+def digests_after(
+    digests_by_section: Mapping[str, int],
+    entries_by_key: Mapping[EntryKey, TableEntry],
+    values: Mapping[EntryKey, Any],
+) -> dict[str, int]:
+    """Return the digests of the sections with some values put or removed."""
+    digests = dict(digests_by_section)
+    for key, value in values.items():
+        total = digests.get(key.section, 0)
+        known = entries_by_key.get(key)
+        if known is not None and known.value is not None:
+            old = entry_digest(key.section, key.item_id, known.value)
+            total = remove_entry_digest(total, old)
+        if value is not None:
+            new = entry_digest(key.section, key.item_id, value)
+            total = add_entry_digest(total, new)
+        digests[key.section] = total
+    return digests
+
+
+def head_after(
+    replica: Replica,
+    values: Mapping[EntryKey, Any],
+    apply_id: str,
+    who: str,
+    now: float,
+) -> Head:
+    """Return the head that accepts some values as the next version."""
+    digests = digests_after(replica.digests_by_section, replica.entries_by_key, values)
+    version = replica.head.version + 1
+    return Head(version, apply_id, who, now, render_digests(digests))
--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/store.py
@@ -0,0 +1,233 @@
+"""Load, commit and undo configuration in the table service."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from functools import singledispatchmethod
+from typing import Any
+
+from attrs import frozen
+
+from ..contracts import Check, Delete, Put, TableService
+from ..exceptions import (
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    TransactionConflict,
+)
+from .checks import check_document
+from .dangers import CapacityInUse, check_change
+from .entries import CONFIGURATION_PREFIX, HEAD_KEY, Change, EntryKey, apply_values
+from .exceptions import CommitUnsettled, HistoryLost
+from .history import HISTORY_VERSIONS, HistoryRecord, history_key, undo
+from .proposals import (
+    DocumentProposal,
+    Edit,
+    Grain,
+    Proposal,
+    RollbackProposal,
+    StateProposal,
+    document_edit,
+    values_with_state,
+)
+from .replica import Replica, head_after
+
+COMMIT_ATTEMPTS = 20
+RETRY_SECONDS = 0.05
+RETRY_LIMIT_SECONDS = 2.0
+HISTORY_READS = 32
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@frozen
+class Author:
+    """Tell who changes the configuration, and why."""
+
+    who: str
+    note: str = ""
+
+
+@frozen
+class Commit:
+    """Hold an edit, its author and the id by which it is found again."""
+
+    edit: Edit
+    author: Author
+    apply_id: str
+    now: float
+    in_use: CapacityInUse = CapacityInUse()
+    force: bool = False
+
+
+@frozen
+class Committed:
+    """Tell which version holds an edit, and what it changed.
+
+    ``changes`` is empty when nothing had to change.
+    """
+
+    version: int
+    changes: tuple[Change, ...]
+
+
+class ConfigurationStore:
+    """Read and change the configuration kept in the table service."""
+
+    def __init__(
+        self,
+        table: TableService,
+        *,
+        sleep: Sleep = asyncio.sleep,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self.table = table
+        self.sleep = sleep
+        self.jitter = jitter
+
+    async def load(self, known: Replica | None = None) -> Replica:
+        """Return the accepted version; raise StoreUnavailable."""
+        known = known or Replica()
+        page = await self.table.scan(CONFIGURATION_PREFIX, known.table_version)
+        return known.advanced(page.entries)
+
+    async def history(self, after: int, upto: int) -> tuple[HistoryRecord, ...]:
+        """Return the records of some versions, the newest first.
+
+        Records that are no longer kept are left out.
+        """
+        records: list[HistoryRecord] = []
+        versions = range(upto, max(after, upto - HISTORY_VERSIONS), -1)
+        for start in range(0, len(versions), HISTORY_READS):
+            batch = versions[start : start + HISTORY_READS]
+            reads = [self.table.get(history_key(version)) for version in batch]
+            entries = await asyncio.gather(*reads)
+            found = [entry for entry in entries if entry is not None]
+            records.extend(HistoryRecord.from_value(entry.value) for entry in found)
+            if len(found) < len(batch):
+                break
+        return tuple(records)
+
+    async def values_at(self, replica: Replica, version: int) -> Mapping[EntryKey, Any]:
+        """Return the values of an earlier version; raise HistoryLost."""
+        head = replica.head.version
+        if not 0 <= version <= head:
+            raise HistoryLost(f"there is no version {version}; the last is {head}")
+        records = await self.history(version, head)
+        if len(records) != head - version:
+            raise HistoryLost(f"the history doesn't reach back to version {version}")
+        return undo(replica.values_by_key(), records)
+
+    @singledispatchmethod
+    async def edit(self, proposal: Proposal, replica: Replica) -> Edit:
+        """Work out what an operator who sees a replica wants to change.
+
+        Raise DocumentError, HistoryLost or StoreUnavailable.
+        """
+        raise TypeError(f"not a proposal: {proposal!r}")
+
+    @edit.register
+    async def _(self, proposal: DocumentProposal, replica: Replica) -> Edit:
+        base = await self.values_at(replica, proposal.base_version)
+        return document_edit(proposal, base)
+
+    @edit.register
+    async def _(self, proposal: StateProposal, replica: Replica) -> Edit:
+        base = replica.values_by_key()
+        wanted = values_with_state(proposal, base)
+        return Edit(replica.head.version, base, wanted, Grain.ENTRY)
+
+    @edit.register
+    async def _(self, proposal: RollbackProposal, replica: Replica) -> Edit:
+        wanted = await self.values_at(replica, proposal.version)
+        base = replica.values_by_key()
+        return Edit(replica.head.version, base, wanted, Grain.SECTION)
+
+    async def commit(self, commit: Commit, replica: Replica) -> Committed:
+        """Accept an edit as the next version by one transaction.
+
+        Raise DocumentInvalid, ConfigurationConflict, StoreUnavailable
+        (nothing was written) or CommitUnsettled (the store went away before
+        it could be asked whether the write took effect).
+        """
+        sent = False
+        for attempt in range(COMMIT_ATTEMPTS):
+            values = replica.values_by_key()
+            changes = commit.edit.changes_on(values, replica.head.version)
+            if not changes:
+                return Committed(replica.head.version, ())
+            check_commit(commit, replica, changes)
+            try:
+                return await self._write(commit, replica, changes)
+            except TransactionConflict:
+                pass
+            except StoreOutcomeUnknown:
+                sent = True
+            except StoreUnavailable:
+                if not sent:
+                    raise
+            await self._pause(attempt)
+            if sent:
+                replica, settled = await self._settle(commit, replica)
+                if settled is not None:
+                    return settled
+            else:
+                replica = await self.load(replica)
+        if sent:
+            raise CommitUnsettled(commit.apply_id)
+        raise StoreUnavailable("too many conflicts", step="commit the configuration")
+
+    async def _write(
+        self, commit: Commit, replica: Replica, changes: tuple[Change, ...]
+    ) -> Committed:
+        values = {change.key: change.after for change in changes}
+        author = commit.author
+        head = head_after(replica, values, commit.apply_id, author.who, commit.now)
+        record = HistoryRecord(
+            head.version, head.apply_id, head.who, head.when, author.note, changes
+        )
+        writes: list[Put | Delete] = [
+            Put(HEAD_KEY, head.to_value()),
+            Put(history_key(head.version), record.to_value()),
+        ]
+        for key, value in values.items():
+            writes.append(Delete(str(key)) if value is None else Put(str(key), value))
+        if head.version > HISTORY_VERSIONS:
+            writes.append(Delete(history_key(head.version - HISTORY_VERSIONS)))
+        checks = (Check(HEAD_KEY, replica.table_version),)
+        await self.table.transact(checks, tuple(writes))
+        return Committed(head.version, changes)
+
+    async def _settle(
+        self, commit: Commit, replica: Replica
+    ) -> tuple[Replica, Committed | None]:
+        # A write whose answer was lost may still be under way. The next
+        # attempt checks the same head, so that only one of them takes
+        # effect, and the loser finds the winner here by its apply id.
+        for attempt in range(COMMIT_ATTEMPTS):
+            try:
+                newer = await self.load(replica)
+                records = await self.history(replica.head.version, newer.head.version)
+            except StoreUnavailable:
+                await self._pause(attempt)
+                continue
+            for record in records:
+                if record.apply_id == commit.apply_id:
+                    return newer, Committed(record.version, record.changes)
+            return newer, None
+        raise CommitUnsettled(commit.apply_id)
+
+    async def _pause(self, attempt: int) -> None:
+        delay = min(RETRY_SECONDS * 2**attempt, RETRY_LIMIT_SECONDS)
+        await self.sleep(delay * (0.5 + self.jitter() / 2))
+
+
+def check_commit(commit: Commit, replica: Replica, changes: tuple[Change, ...]) -> None:
+    """Check the whole document that a commit would put in force.
+
+    Raise DocumentInvalid.
+    """
+    before = replica.document
+    after = apply_values(before, {change.key: change.after for change in changes})
+    check_document(after)
+    if not commit.force:
+        check_change(before, after, commit.in_use)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/configuration/__init__.py
@@ -0,0 +1,17 @@
+"""Keep the accepted configuration in force in a daemon."""
+
+from .in_force import ConfigurationInForce
+from .keeper import ConfigurationKeeper, KeeperSettings
+from .links import ConfigurationLinks, NoLinks
+from .messages import ConfigurationDelta, ConfigurationNotice, ConfigurationRequest
+
+__all__ = [
+    "ConfigurationDelta",
+    "ConfigurationInForce",
+    "ConfigurationKeeper",
+    "ConfigurationLinks",
+    "ConfigurationNotice",
+    "ConfigurationRequest",
+    "KeeperSettings",
+    "NoLinks",
+]
