--- a/packages/teaselpond-model/src/teaselpond_model/configuration/replica.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/replica.py
@@ -86,12 +86,14 @@
     def advanced(self, entries: Iterable[TableEntry]) -> "Replica":
         """Return the replica with newer entries applied.
 
-        Older and equal heads leave it as it is. Raise ReplicaBroken when
-        the entries don't give what their head says.
+        Older, equal and deleted heads leave it as it is. Raise ReplicaBroken
+        when the entries don't give what their head says.
         """
         entries = tuple(entries)
         head_entry = next((entry for entry in entries if entry.key == HEAD_KEY), None)
-        if head_entry is None or head_entry.version <= self.table_version:
+        if head_entry is None or head_entry.value is None:
+            return self
+        if head_entry.version <= self.table_version:
             return self
         changed = self._changed_entries(entries)
         advanced = evolve(
--- a/packages/teaselpond/src/teaselpond/configuration/keeper.py
+++ b/packages/teaselpond/src/teaselpond/configuration/keeper.py
@@ -75,7 +75,6 @@
         )
         self.store_answered_at: float | None = None
         self._confirmed = False
-        self._needs_all = False
         self._table_versions_by_peer: dict[str, int] = {}
         self._behind = asyncio.Event()
 
@@ -120,9 +119,8 @@
         self.store_answered_at = now
 
     async def _read_store(self) -> None:
-        known = Replica() if self._needs_all else self.replica
+        known = self.replica
         page = await self.table.scan(CONFIGURATION_PREFIX, known.table_version)
-        self._needs_all = False
         self.adopt(page.entries, known, STORE)
 
     async def _confirm(self) -> None:
@@ -155,9 +153,6 @@
         try:
             advanced = known.advanced(entries)
         except (ReplicaBroken, DocumentInvalid, KeyError, ValueError) as error:
-            # Only a torn read of the table service is mended by reading all
-            # of it; what this program can't read would be read in vain.
-            self._needs_all = source == STORE and isinstance(error, ReplicaBroken)
             self.count("configuration.delta_refused")
             logging.error("a delta from %s is refused: %s", source, error)
             return False
