--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/__main__.py
@@ -0,0 +1,57 @@
+"""Run teaselpondctl and turn its outcome into an exit code."""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+
+import fire
+
+from teaselpond_model.configuration import ConfigurationConflict
+from teaselpond_model.exceptions import TeaselpondError
+
+from .exceptions import CommandUsage
+from .program import Program
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    command = None if arguments is None else list(arguments)
+    try:
+        _fire(command)
+    except CommandUsage as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    except ConfigurationConflict as error:
+        print(f"{error}\n{error.diff}", file=sys.stderr)
+        return EXIT_REFUSED
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        return EXIT_REFUSED
+    except TeaselpondError as error:
+        print(error, file=sys.stderr)
+        return EXIT_REFUSED
+    return 0
+
+
+def _fire(command: list[str] | None) -> None:
+    # Fire runs coroutines in the loop that is set.
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        fire.Fire(Program, command=command, name="teaselpondctl")
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def main() -> None:
+    """Run the program; fire itself ends with 2 on wrong usage."""
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/__init__.py
@@ -0,0 +1,21 @@
+"""Define the commands of teaselpondctl, one class a module."""
+
+from .config import ConfigCommand
+from .counters import CountersCommand
+from .host import HostCommand
+from .locate import LocateCommand
+from .quarantine import QuarantineCommand
+from .status import StatusCommand
+from .why import WhyCommand
+from .zone import ZoneCommand
+
+__all__ = [
+    "ConfigCommand",
+    "CountersCommand",
+    "HostCommand",
+    "LocateCommand",
+    "QuarantineCommand",
+    "StatusCommand",
+    "WhyCommand",
+    "ZoneCommand",
+]
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/config.py
@@ -0,0 +1,173 @@
+"""Check, show, compare, apply and undo the configuration."""
+
+import time
+from pathlib import Path
+
+import tomli_w
+from fire import decorators
+
+from teaselpond_model.configuration import (
+    ReadDocument,
+    check_document,
+    read_toml,
+    render_changes,
+)
+from teaselpond_model.configuration.entries import document_from_values
+from teaselpond_model.configuration.proposals import (
+    DocumentProposal,
+    RollbackProposal,
+)
+from teaselpond_model.configuration.replica import Replica
+from teaselpond_model.configuration.writing import document_to_tables
+
+from ..exceptions import CommandRefused, CommandUsage
+from .base import FOLLOW_LIMIT_SECONDS, Command
+
+HEAD = "head"
+
+
+def read_file(path: str) -> ReadDocument:
+    """Read and check a file; raise DocumentInvalid or CommandUsage."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandUsage(f"{path} can't be read: {error}") from error
+    read = read_toml(text, path)
+    check_document(read.document, path)
+    return read
+
+
+def choose_base(read: ReadDocument, base: str, head_version: int) -> int:
+    """Return the version that an edit started from; raise CommandUsage."""
+    if base == HEAD:
+        return head_version
+    if base:
+        if not base.isdigit():
+            raise CommandUsage(f"--base: {base!r} is neither a version nor {HEAD!r}")
+        return int(base)
+    if read.base_version is not None:
+        return read.base_version
+    if head_version == 0:
+        return 0
+    raise CommandRefused(
+        "the document doesn't say which version it was edited from: start from "
+        "`teaselpondctl config show`, or give --base=VERSION "
+        f"(the last one is {head_version})"
+    )
+
+
+class ConfigCommand(Command):
+    """Check, show, compare, apply and undo the configuration."""
+
+    @decorators.SetParseFn(str, "file")
+    async def check(self, file: str) -> None:
+        """Check a document without changing anything."""
+        read = read_file(file)
+        count = sum(1 for _ in read.document.items())
+        self._output.tell(f"{file} is valid: {count} items")
+        self._output.show({"valid": True, "items": count})
+
+    @decorators.SetParseFn(str, "version")
+    async def show(self, version: str = "") -> None:
+        """Print the accepted document, or an earlier version of it."""
+        if version and not version.isdigit():
+            raise CommandUsage(f"--version: {version!r} is not a version")
+        async with self._session() as session:
+            replica = await session.store.load()
+            number = int(version) if version else replica.head.version
+            values = await session.store.values_at(replica, number)
+        tables = document_to_tables(document_from_values(values), number)
+        self._output.tell(tomli_w.dumps(tables).rstrip())
+        self._output.show(tables)
+
+    @decorators.SetParseFn(str, "file", "base")
+    async def diff(self, file: str, base: str = "") -> None:
+        """Show what applying a document would change."""
+        read = read_file(file)
+        async with self._session() as session:
+            replica = await session.store.load()
+            proposal = self._proposal(read, base, replica)
+            edit = await session.store.edit(proposal, replica)
+        head = replica.head.version
+        changes = edit.changes_on(replica.values_by_key(), head)
+        self._output.tell(render_changes(changes) or "nothing to change")
+        self._output.show(
+            [{"key": str(c.key), "before": c.before, "after": c.after} for c in changes]
+        )
+
+    @decorators.SetParseFn(str, "file", "base", "note")
+    async def apply(
+        self,
+        file: str,
+        base: str = "",
+        note: str = "",
+        force: bool = False,
+        wait_seconds: float = FOLLOW_LIMIT_SECONDS,
+    ) -> None:
+        """Accept a document as the next version.
+
+        ``base`` is the version it was edited from, ``head`` for the last
+        one; by default, what the document's ``version`` says. ``force``
+        accepts dangerous changes.
+        """
+        read = read_file(file)
+        async with self._session() as session:
+            replica = await session.store.load()
+            committed = await self._commit(
+                session,
+                self._proposal(read, base, replica),
+                note=note,
+                force=force,
+                wait_seconds=wait_seconds,
+                replica=replica,
+            )
+        self._output.tell(
+            f"the next edit starts from version = {committed.version} "
+            "(`teaselpondctl config show`)"
+        )
+
+    @decorators.SetParseFn(str, "version", "note")
+    async def rollback(
+        self,
+        version: str,
+        note: str = "",
+        force: bool = False,
+        wait_seconds: float = FOLLOW_LIMIT_SECONDS,
+    ) -> None:
+        """Accept the content of an earlier version as the next one."""
+        if not version.isdigit():
+            raise CommandUsage(f"{version!r} is not a version")
+        async with self._session() as session:
+            await self._commit(
+                session,
+                RollbackProposal(int(version)),
+                note=note or f"rollback to version {version}",
+                force=force,
+                wait_seconds=wait_seconds,
+            )
+
+    async def history(self, limit: int = 20) -> None:
+        """List the last versions, who made them and what they changed."""
+        async with self._session() as session:
+            head = (await session.store.load()).head.version
+            records = await session.store.history(max(head - limit, 0), head)
+        rows = [
+            {
+                "version": record.version,
+                "when": time.strftime("%F %T", time.gmtime(record.when)),
+                "who": record.who,
+                "sections": list(record.sections),
+                "changes": len(record.changes),
+                "apply_id": record.apply_id,
+                "note": record.note,
+            }
+            for record in records
+        ]
+        columns = ("version", "when", "who", "sections", "changes", "apply_id", "note")
+        self._output.table(rows, columns)
+
+    def _proposal(
+        self, read: ReadDocument, base: str, replica: Replica
+    ) -> DocumentProposal:
+        version = choose_base(read, base, replica.head.version)
+        return DocumentProposal(read.document, version)
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/locate.py
@@ -0,0 +1,22 @@
+"""Ask which addresses a caller should use."""
+
+from urllib.parse import urlencode
+
+from fire import decorators
+
+from .base import Command
+
+
+class LocateCommand(Command):
+    """Ask which addresses a caller should use."""
+
+    @decorators.SetParseFn(str)
+    async def __call__(self, workspace: str, chat: str = "") -> None:
+        """List the addresses for a workspace and a chat, best first."""
+        query = urlencode({"workspace": workspace, "chat": chat})
+        async with self._session() as session:
+            answer = await session.ask_any(f"/v1/locate?{query}")
+        self._output.show(answer)
+        for address in answer["addresses"]:
+            self._output.tell(address)
+        self._output.tell(f"for {answer['ttl_seconds']} s")
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/quarantine.py
@@ -0,0 +1,52 @@
+"""List and lift the quarantine of requests that crash engines."""
+
+import time
+from urllib.parse import quote
+
+from fire import decorators
+
+from ..exceptions import CommandRefused
+from .base import Command
+
+
+class QuarantineCommand(Command):
+    """List and lift the quarantine of requests that crash engines."""
+
+    async def list(self) -> None:
+        """List the requests that were running when engines died."""
+        rows_by_fingerprint = {}
+        async with self._session() as session:
+            for answer in await session.ask_all("/ops/quarantine"):
+                if not answer.succeeded:
+                    self._output.tell(f"{answer.address}: {answer.problem}")
+                    continue
+                for row in answer.value["quarantine"]:
+                    rows_by_fingerprint[row["fingerprint"]] = row
+        rows = [
+            {**row, "state": "quarantined" if row["quarantined_until"] else "suspect"}
+            for row in rows_by_fingerprint.values()
+        ]
+        self._output.show(rows)
+        if not self._output.as_json:
+            shown = [{**row, "until": _when(row["quarantined_until"])} for row in rows]
+            columns = ("fingerprint", "workspace", "state", "until", "deaths")
+            self._output.table(shown, columns)
+
+    @decorators.SetParseFn(str)
+    async def lift(self, fingerprint: str) -> None:
+        """Let a request run again, everywhere."""
+        path = f"/ops/quarantine/{quote(fingerprint, safe='')}"
+        async with self._session() as session:
+            answers = await session.ask_all(path, method="DELETE")
+        done = [answer for answer in answers if answer.succeeded]
+        for answer in answers:
+            if not answer.succeeded:
+                self._output.tell(f"{answer.address}: {answer.problem}")
+        if not done:
+            raise CommandRefused("no daemon lifted it", step="quarantine lift")
+        self._output.tell(f"lifted on {len(done)} of {len(answers)} daemons")
+        self._output.show({"lifted_on": len(done), "daemons": len(answers)})
+
+
+def _when(until: float) -> str | None:
+    return time.strftime("%F %T", time.gmtime(until)) if until else None
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/status.py
@@ -0,0 +1,68 @@
+"""Show what every daemon has in force and does."""
+
+from ..daemons import DaemonAnswer
+from ..exceptions import CommandRefused
+from .base import Command
+
+DAEMON_COLUMNS = (
+    "daemon",
+    "zone",
+    "state",
+    "version",
+    "digest",
+    "engines",
+    "in_flight",
+    "peers",
+    "problem",
+)
+ENGINE_COLUMNS = ("engine", "zone", "model", "owner", "in_flight", "limit", "queued")
+
+
+class StatusCommand(Command):
+    """Show what every daemon has in force and does."""
+
+    async def __call__(self) -> None:
+        """List the daemons and the engines that they own."""
+        async with self._session() as session:
+            answers = await session.ask_all("/ops/status")
+        daemons = [_daemon_row(answer) for answer in answers]
+        engines = [row for answer in answers for row in _engine_rows(answer)]
+        self._output.show({"daemons": daemons, "engines": engines})
+        if not self._output.as_json:
+            self._output.table(daemons, DAEMON_COLUMNS)
+            self._output.tell("")
+            self._output.table(engines, ENGINE_COLUMNS)
+        if not any(answer.succeeded for answer in answers):
+            raise CommandRefused("no daemon answered", step="status")
+
+
+def _daemon_row(answer: DaemonAnswer) -> dict:
+    if not answer.succeeded:
+        return {"daemon": str(answer.address), "problem": answer.problem}
+    value = answer.value
+    engines = value.get("engines", ())
+    return {
+        "daemon": value["daemon_id"],
+        "zone": value["zone"],
+        "state": value["state"],
+        "version": value["config_version"],
+        "digest": value["config_digest"],
+        "engines": len(engines),
+        "in_flight": sum(engine["in_flight"] for engine in engines),
+        "peers": len(value.get("peers", ())),
+        "incarnation": value["incarnation"],
+    }
+
+
+def _engine_rows(answer: DaemonAnswer) -> list[dict]:
+    if not answer.succeeded:
+        return []
+    return [
+        {
+            "engine": engine["engine_id"],
+            "owner": answer.value["daemon_id"],
+            **{name: engine.get(name) for name in ENGINE_COLUMNS[1:3]},
+            **{name: engine.get(name) for name in ENGINE_COLUMNS[4:]},
+        }
+        for engine in answer.value.get("engines", ())
+    ]
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/why.py
@@ -0,0 +1,40 @@
+"""Tell why a request went where it did, or was refused."""
+
+import time
+from urllib.parse import quote
+
+from fire import decorators
+
+from ..exceptions import CommandRefused
+from .base import Command
+
+
+class WhyCommand(Command):
+    """Tell why a request went where it did, or was refused."""
+
+    @decorators.SetParseFn(str)
+    async def __call__(self, request_id: str) -> None:
+        """List the steps of a recent request on every daemon."""
+        path = f"/ops/why/{quote(request_id, safe='')}"
+        async with self._session() as session:
+            answers = await session.ask_all(path)
+        rows = [
+            {**event, "daemon": answer.value["daemon_id"]}
+            for answer in answers
+            if answer.succeeded
+            for event in answer.value["events"]
+        ]
+        rows.sort(key=lambda row: row["time"])
+        for answer in answers:
+            if answer.status not in (200, 404):
+                self._output.tell(f"{answer.address}: {answer.problem}")
+        if not rows:
+            raise CommandRefused(f"no daemon knows of the request {request_id}")
+        self._output.show(rows)
+        if not self._output.as_json:
+            shown = [{**row, "time": _clock(row["time"])} for row in rows]
+            self._output.table(shown, ("time", "daemon", "step", "detail"))
+
+
+def _clock(when: float) -> str:
+    return time.strftime("%T", time.gmtime(when)) + f"{when % 1:.3f}"[1:]
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/program.py
@@ -0,0 +1,69 @@
+"""Tie the commands together under one program."""
+
+from typing import Any
+
+import attrs
+from fire import decorators
+
+from .commands import (
+    ConfigCommand,
+    CountersCommand,
+    HostCommand,
+    LocateCommand,
+    QuarantineCommand,
+    StatusCommand,
+    WhyCommand,
+    ZoneCommand,
+)
+from .output import Output
+from .settings import Settings, settings_from_process
+
+
+@decorators.SetParseFn(str, "platform", "daemons", "operator_key", "who")
+class Program:
+    """Operate a teaselpond fleet.
+
+    Every setting is a flag, or a TEASELPOND_ environment variable.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: str | None = None,
+        daemons: Any = None,
+        operator_key: str | None = None,
+        who: str | None = None,
+        timeout_seconds: float | None = None,
+        json: bool | None = None,
+    ) -> None:
+        settings = settings_from_process(
+            {
+                "platform": platform,
+                "daemons": daemons,
+                "operator_key": operator_key,
+                "who": who,
+                "timeout_seconds": timeout_seconds,
+                "json": json,
+            }
+        )
+        output = Output(settings.json)
+        self.config = ConfigCommand(settings, output)
+        self.zone = ZoneCommand(settings, output)
+        self.host = HostCommand(settings, output)
+        self.status = StatusCommand(settings, output).__call__
+        self.locate = LocateCommand(settings, output).__call__
+        self.counters = CountersCommand(settings, output).__call__
+        self.why = WhyCommand(settings, output).__call__
+        self.quarantine = QuarantineCommand(settings, output)
+
+
+def _describe_flags() -> None:
+    # Fire reads the help of the flags from the docstring.
+    lines = [
+        f"    {setting.name}: {setting.metadata['description']}"
+        for setting in attrs.fields(Settings)
+    ]
+    Program.__doc__ = "\n".join([Program.__doc__, "Args:", *lines])
+
+
+_describe_flags()
