--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/connections.py
@@ -0,0 +1,55 @@
+"""Open and accept the WebSocket connections that carry links."""
+
+from collections.abc import Awaitable, Callable
+
+import websockets
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.server import Server, ServerConnection
+
+from teaselpond_model.contracts import Address
+
+from .codec import FRAME_LIMIT_BYTES
+
+CLOSE_SECONDS = 0.5
+
+# The links have heartbeats of their own, which also see a paused event loop;
+# and frames are too small for compression to pay.
+_COMMON_OPTIONS = {
+    "compression": None,
+    "ping_interval": None,
+    "max_size": FRAME_LIMIT_BYTES,
+    "close_timeout": CLOSE_SECONDS,
+}
+
+
+async def connect(address: Address, open_seconds: float) -> ClientConnection:
+    """Open a connection; raise OSError, TimeoutError or WebSocketException."""
+    return await websockets.connect(
+        f"ws://{address}",
+        open_timeout=open_seconds,
+        user_agent_header=None,
+        proxy=None,
+        **_COMMON_OPTIONS,
+    )
+
+
+async def listen(
+    address: Address,
+    accept: Callable[[ServerConnection], Awaitable[None]],
+    open_seconds: float,
+) -> Server:
+    """Accept connections at an address; port 0 lets the system choose."""
+    return await websockets.serve(
+        accept,
+        address.ip,
+        address.port,
+        open_timeout=open_seconds,
+        server_header=None,
+        **_COMMON_OPTIONS,
+    )
+
+
+def bound_address(server: Server) -> Address:
+    """Return the address that a server really listens at."""
+    ip, port = next(iter(server.sockets)).getsockname()[:2]
+    return Address(ip, port)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/events.py
@@ -0,0 +1,31 @@
+"""Define what the links report."""
+
+from attrs import frozen
+
+from .peers import Identity
+
+
+@frozen
+class LinkOpened:
+    """Tell that a link to a peer was admitted."""
+
+    peer: Identity
+    lasting: bool
+    dialed: bool
+
+
+@frozen
+class LinkClosed:
+    """Tell that a link ended; ``orderly`` when either end meant it to."""
+
+    peer: Identity
+    lasting: bool
+    reason: str
+    orderly: bool
+
+
+@frozen
+class Superseded:
+    """Tell that another run of this daemon took over; this one must stop."""
+
+    known_incarnation: int
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/exchange.py
@@ -0,0 +1,311 @@
+"""Spread facts to neighbours, and repair what got lost on the way.
+
+New facts are pushed in batches. Facts of frequent topics travel along a tree:
+who receives one twice asks the second sender to stop sending that name
+(after "Epidemic Broadcast Trees" by Leitao, Pereira and Rodrigues). Digests
+compared at an interval find and repair every gap, whatever its cause.
+"""
+
+import asyncio
+import random
+from collections.abc import Coroutine, Iterable
+
+from attrs import define, field, frozen, validators
+
+from .digests import (
+    BUCKET_COUNT,
+    bucket_of,
+    name_fingerprint,
+    pack_fingerprints,
+    unpack_fingerprints,
+)
+from .events import LinkClosed, LinkOpened
+from .exceptions import LinkError
+from .facts import Fact, FactChange, FactStore, HeldFact, Topic
+from .manager import LinkManager
+from .messages import Done, message
+from .peers import Identity
+
+BATCH_LIMIT_BYTES = 256 * 1024
+CALL_SECONDS = 2.0
+
+
+@message("facts")
+@frozen
+class FactDelta:
+    """Hand over facts that the receiver may not know."""
+
+    facts: tuple[Fact, ...]
+
+
+@message("root")
+@frozen
+class FactRoot:
+    """Ask for the buckets of a store unless its root is the same."""
+
+    root: bytes
+
+
+@message("buckets")
+@frozen
+class FactBuckets:
+    """Answer a root that differs."""
+
+    buckets: bytes
+
+
+@message("offer")
+@frozen
+class FactOffer:
+    """List the fingerprints held in some buckets."""
+
+    buckets: bytes
+    fingerprints: bytes
+
+
+@message("missing")
+@frozen
+class FactsMissing:
+    """Answer an offer: facts it lacks, and fingerprints that are wanted."""
+
+    facts: tuple[Fact, ...]
+    wanted: bytes
+
+
+@message("paths")
+@frozen
+class FactPaths:
+    """Ask a neighbour to stop or to resume sending some names' facts.
+
+    ``names`` holds name fingerprints; none at all stands for every name.
+    """
+
+    names: bytes
+    wanted: bool
+
+
+@frozen
+class ExchangeSettings:
+    """Set the intervals of the exchange in seconds."""
+
+    push_seconds: float = field(default=0.2, validator=validators.gt(0))
+    digest_seconds: float = field(default=5.0, validator=validators.gt(0))
+
+
+@define(eq=False)
+class FactExchange:
+    """Keep one store's facts the same as its neighbours'."""
+
+    links: LinkManager
+    store: FactStore
+    topics: tuple[Topic, ...]
+    settings: ExchangeSettings = field(factory=ExchangeSettings)
+    chance: random.Random = field(factory=random.Random)
+    _holders_by_name: dict[str, set[str]] = field(factory=dict)
+    _stopped_by_id: dict[str, set[int]] = field(factory=dict)
+    _to_stop_by_id: dict[str, set[int]] = field(factory=dict)
+    _source_by_name: dict[str, str] = field(factory=dict)
+    _frequent_names: frozenset[str] = field(init=False)
+    _tasks: set[asyncio.Task] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        frequent = (topic.name for topic in self.topics if topic.is_frequent)
+        self._frequent_names = frozenset(frequent)
+        self.links.handle(FactDelta, self._take_delta)
+        self.links.handle(FactRoot, self._answer_root)
+        self.links.handle(FactOffer, self._answer_offer)
+        self.links.handle(FactPaths, self._take_paths)
+        self.store.changes.subscribe(self._note_change)
+        self.links.events.subscribe(self._note_link)
+
+    def start(self) -> None:
+        """Begin to push and to compare."""
+        self._spawn(self._push_forever())
+        self._spawn(self._compare_forever())
+
+    async def stop(self) -> None:
+        """Push what is left and end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.push()
+
+    def push(self) -> None:
+        """Send each neighbour the new facts that it is not known to hold."""
+        now = asyncio.get_running_loop().time()
+        holders_by_name, self._holders_by_name = self._holders_by_name, {}
+        for link in self.links.lasting_links():
+            peer_id = link.peer.daemon_id
+            stopped = self._stopped_by_id.get(peer_id, frozenset())
+            names = [
+                name
+                for name, holders in holders_by_name.items()
+                if peer_id not in holders
+                and not (stopped and name_fingerprint(name) in stopped)
+            ]
+            held = (self.store.held(name) for name in names)
+            self._send_facts(peer_id, held, now)
+            self._send_stops(peer_id)
+
+    async def compare(self, daemon_id: str) -> None:
+        """Find and repair differences with one daemon; raise LinkError."""
+        digest = self.store.digest
+        root = FactRoot(digest.root())
+        buckets = await self.links.call(daemon_id, root, CALL_SECONDS)
+        if not isinstance(buckets, FactBuckets):
+            return
+        differing = digest.differing(buckets.buckets)
+        offered = self._held_in(differing)
+        fingerprints = pack_fingerprints([held.fingerprint for held in offered])
+        offer = FactOffer(bytes(sorted(differing)), fingerprints)
+        missing = await self.links.call(daemon_id, offer, CALL_SECONDS)
+        names = self._merge(missing.facts, daemon_id)
+        frequent = [name for name in names if self._is_frequent(name)]
+        if frequent:
+            # Their path to this daemon is broken: open one through the peer.
+            prints = pack_fingerprints([name_fingerprint(name) for name in frequent])
+            await self.links.send(daemon_id, FactPaths(prints, wanted=True))
+        wanted = set(unpack_fingerprints(missing.wanted))
+        now = asyncio.get_running_loop().time()
+        for batch in _batches(
+            (held for held in offered if held.fingerprint in wanted), now
+        ):
+            await self.links.send(daemon_id, FactDelta(batch))
+
+    async def _push_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.push_seconds)
+            self.push()
+
+    async def _compare_forever(self) -> None:
+        while True:
+            interval = self.settings.digest_seconds
+            await asyncio.sleep(self.chance.uniform(0.5, 1.5) * interval)
+            self.store.expire(asyncio.get_running_loop().time())
+            peers = sorted(self.links.linked_peers())
+            if not peers:
+                continue
+            await self._try_compare(self.chance.choice(peers))
+
+    async def _try_compare(self, daemon_id: str) -> None:
+        try:
+            await self.compare(daemon_id)
+        except LinkError:
+            # The next round asks another one.
+            self.links.traffic.faults_by_reason["compare"] += 1
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _note_change(self, change: FactChange) -> None:
+        name = change.fact.name
+        self._holders_by_name[name] = {change.source_id} - {""}
+        self._source_by_name[name] = change.source_id
+
+    def _note_link(self, event: object) -> None:
+        if isinstance(event, LinkOpened) and event.lasting:
+            # What was agreed with an earlier run or link no longer holds.
+            self._stopped_by_id.pop(event.peer.daemon_id, None)
+            if event.dialed and self._tasks:
+                self._spawn(self._try_compare(event.peer.daemon_id))
+        elif isinstance(event, LinkClosed) and event.lasting:
+            self._replace_paths(event.peer.daemon_id)
+
+    def _replace_paths(self, lost_id: str) -> None:
+        self._stopped_by_id.pop(lost_id, None)
+        self._to_stop_by_id.pop(lost_id, None)
+        if lost_id in self._source_by_name.values():
+            self.links.broadcast(FactPaths(b"", wanted=True))
+
+    def _send_facts(self, peer_id: str, held: Iterable, now: float) -> None:
+        known = (each for each in held if each is not None)
+        for batch in _batches(known, now):
+            self._try_send(peer_id, FactDelta(batch))
+
+    def _send_stops(self, peer_id: str) -> None:
+        names = self._to_stop_by_id.pop(peer_id, None)
+        if names:
+            content = pack_fingerprints(sorted(names))
+            self._try_send(peer_id, FactPaths(content, wanted=False))
+
+    def _try_send(self, peer_id: str, message: object) -> None:
+        link = self.links.link_to(peer_id)
+        try:
+            if link is not None:
+                link.send(message)
+        except LinkError:
+            # The comparison of digests repairs what was lost.
+            self.links.traffic.faults_by_reason["push"] += 1
+
+    def _take_delta(self, delta: FactDelta, sender: Identity) -> None:
+        self._merge(delta.facts, sender.daemon_id)
+
+    def _merge(self, facts: Iterable[Fact], sender_id: str) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        new_names = []
+        for fact in facts:
+            if self.store.merge(fact, now, sender_id):
+                new_names.append(fact.name)
+            else:
+                self._note_repeat(fact, sender_id)
+        return new_names
+
+    def _note_repeat(self, fact: Fact, sender_id: str) -> None:
+        held = self.store.held(fact.name)
+        if held is None or held.fact.rank != fact.rank:
+            return
+        self._holders_by_name.get(fact.name, set()).add(sender_id)
+        source_id = self._source_by_name.get(fact.name)
+        if self._is_frequent(fact.name) and source_id != sender_id:
+            stops = self._to_stop_by_id.setdefault(sender_id, set())
+            stops.add(name_fingerprint(fact.name))
+
+    def _answer_root(self, root: FactRoot, sender: Identity) -> object:
+        digest = self.store.digest
+        return Done() if root.root == digest.root() else FactBuckets(digest.pack())
+
+    def _answer_offer(self, offer: FactOffer, sender: Identity) -> FactsMissing:
+        now = asyncio.get_running_loop().time()
+        held = self._held_in(frozenset(offer.buckets))
+        offered = set(unpack_fingerprints(offer.fingerprints))
+        lacking = (each for each in held if each.fingerprint not in offered)
+        batch = next(iter(_batches(lacking, now)), ())
+        wanted = offered - {each.fingerprint for each in held}
+        return FactsMissing(batch, pack_fingerprints(sorted(wanted)))
+
+    def _take_paths(self, paths: FactPaths, sender: Identity) -> None:
+        stopped = self._stopped_by_id.setdefault(sender.daemon_id, set())
+        names = unpack_fingerprints(paths.names)
+        if not paths.wanted:
+            stopped.update(names)
+        elif names:
+            stopped.difference_update(names)
+        else:
+            stopped.clear()
+
+    def _held_in(self, buckets: frozenset[int]) -> list[HeldFact]:
+        if len(buckets) == BUCKET_COUNT:
+            return list(self.store)
+        return [held for held in self.store if bucket_of(held.fact.name) in buckets]
+
+    def _is_frequent(self, name: str) -> bool:
+        return name.partition("/")[0] in self._frequent_names
+
+
+def _batches(held: Iterable[HeldFact], now: float) -> Iterable[tuple[Fact, ...]]:
+    batch: list[Fact] = []
+    size_bytes = 0
+    for each in held:
+        fact = each.to_send(now)
+        if fact is None:
+            continue
+        batch.append(fact)
+        size_bytes += len(fact.content) + len(fact.name)
+        if size_bytes > BATCH_LIMIT_BYTES:
+            yield tuple(batch)
+            batch, size_bytes = [], 0
+    if batch:
+        yield tuple(batch)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/incarnations.py
@@ -0,0 +1,31 @@
+"""Remember the newest run of each daemon."""
+
+from attrs import define, field
+
+from .peers import Identity
+
+REMEMBERED_DAEMONS = 4096
+
+
+@define
+class IncarnationBook:
+    """Turn away runs of a daemon that are older than one already met."""
+
+    _ranks_by_id: dict[str, tuple[int, bytes]] = field(factory=dict)
+
+    def admit(self, peer: Identity) -> bool:
+        """Note a run and return True, unless a newer one is known."""
+        known = self._ranks_by_id.get(peer.daemon_id)
+        if known is not None and peer.rank < known:
+            return False
+        # Moves the entry to the end, so that the longest unheard goes first.
+        self._ranks_by_id.pop(peer.daemon_id, None)
+        self._ranks_by_id[peer.daemon_id] = peer.rank
+        if len(self._ranks_by_id) > REMEMBERED_DAEMONS:
+            del self._ranks_by_id[next(iter(self._ranks_by_id))]
+        return True
+
+    def newest_incarnation(self, daemon_id: str) -> int:
+        """Return the newest incarnation met, or 0."""
+        rank = self._ranks_by_id.get(daemon_id)
+        return rank[0] if rank is not None else 0
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/link.py
@@ -0,0 +1,254 @@
+"""Carry frames over one connection to one daemon."""
+
+import asyncio
+import inspect
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from absl import logging
+from attrs import define, field
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from teaselpond_model.exceptions import TeaselpondError
+
+from . import codec
+from .exceptions import (
+    AnswerLost,
+    CallFailed,
+    LinkError,
+    PeerUnavailable,
+    UnknownMessage,
+)
+from .messages import Done, Failure, Flow, Frame, Goodbye, Heartbeat, name_of
+from .peers import Identity, LinkSettings
+from .traffic import Traffic, websocket_bytes
+
+Handler = Callable[[Any, Identity], Any | Awaitable[Any]]
+FindHandler = Callable[[type], Handler]
+
+
+@define(eq=False)
+class Link:
+    """Send, receive, call and answer over one admitted connection.
+
+    ``lasting`` links send heartbeats; the others are closed when idle.
+    Times are those of the running event loop, in seconds.
+    """
+
+    connection: Connection
+    peer: Identity
+    dialed: bool
+    lasting: bool
+    settings: LinkSettings
+    traffic: Traffic
+    find_handler: FindHandler
+    opened_at: float
+    heard_at: float = field(init=False)
+    sent_at: float = field(init=False)
+    close_reason: str = ""
+    closed: asyncio.Event = field(factory=asyncio.Event)
+    orderly: bool = False
+    _frames: asyncio.Queue = field(init=False)
+    _call_ids: Any = field(factory=lambda: itertools.count(1))
+    _answers_by_call_id: dict[int, asyncio.Future] = field(factory=dict)
+    _tasks: set[asyncio.Task] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        self.heard_at = self.opened_at
+        self.sent_at = self.opened_at
+        self._frames = asyncio.Queue(self.settings.queue_limit_frames)
+
+    async def run(self) -> None:
+        """Serve the connection until it ends, whatever ends it."""
+        writer = asyncio.create_task(self._transmit())
+        try:
+            await self._receive()
+        except ConnectionClosed:
+            self._note_close("connection ended")
+        finally:
+            writer.cancel()
+            self._end()
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether a lasting link has gone without a word too long."""
+        return self.lasting and now - self.heard_at > self.settings.silence_seconds
+
+    def is_idle(self, now: float) -> bool:
+        """Tell whether an on-demand link has had no use for long."""
+        if self.lasting or self._answers_by_call_id:
+            return False
+        return self.quiet_seconds(now) > self.settings.idle_seconds
+
+    def quiet_seconds(self, now: float) -> float:
+        """Return for how long nothing was sent or heard."""
+        return now - max(self.heard_at, self.sent_at)
+
+    def wants_heartbeat(self, now: float) -> bool:
+        """Tell whether nothing was sent for about a heartbeat's interval."""
+        quiet_seconds = now - self.sent_at
+        return self.lasting and quiet_seconds > 0.75 * self.settings.heartbeat_seconds
+
+    def send(self, message: Any) -> None:
+        """Queue a message; raise PeerUnavailable when the link is clogged."""
+        self._queue(Frame(message))
+
+    def send_heartbeat(self) -> None:
+        """Queue a heartbeat."""
+        self.send(Heartbeat())
+
+    async def call(self, message: Any, seconds: float) -> Any:
+        """Send a message and return its answer, within that many seconds.
+
+        Raise PeerUnavailable when nothing was sent, AnswerLost when the
+        call may have run, CallFailed when the peer reports a failure.
+        """
+        call_id = next(self._call_ids)
+        answer = asyncio.get_running_loop().create_future()
+        self._answers_by_call_id[call_id] = answer
+        asked_at = asyncio.get_running_loop().time()
+        try:
+            self._queue(Frame(message, Flow.CALL, call_id))
+            async with asyncio.timeout(seconds):
+                result = await answer
+        except TimeoutError as error:
+            if self.heard_at < asked_at:
+                # Not a word since the question: the connection is dead.
+                self.abort("no answer to a call")
+            raise self._error(AnswerLost, f"no answer in {seconds} s") from error
+        finally:
+            self._answers_by_call_id.pop(call_id, None)
+        if isinstance(result, Failure):
+            raise CallFailed(result.reason, result.detail, peer=self.peer.daemon_id)
+        return result
+
+    async def close(self, goodbye: Goodbye | None = None) -> None:
+        """Say goodbye when given one, and close the connection."""
+        self.orderly = True
+        self._note_close("closed here")
+        if goodbye is not None and not self.closed.is_set():
+            try:
+                await self.connection.send(codec.encode(Frame(goodbye)))
+            except ConnectionClosed:
+                pass
+        await self.connection.close()
+
+    def abort(self, reason: str) -> None:
+        """Drop the connection without waiting for the peer."""
+        self._note_close(reason)
+        self.connection.transport.abort()
+
+    def _queue(self, frame: Frame) -> None:
+        if self.closed.is_set():
+            raise self._error(PeerUnavailable, "the link is closed")
+        content = codec.encode(frame)
+        try:
+            self._frames.put_nowait((name_of(type(frame.message)), content))
+        except asyncio.QueueFull as error:
+            self.abort("send queue full")
+            raise self._error(PeerUnavailable, "send queue full") from error
+        self.sent_at = asyncio.get_running_loop().time()
+
+    async def _transmit(self) -> None:
+        try:
+            while True:
+                kind, content = await self._frames.get()
+                size = websocket_bytes(len(content), masked=self.dialed)
+                self.traffic.count_sent(kind, size)
+                await self.connection.send(content)
+        except ConnectionClosed:
+            # The reader sees the same end and cleans up.
+            return
+
+    async def _receive(self) -> None:
+        async for content in self.connection:
+            self.heard_at = asyncio.get_running_loop().time()
+            try:
+                frame = self._decode(content)
+            except LinkError as error:
+                self._refuse_frame(error)
+                continue
+            self._take(frame)
+
+    def _decode(self, content: bytes | str) -> Frame:
+        if isinstance(content, str):
+            content = content.encode()
+        frame = codec.decode(content)
+        size = websocket_bytes(len(content), masked=not self.dialed)
+        self.traffic.count_received(name_of(type(frame.message)), size)
+        return frame
+
+    def _refuse_frame(self, error: LinkError) -> None:
+        self.traffic.faults_by_reason[type(error).__name__] += 1
+        logging.log_every_n(
+            logging.WARNING, "frame from %s: %s", 100, self.peer.daemon_id, error
+        )
+        if isinstance(error, UnknownMessage) and error.call_id:
+            self._answer(error.call_id, Failure("unknown-message", error.name[:40]))
+
+    def _take(self, frame: Frame) -> None:
+        if frame.flow is Flow.ANSWER:
+            answer = self._answers_by_call_id.get(frame.call_id)
+            if answer is not None and not answer.done():
+                answer.set_result(frame.message)
+        elif isinstance(frame.message, Goodbye):
+            self.orderly = True
+            self._note_close("goodbye")
+        elif not isinstance(frame.message, Heartbeat):
+            self._handle(frame)
+
+    def _handle(self, frame: Frame) -> None:
+        if len(self._tasks) >= self.settings.calls_limit:
+            self._finish(frame, Failure("busy"))
+            return
+        try:
+            result = self.find_handler(type(frame.message))(frame.message, self.peer)
+        except Exception as error:
+            self._finish(frame, self._failure_of(error))
+            return
+        if not inspect.isawaitable(result):
+            self._finish(frame, result)
+            return
+        task = asyncio.ensure_future(self._finish_later(frame, result))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish_later(self, frame: Frame, result: Awaitable[Any]) -> None:
+        try:
+            message = await result
+        except Exception as error:
+            message = self._failure_of(error)
+        self._finish(frame, message)
+
+    def _failure_of(self, error: Exception) -> Failure:
+        self.traffic.faults_by_reason["handler"] += 1
+        if isinstance(error, TeaselpondError):
+            return Failure(type(error).__name__, str(error))
+        logging.exception("handler failed for a message of %s", self.peer.daemon_id)
+        return Failure("internal", type(error).__name__)
+
+    def _finish(self, frame: Frame, message: Any) -> None:
+        if frame.flow is Flow.CALL:
+            self._answer(frame.call_id, Done() if message is None else message)
+
+    def _answer(self, call_id: int, message: Any) -> None:
+        try:
+            self._queue(Frame(message, Flow.ANSWER, call_id))
+        except LinkError:
+            # The asker learns it from the link's end.
+            self.traffic.faults_by_reason["answer-unsent"] += 1
+
+    def _note_close(self, reason: str) -> None:
+        self.close_reason = self.close_reason or reason
+
+    def _end(self) -> None:
+        self.closed.set()
+        for task in self._tasks:
+            task.cancel()
+        for answer in self._answers_by_call_id.values():
+            if not answer.done():
+                answer.set_exception(self._error(AnswerLost, self.close_reason))
+
+    def _error(self, cls: type[LinkError], reason: str) -> LinkError:
+        return cls(reason, step="link", peer=self.peer.daemon_id)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/peers.py
@@ -0,0 +1,81 @@
+"""Describe the daemons at the two ends of a link, and the links' settings."""
+
+import hashlib
+import hmac
+import secrets
+
+from attrs import field, frozen, validators
+
+from teaselpond_model.contracts import Address
+from teaselpond_model.exceptions import ImproperlyConfigured
+
+BOOT_ID_BYTES = 8
+
+
+@frozen
+class Identity:
+    """Name one run of one daemon.
+
+    ``incarnation`` grows with each start; ``boot_id`` tells two processes
+    apart that were started under the same one.
+    """
+
+    daemon_id: str
+    incarnation: int
+    zone: str
+    address: Address
+    boot_id: bytes = field(factory=lambda: secrets.token_bytes(BOOT_ID_BYTES))
+
+    @property
+    def rank(self) -> tuple[int, bytes]:
+        """Order the runs of one daemon; the highest is the valid one."""
+        return (self.incarnation, self.boot_id)
+
+
+@frozen
+class Peer:
+    """Hold where a daemon can be reached."""
+
+    daemon_id: str
+    address: Address
+    zone: str = ""
+
+
+@frozen
+class LinkKeys:
+    """Hold the fleet's shared link keys; the first signs, all are accepted."""
+
+    keys: tuple[bytes, ...] = field(repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        if not self.keys or not all(self.keys):
+            raise ImproperlyConfigured("a link key is needed", step="link keys")
+
+    def sign(self, content: bytes) -> bytes:
+        """Return the first key's HMAC of the content."""
+        return self._proof(self.keys[0], content)
+
+    def verify(self, content: bytes, proof: bytes) -> bool:
+        """Tell whether any key made the proof, in constant time a key."""
+        matches = [
+            hmac.compare_digest(self._proof(key, content), proof) for key in self.keys
+        ]
+        return any(matches)
+
+    @staticmethod
+    def _proof(key: bytes, content: bytes) -> bytes:
+        return hmac.digest(key, content, hashlib.sha256)
+
+
+@frozen
+class LinkSettings:
+    """Bound the links' waits, all in seconds, and their queues."""
+
+    heartbeat_seconds: float = field(default=1.0, validator=validators.gt(0))
+    silence_seconds: float = field(default=3.5, validator=validators.gt(0))
+    handshake_seconds: float = 2.0
+    redial_min_seconds: float = 0.2
+    redial_max_seconds: float = 5.0
+    idle_seconds: float = 120.0
+    queue_limit_frames: int = 1024
+    calls_limit: int = 256
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/links/table.py
@@ -0,0 +1,76 @@
+"""Hold the open links by peer."""
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from .link import Link
+
+
+@define
+class LinkTable:
+    """Hold every open link, and choose which one to use."""
+
+    own_id: str
+    _links_by_id: dict[str, list[Link]] = field(factory=dict)
+
+    def __len__(self) -> int:
+        return sum(len(links) for links in self._links_by_id.values())
+
+    def __iter__(self) -> Iterator[Link]:
+        links = [link for links in self._links_by_id.values() for link in links]
+        return iter(links)
+
+    def add(self, link: Link) -> None:
+        """Add a link, and drop those to older runs of the same peer."""
+        links = self._links_by_id.setdefault(link.peer.daemon_id, [])
+        for older in links:
+            if older.peer.rank < link.peer.rank:
+                older.abort("replaced by a newer run")
+        links.append(link)
+
+    def remove(self, link: Link) -> None:
+        """Remove a link that has ended."""
+        links = self._links_by_id[link.peer.daemon_id]
+        links.remove(link)
+        if not links:
+            del self._links_by_id[link.peer.daemon_id]
+
+    def to_peer(self, daemon_id: str) -> list[Link]:
+        """Return every link to a peer."""
+        return list(self._links_by_id.get(daemon_id, ()))
+
+    def best(self, daemon_id: str, *, lasting: bool = False) -> Link | None:
+        """Return the newest usable link to a peer, or None.
+
+        A lasting one is preferred, and with ``lasting`` demanded: its
+        heartbeats show that it works.
+        """
+        usable = [
+            link
+            for link in self._links_by_id.get(daemon_id, ())
+            if not link.close_reason and link.lasting >= lasting
+        ]
+        return max(
+            usable, key=lambda link: (link.lasting, link.opened_at), default=None
+        )
+
+    def lasting(self) -> list[Link]:
+        """Return the newest lasting link of each peer that has one."""
+        best = (self.best(daemon_id, lasting=True) for daemon_id in self._links_by_id)
+        return [link for link in best if link is not None]
+
+    def is_duplicate(self, link: Link) -> bool:
+        """Tell whether this end should give up a link it dialed.
+
+        When both ends dialed at once, the higher id gives its own up, but
+        not before the other link has been heard on: it may be dead.
+        """
+        if not link.dialed or self.own_id < link.peer.daemon_id:
+            return False
+        return any(
+            not other.dialed
+            and other.lasting >= link.lasting
+            and other.heard_at > link.opened_at
+            for other in self._links_by_id.get(link.peer.daemon_id, ())
+        )
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/locate/answers.py
@@ -0,0 +1,83 @@
+"""Answer callers which daemons to use, and for how long."""
+
+from collections.abc import Mapping
+
+from attrs import field, frozen, validators
+
+from teaselpond_model.contracts import Address
+
+from ..membership import Daemon, DaemonState, Membership
+from .ordering import nearest_first, spread
+
+
+@frozen
+class LocateQuestion:
+    """Name the chat and the caller; empty strings when unknown."""
+
+    workspace: str
+    chat: str = ""
+    caller: str = ""
+    zone: str = ""
+
+    @property
+    def key(self) -> str:
+        """Return what spreads questions over the daemons."""
+        return f"{self.workspace}\0{self.chat or self.caller}"
+
+
+@frozen
+class LocateAnswer:
+    """Hold addresses, best first, and how long to keep them in seconds."""
+
+    addresses: tuple[Address, ...]
+    ttl_seconds: float
+
+
+@frozen
+class LocateSettings:
+    """Set how long callers keep an answer and how many addresses it has."""
+
+    ttl_seconds: float = field(default=30.0, validator=validators.gt(0))
+    unsettled_ttl_seconds: float = 5.0
+    address_limit: int = 4
+
+
+def locate(
+    membership: Membership,
+    question: LocateQuestion,
+    owner_ids: tuple[str, ...],
+    loads_by_id: Mapping[str, float],
+    settings: LocateSettings,
+) -> LocateAnswer:
+    """Return the addresses for a chat, its owner's first.
+
+    ``owner_ids`` are the daemons that own the chat's engines, best first;
+    ``loads_by_id`` are fractions of what each daemon can carry. Leaving
+    daemons are named only when there is no other.
+    """
+    daemons = membership.usable_daemons() or _leaving(membership)
+    usable_by_id = {daemon.daemon_id: daemon for daemon in daemons}
+    owners = [usable_by_id[each] for each in owner_ids if each in usable_by_id]
+    zone = owners[0].zone if owners and not question.zone else question.zone
+    others = [daemon for daemon in daemons if daemon not in owners]
+    ordered = owners + nearest_first(others, question.key, zone, loads_by_id)
+    chosen = ordered[: settings.address_limit]
+    return LocateAnswer(
+        tuple(daemon.caller_address for daemon in chosen),
+        _ttl(question, chosen, settings),
+    )
+
+
+def _leaving(membership: Membership) -> tuple[Daemon, ...]:
+    daemons = membership.daemons_by_id.values()
+    return tuple(each for each in daemons if each.state is DaemonState.LEAVING)
+
+
+def _ttl(
+    question: LocateQuestion, chosen: list[Daemon], settings: LocateSettings
+) -> float:
+    settled = [each for each in chosen if each.state is DaemonState.ALIVE]
+    if len(settled) < min(2, settings.address_limit):
+        return settings.unsettled_ttl_seconds
+    # Spread, so that callers that asked together do not come back together.
+    return settings.ttl_seconds * (0.75 + 0.5 * spread(question.key, "ttl"))
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/locate/ordering.py
@@ -0,0 +1,34 @@
+"""Order daemons for a caller: near, healthy, idle, and spread by key."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+from ..membership import Daemon, DaemonState
+
+# Loads are compared in steps, so that a small difference does not send
+# every caller to the same daemon.
+LOAD_STEP = 0.25
+
+
+def spread(key: str, name: str) -> float:
+    """Return a number in [0, 1) that is stable for a key and a name."""
+    content = f"{key}\0{name}".encode()
+    digest = hashlib.blake2b(content, digest_size=8).digest()
+    return int.from_bytes(digest) / 2**64
+
+
+def nearest_first(
+    daemons: Iterable[Daemon], key: str, zone: str, loads_by_id: Mapping[str, float]
+) -> list[Daemon]:
+    """Order daemons by health, zone, load step and rendezvous weight."""
+
+    def rank(daemon: Daemon) -> tuple[bool, bool, int, float]:
+        load = loads_by_id.get(daemon.daemon_id, 0.0)
+        return (
+            daemon.state is not DaemonState.ALIVE,
+            daemon.zone != zone,
+            int(load / LOAD_STEP),
+            spread(key, daemon.daemon_id),
+        )
+
+    return sorted(daemons, key=rank)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/membership/damping.py
@@ -0,0 +1,62 @@
+"""Keep hosts that join and leave too often from taking work.
+
+Each change adds a penalty that halves over time (after RFC 2439).
+"""
+
+from attrs import define, field, frozen
+
+
+@frozen
+class DampingSettings:
+    """Set the penalties (one a change) and the half-life in seconds."""
+
+    suppress_above: float = 3.0
+    reuse_below: float = 1.0
+    forget_below: float = 0.1
+    penalty_limit: float = 8.0
+    half_life_seconds: float = 20.0
+
+
+@define
+class _Penalty:
+    value: float = 0.0
+    counted_at: float = 0.0
+    is_suppressed: bool = False
+
+
+@define
+class FlapDamping:
+    """Hold the penalty of each host that changed lately."""
+
+    settings: DampingSettings = field(factory=DampingSettings)
+    _penalties_by_id: dict[str, _Penalty] = field(factory=dict)
+
+    def note_change(self, host_id: str, now: float) -> None:
+        """Count one joining or leaving of a host."""
+        penalty = self._penalties_by_id.setdefault(host_id, _Penalty(0.0, now))
+        value = self._decayed(penalty, now) + 1.0
+        penalty.value = min(value, self.settings.penalty_limit)
+        penalty.counted_at = now
+        if penalty.value > self.settings.suppress_above:
+            penalty.is_suppressed = True
+
+    def is_suppressed(self, host_id: str, now: float) -> bool:
+        """Tell whether a host has changed too often of late."""
+        penalty = self._penalties_by_id.get(host_id)
+        if penalty is None:
+            return False
+        value = self._decayed(penalty, now)
+        if value < self.settings.reuse_below:
+            penalty.is_suppressed = False
+        if value < self.settings.forget_below:
+            del self._penalties_by_id[host_id]
+        return penalty.is_suppressed
+
+    def suppressed_ids(self, now: float) -> frozenset[str]:
+        """Return the hosts that have changed too often of late."""
+        ids = list(self._penalties_by_id)
+        return frozenset(each for each in ids if self.is_suppressed(each, now))
+
+    def _decayed(self, penalty: _Penalty, now: float) -> float:
+        halvings = (now - penalty.counted_at) / self.settings.half_life_seconds
+        return penalty.value * 0.5**halvings
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/membership/listing.py
@@ -0,0 +1,95 @@
+"""Turn polls of the platform's lagging host list into facts.
+
+The longer the list, the more seldom each daemon reads it, because it comes
+whole. What one daemon's poll changes, the links spread to all.
+"""
+
+from attrs import define, field
+
+from teaselpond_model.contracts import Address, Host, HostKind, HostState
+
+from ..links.facts import FactStore, FactVersion
+from .records import HOST_TOPIC, HostRecord
+
+REMOVED = HostRecord(kind="")
+REMOVED_LIFETIME_SECONDS = 3600.0
+HOST_BYTES = 110
+POLL_BYTES_PER_SECOND = 1000
+
+
+def record_of(host: Host) -> HostRecord:
+    """Return a host as it travels."""
+    return HostRecord(host.kind.value, str(host.address), host.zone, host.state.value)
+
+
+def host_of(host_id: str, record: HostRecord) -> Host | None:
+    """Return a host that travelled, or None when it was removed."""
+    if not record.kind:
+        return None
+    return Host(
+        host_id,
+        Address.parse(record.address),
+        record.zone,
+        HostKind(record.kind),
+        HostState(record.state),
+    )
+
+
+def poll_interval(host_count: int, shortest_seconds: float) -> float:
+    """Return after how many seconds a daemon reads a list that long again."""
+    return max(shortest_seconds, host_count * HOST_BYTES / POLL_BYTES_PER_SECOND)
+
+
+def _is_withdrawal(known: HostRecord, record: HostRecord) -> bool:
+    return known.state == HostState.LIVE.value and (
+        record.state == HostState.LEAVING.value
+    )
+
+
+@define
+class HostListing:
+    """Compare polls of the list with what is known, and state what changed.
+
+    A change heard from a peer is not undone by one's own poll for
+    ``lag_seconds``, because the list that this daemon read may be the older
+    one. That a live host is leaving is believed at once, whoever says it.
+    """
+
+    store: FactStore
+    lag_seconds: float = 10.0
+    _heard_at_by_id: dict[str, float] = field(factory=dict)
+
+    def note_heard(self, host_id: str, now: float) -> None:
+        """Note that a peer told of a change of a host."""
+        self._heard_at_by_id[host_id] = now
+
+    def apply(self, hosts: tuple[Host, ...], now: float) -> int:
+        """State what a poll changed; return how many hosts that was."""
+        self._forget_old(now)
+        records_by_id = {host.host_id: record_of(host) for host in hosts}
+        known_by_id = self.store.values(HOST_TOPIC, now)
+        for host_id in known_by_id.keys() - records_by_id.keys():
+            records_by_id[host_id] = REMOVED
+        changed = 0
+        for host_id, record in records_by_id.items():
+            known = known_by_id.get(host_id, REMOVED)
+            if record != known and self._may_change(host_id, known, record):
+                self._state(host_id, record, now)
+                changed += 1
+        return changed
+
+    def _may_change(self, host_id: str, known: HostRecord, record: HostRecord) -> bool:
+        return host_id not in self._heard_at_by_id or _is_withdrawal(known, record)
+
+    def _state(self, host_id: str, record: HostRecord, now: float) -> None:
+        fact = self.store.get(HOST_TOPIC, host_id, now)
+        version = FactVersion(0, fact.number + 1 if fact is not None else 1)
+        lifetime = None if record.kind else REMOVED_LIFETIME_SECONDS
+        self.store.publish(HOST_TOPIC, host_id, record, version, now, lifetime)
+
+    def _forget_old(self, now: float) -> None:
+        self._heard_at_by_id = {
+            host_id: heard_at
+            for host_id, heard_at in self._heard_at_by_id.items()
+            if now - heard_at < self.lag_seconds
+        }
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/membership/neighbours.py
@@ -0,0 +1,40 @@
+"""Choose to which daemons a link is kept."""
+
+import hashlib
+from collections.abc import Iterable
+
+from attrs import frozen
+
+ZONE_LINKS = 3
+TOTAL_LINKS = 6
+
+
+@frozen
+class Candidate:
+    """Name a daemon that could become a neighbour."""
+
+    daemon_id: str
+    zone: str
+
+
+def pair_weight(first_id: str, second_id: str) -> bytes:
+    """Return a weight on which both daemons of a pair agree."""
+    low, high = sorted((first_id, second_id))
+    return hashlib.blake2b(f"{low}\0{high}".encode(), digest_size=8).digest()
+
+
+def choose_neighbours(own: Candidate, others: Iterable[Candidate]) -> tuple[str, ...]:
+    """Return the daemons to dial, by rendezvous hashing over pairs.
+
+    Some are in the daemon's own zone, the rest anywhere. A fleet of up to
+    ``TOTAL_LINKS`` others is linked in full by the same rule. One daemon
+    more or less changes few links elsewhere.
+    """
+    ranked = sorted(
+        (each for each in others if each.daemon_id != own.daemon_id),
+        key=lambda each: pair_weight(own.daemon_id, each.daemon_id),
+    )
+    near = [each for each in ranked if each.zone == own.zone][:ZONE_LINKS]
+    far = [each for each in ranked if each not in near]
+    chosen = near + far[: TOTAL_LINKS - len(near)]
+    return tuple(each.daemon_id for each in chosen)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/membership/service.py
@@ -0,0 +1,329 @@
+"""Keep the membership: from the platform's list, the links and the facts."""
+
+import asyncio
+import random
+from typing import Any
+
+from absl import logging
+from attrs import define, field, frozen
+from reactivex.subject import BehaviorSubject
+
+from teaselpond_model.contracts import (
+    Address,
+    Host,
+    HostDirectory,
+    HostKind,
+    HostState,
+)
+from teaselpond_model.exceptions import StoreUnavailable
+
+from ..links import (
+    LinkClosed,
+    LinkError,
+    LinkManager,
+    LinkOpened,
+    MalformedFrame,
+    Peer,
+)
+from ..links.exchange import FactExchange
+from ..links.facts import Fact, FactChange, FactVersion, value_of
+from .damping import DampingSettings, FlapDamping
+from .listing import HostListing, host_of, poll_interval
+from .members import DaemonState, Membership
+from .neighbours import TOTAL_LINKS, Candidate, choose_neighbours
+from .records import (
+    HOST_TOPIC,
+    MEMBER_TOPIC,
+    MemberRecord,
+    RecordState,
+    first_version,
+    in_state,
+    version_of_answer,
+    version_of_claim,
+)
+from .suspicion import SuspicionClock, SuspicionSettings
+from .view import MembershipView
+
+GONE_LIFETIME_SECONDS = 3600.0
+NEIGHBOUR_STATES = (DaemonState.ALIVE, DaemonState.SUSPECT, DaemonState.LEAVING)
+LOST_STATES = (DaemonState.LISTED, DaemonState.GONE)
+
+
+@frozen
+class MembershipSettings:
+    """Set the intervals of the membership, in seconds.
+
+    ``poll_seconds`` is the shortest interval at which the host list is
+    read; a daemon restates its record every ``restate_seconds``.
+    """
+
+    poll_seconds: float = 2.0
+    tick_seconds: float = 0.25
+    restate_seconds: float = 600.0
+    reunite_seconds: float = 5.0
+    list_lag_seconds: float = 10.0
+    peer_port: int | None = None
+    suspicion: SuspicionSettings = field(factory=SuspicionSettings)
+    damping: DampingSettings = field(factory=DampingSettings)
+
+
+@define(eq=False)
+class MembershipService:
+    """Follow who the members are and say who this daemon is.
+
+    ``memberships`` emits each new Membership, the current one first.
+    """
+
+    links: LinkManager
+    exchange: FactExchange
+    directory: HostDirectory
+    caller_address: Address
+    settings: MembershipSettings = field(factory=MembershipSettings)
+    chance: random.Random = field(factory=random.Random)
+    memberships: BehaviorSubject = field(factory=lambda: BehaviorSubject(Membership()))
+    _view: MembershipView = field(init=False)
+    _suspicion: SuspicionClock = field(init=False)
+    _damping: FlapDamping = field(init=False)
+    _listing: HostListing = field(init=False)
+    _own_state: RecordState = RecordState.ALIVE
+    _stated_at: float = 0.0
+    _subscriptions: list[Any] = field(factory=list)
+    _tasks: list[asyncio.Task] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        store = self.exchange.store
+        self._view = MembershipView(self.settings.peer_port)
+        self._suspicion = SuspicionClock(self.settings.suspicion)
+        self._damping = FlapDamping(self.settings.damping)
+        self._listing = HostListing(store, self.settings.list_lag_seconds)
+        self._subscriptions = [
+            store.observe(MEMBER_TOPIC).subscribe(self._take_member),
+            store.observe(HOST_TOPIC).subscribe(self._take_host),
+            self.links.events.subscribe(self._take_link_event),
+        ]
+
+    @property
+    def membership(self) -> Membership:
+        """Return the current membership."""
+        return self._view.membership
+
+    def start(self) -> None:
+        """State this daemon's record and follow the others.
+
+        The links must have been started, because the record names their
+        address.
+        """
+        self._state_own(_loop_time())
+        self._tasks = [
+            asyncio.create_task(self._poll_forever()),
+            asyncio.create_task(self._tick_forever()),
+            asyncio.create_task(self._reunite_forever()),
+        ]
+
+    async def leave(self) -> None:
+        """Tell everyone that this daemon takes no new work."""
+        self._own_state = RecordState.LEAVING
+        self._state_own(_loop_time())
+        self.exchange.push()
+        try:
+            await self._register(HostState.LEAVING)
+        except StoreUnavailable as error:
+            logging.warning("not registered as leaving: %s", error)
+
+    async def stop(self) -> None:
+        """Tell the neighbours that this daemon is gone, and end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._own_state = RecordState.GONE
+        self._state_own(_loop_time())
+        self.exchange.push()
+        for subscription in self._subscriptions:
+            subscription.dispose()
+
+    def note_upstream_change(self, host_id: str, now: float) -> None:
+        """Count an upstream that was seen to come up or go down."""
+        self._damping.note_change(host_id, now)
+
+    def tick(self, now: float) -> None:
+        """Act on what time alone has changed."""
+        for daemon_id in self._suspicion.due_suspects(now):
+            self._suspect(daemon_id, now)
+        for daemon_id in self._suspicion.due_gone(now):
+            self._claim(daemon_id, RecordState.GONE, now)
+            self._suspicion.forget(daemon_id)
+        is_stale = now - self._stated_at > self.settings.restate_seconds
+        if is_stale or self._own_fact(now) is None:
+            self._state_own(now)
+        self._drop_expired(now)
+        self._view.set_flapping(self._damping.suppressed_ids(now))
+        if self._view.refresh():
+            self._publish()
+
+    def _publish(self) -> None:
+        membership = self._view.membership
+        own = self.links.identity
+        self.links.set_peers(
+            Peer(each.daemon_id, each.address, each.zone)
+            for each in membership.daemons_by_id.values()
+        )
+        candidates = [
+            Candidate(each.daemon_id, each.zone)
+            for each in membership.daemons_by_id.values()
+            if each.state in NEIGHBOUR_STATES and each.daemon_id != own.daemon_id
+        ]
+        if len(candidates) < TOTAL_LINKS:
+            # Nothing is known yet of daemons that were never linked.
+            candidates += [
+                Candidate(each.daemon_id, each.zone)
+                for each in membership.daemons_by_id.values()
+                if each.state is DaemonState.LISTED
+            ]
+        self.links.set_neighbours(
+            choose_neighbours(Candidate(own.daemon_id, own.zone), candidates)
+        )
+        self.memberships.on_next(membership)
+
+    def _suspect(self, daemon_id: str, now: float) -> None:
+        if daemon_id in self.links.linked_peers():
+            self._suspicion.note_linked(daemon_id)
+            return
+        fact = self.exchange.store.get(MEMBER_TOPIC, daemon_id, now)
+        if fact is None:
+            self._suspicion.forget(daemon_id)
+            return
+        self._claim(daemon_id, RecordState.SUSPECT, now)
+        self._suspicion.note_suspected(daemon_id, now)
+
+    def _claim(self, daemon_id: str, state: RecordState, now: float) -> None:
+        fact = self.exchange.store.get(MEMBER_TOPIC, daemon_id, now)
+        if fact is None:
+            return
+        record = in_state(value_of(fact, MEMBER_TOPIC), state)
+        lifetime = GONE_LIFETIME_SECONDS if state is RecordState.GONE else None
+        version = version_of_claim(fact, state)
+        self.exchange.store.publish(
+            MEMBER_TOPIC, daemon_id, record, version, now, lifetime
+        )
+
+    def _own_fact(self, now: float) -> Fact | None:
+        own = self.links.identity
+        fact = self.exchange.store.get(MEMBER_TOPIC, own.daemon_id, now)
+        return fact if fact is not None and fact.epoch >= own.incarnation else None
+
+    def _state_own(self, now: float) -> None:
+        own = self.links.identity
+        record = MemberRecord(
+            own.zone, str(own.address), str(self.caller_address), self._own_state
+        )
+        fact = self._own_fact(now)
+        version: FactVersion = first_version(own.incarnation, self._own_state)
+        if fact is not None:
+            version = version_of_answer(fact, self._own_state)
+        self._stated_at = now
+        self.exchange.store.publish(MEMBER_TOPIC, own.daemon_id, record, version, now)
+
+    def _take_member(self, change: FactChange) -> None:
+        fact = change.fact
+        now = _loop_time()
+        try:
+            record = value_of(fact, MEMBER_TOPIC)
+            Address.parse(record.address)
+            Address.parse(record.caller_address)
+        except (MalformedFrame, ValueError) as error:
+            logging.warning("record of %s: %s", fact.key, error)
+            return
+        self._view.set_record(fact.key, fact.epoch, record)
+        if fact.key == self.links.identity.daemon_id:
+            self._take_own(fact, record, now)
+        elif record.state is RecordState.SUSPECT:
+            self._suspicion.note_suspected(fact.key, now)
+        elif record.state is RecordState.GONE:
+            self._suspicion.forget(fact.key)
+        else:
+            self._suspicion.note_answered(fact.key, now)
+
+    def _take_own(self, fact: Fact, record: MemberRecord, now: float) -> None:
+        own = self.links.identity
+        if fact.epoch > own.incarnation:
+            self.links.meet_newer_run(fact.epoch)
+        elif fact.epoch == own.incarnation and record.state is not self._own_state:
+            self._state_own(now)
+
+    def _take_host(self, change: FactChange) -> None:
+        fact = change.fact
+        now = _loop_time()
+        try:
+            host = host_of(fact.key, value_of(fact, HOST_TOPIC))
+        except (MalformedFrame, ValueError) as error:
+            logging.warning("host %s: %s", fact.key, error)
+            return
+        if change.source_id:
+            self._listing.note_heard(fact.key, now)
+        if self._view.set_host(fact.key, host):
+            self._damping.note_change(fact.key, now)
+
+    def _take_link_event(self, event: object) -> None:
+        if isinstance(event, LinkOpened):
+            self._suspicion.note_linked(event.peer.daemon_id)
+        elif isinstance(event, LinkClosed) and event.lasting and not event.orderly:
+            if event.peer.daemon_id not in self.links.linked_peers():
+                self._suspicion.note_lost(event.peer.daemon_id, _loop_time())
+
+    def _drop_expired(self, now: float) -> None:
+        for daemon_id in self._view.record_ids():
+            if self.exchange.store.get(MEMBER_TOPIC, daemon_id, now) is None:
+                self._view.drop_record(daemon_id)
+                self._suspicion.forget(daemon_id)
+
+    async def _register(self, state: HostState) -> None:
+        own = self.links.identity
+        address = own.address
+        if self.settings.peer_port is not None:
+            address = self.caller_address
+        await self.directory.register(
+            Host(own.daemon_id, address, own.zone, HostKind.ENTRY, state)
+        )
+
+    async def _poll_forever(self) -> None:
+        while True:
+            try:
+                if not self._view.lists(self.links.identity.daemon_id):
+                    await self._register(HostState.LIVE)
+                hosts = await self.directory.list_hosts()
+                self._listing.apply(hosts, _loop_time())
+            except StoreUnavailable as error:
+                # What is known stays in force; the links tell the rest.
+                logging.log_every_n(logging.WARNING, "host list: %s", 20, error)
+            count = self._view.host_count()
+            interval = poll_interval(count, self.settings.poll_seconds)
+            await asyncio.sleep(self.chance.uniform(0.5, 1.5) * interval)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.tick(_loop_time())
+            await asyncio.sleep(self.settings.tick_seconds)
+
+    async def _reunite_forever(self) -> None:
+        # After a partition each side takes the other for gone. Asking one
+        # of the lost daemons now and then joins the sides again.
+        while True:
+            interval = self.settings.reunite_seconds
+            await asyncio.sleep(self.chance.uniform(0.5, 1.5) * interval)
+            lost_ids = sorted(
+                each.daemon_id
+                for each in self.membership.daemons_by_id.values()
+                if each.state in LOST_STATES
+            )
+            if lost_ids:
+                await self._try_reunite(self.chance.choice(lost_ids))
+
+    async def _try_reunite(self, daemon_id: str) -> None:
+        try:
+            await self.exchange.compare(daemon_id)
+        except LinkError:
+            self.links.traffic.faults_by_reason["reunite"] += 1
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/membership/view.py
@@ -0,0 +1,154 @@
+"""Work out from facts who the members are."""
+
+from attrs import define, evolve, field
+
+from teaselpond_model.contracts import Address, Host, HostKind, HostState
+
+from .members import (
+    Daemon,
+    DaemonState,
+    Membership,
+    Upstream,
+    UpstreamState,
+)
+from .records import MemberRecord, RecordState
+
+_STATES_BY_RECORD = {
+    RecordState.ALIVE: DaemonState.ALIVE,
+    RecordState.SUSPECT: DaemonState.SUSPECT,
+    RecordState.LEAVING: DaemonState.LEAVING,
+    RecordState.GONE: DaemonState.GONE,
+}
+
+
+@define
+class MembershipView:
+    """Keep the members up to date, one record or host at a time.
+
+    ``peer_port`` is where daemons listen for each other; when None, the
+    listed address is that of the links.
+    """
+
+    peer_port: int | None = None
+    membership: Membership = field(factory=Membership)
+    _records_by_id: dict[str, MemberRecord] = field(factory=dict)
+    _incarnations_by_id: dict[str, int] = field(factory=dict)
+    _hosts_by_id: dict[str, Host] = field(factory=dict)
+    _flapping_ids: frozenset[str] = frozenset()
+    _changed_ids: set[str] = field(factory=set)
+
+    def set_record(
+        self, daemon_id: str, incarnation: int, record: MemberRecord
+    ) -> None:
+        """Take a daemon's newest record."""
+        self._records_by_id[daemon_id] = record
+        self._incarnations_by_id[daemon_id] = incarnation
+        self._changed_ids.add(daemon_id)
+
+    def drop_record(self, daemon_id: str) -> None:
+        """Forget a daemon's record, which has expired."""
+        self._records_by_id.pop(daemon_id, None)
+        self._incarnations_by_id.pop(daemon_id, None)
+        self._changed_ids.add(daemon_id)
+
+    def set_host(self, host_id: str, host: Host | None) -> bool:
+        """Take a host as listed now; tell whether it joined or left."""
+        known = self._hosts_by_id.pop(host_id, None)
+        if host is not None:
+            self._hosts_by_id[host_id] = host
+        self._changed_ids.add(host_id)
+        return (known is None) != (host is None)
+
+    def set_flapping(self, host_ids: frozenset[str]) -> None:
+        """Take the hosts that changed too often of late."""
+        self._changed_ids |= host_ids ^ self._flapping_ids
+        self._flapping_ids = host_ids
+
+    def record_ids(self) -> frozenset[str]:
+        """Return the daemons of which a record is held."""
+        return frozenset(self._records_by_id)
+
+    def lists(self, host_id: str) -> bool:
+        """Tell whether the platform's list holds a host."""
+        return host_id in self._hosts_by_id
+
+    def host_count(self) -> int:
+        """Return how many hosts are listed."""
+        return len(self._hosts_by_id)
+
+    def refresh(self) -> bool:
+        """Work in what changed; tell whether the membership differs."""
+        changed_ids, self._changed_ids = self._changed_ids, set()
+        daemons_by_id = dict(self.membership.daemons_by_id)
+        upstreams_by_id = dict(self.membership.upstreams_by_id)
+        for host_id in changed_ids:
+            _set_or_drop(daemons_by_id, host_id, self._daemon(host_id))
+            _set_or_drop(upstreams_by_id, host_id, self._upstream(host_id))
+        current = evolve(
+            self.membership,
+            daemons_by_id=daemons_by_id,
+            upstreams_by_id=upstreams_by_id,
+        )
+        if current == self.membership:
+            return False
+        self.membership = evolve(current, version=current.version + 1)
+        return True
+
+    def _daemon(self, daemon_id: str) -> Daemon | None:
+        host = self._hosts_by_id.get(daemon_id)
+        if host is not None and host.kind is not HostKind.ENTRY:
+            host = None
+        record = self._records_by_id.get(daemon_id)
+        if record is not None:
+            return self._stated_daemon(daemon_id, record, host)
+        if host is None:
+            return None
+        return Daemon(
+            daemon_id=daemon_id,
+            incarnation=0,
+            zone=host.zone,
+            address=self._peer_address(host),
+            caller_address=host.address,
+            state=DaemonState.LISTED,
+        )
+
+    def _stated_daemon(
+        self, daemon_id: str, record: MemberRecord, host: Host | None
+    ) -> Daemon | None:
+        state = _STATES_BY_RECORD[record.state]
+        if state is DaemonState.GONE and host is None:
+            return None
+        is_leaving = host is not None and host.state is HostState.LEAVING
+        if is_leaving and state is not DaemonState.GONE:
+            state = DaemonState.LEAVING
+        return Daemon(
+            daemon_id=daemon_id,
+            incarnation=self._incarnations_by_id[daemon_id],
+            zone=record.zone,
+            address=Address.parse(record.address),
+            caller_address=Address.parse(record.caller_address),
+            state=state,
+        )
+
+    def _peer_address(self, host: Host) -> Address:
+        if self.peer_port is None:
+            return host.address
+        return Address(host.address.ip, self.peer_port)
+
+    def _upstream(self, host_id: str) -> Upstream | None:
+        host = self._hosts_by_id.get(host_id)
+        if host is None or host.kind is HostKind.ENTRY:
+            return None
+        state = UpstreamState.LIVE
+        if host.state is HostState.LEAVING:
+            state = UpstreamState.LEAVING
+        elif host_id in self._flapping_ids:
+            state = UpstreamState.FLAPPING
+        return Upstream(host_id, host.kind, host.zone, host.address, state)
+
+
+def _set_or_drop(by_id: dict, host_id: str, value: object | None) -> None:
+    if value is None:
+        by_id.pop(host_id, None)
+    else:
+        by_id[host_id] = value
--- /dev/null
+++ b/packages/teaselpond/tests/links/test_manager.py
@@ -0,0 +1,308 @@
+"""Check links over real sockets, whole and broken."""
+
+import asyncio
+import contextlib
+import random
+import time
+
+import cbor2
+from attrs import frozen
+
+from teaselpond.links import (
+    AnswerLost,
+    CallFailed,
+    Done,
+    Identity,
+    LinkKeys,
+    LinkManager,
+    LinkSettings,
+    Peer,
+    PeerUnavailable,
+    Superseded,
+    connections,
+    manager,
+    message,
+)
+from teaselpond.links.peers import Address
+from teaselpond_model.exceptions import ImproperlyConfigured, StoreUnavailable
+from teaselpond_standins.testing import AsyncTestCase
+from teaselpond_standins.testing.relays import Relay, RelayMode
+from teaselpond_standins.testing.waiting import wait_until
+
+KEYS = LinkKeys((b"the-fleet",))
+FAST = LinkSettings(
+    heartbeat_seconds=0.05,
+    silence_seconds=0.4,
+    handshake_seconds=0.5,
+    redial_min_seconds=0.02,
+    redial_max_seconds=0.1,
+)
+LOOPBACK = Address("127.0.0.1", 0)
+
+
+@message("test-question")
+@frozen
+class Question:
+    """Ask for an echo."""
+
+    text: str
+
+
+@message("test-echo")
+@frozen
+class Echo:
+    """Answer a question."""
+
+    text: str
+
+
+def make_manager(
+    daemon_id: str,
+    incarnation: int = 1,
+    keys: LinkKeys = KEYS,
+    settings: LinkSettings = FAST,
+    boot_id: bytes = b"boot",
+) -> LinkManager:
+    """Return a manager that answers questions."""
+    identity = Identity(daemon_id, incarnation, "zone-a", LOOPBACK, boot_id)
+    links = LinkManager(identity, keys, settings, random.Random(daemon_id))
+    links.handle(Question, lambda question, sender: Echo(question.text))
+    return links
+
+
+class ManagerTests(AsyncTestCase):
+    """Check links between two daemons, perhaps through a relay."""
+
+    @contextlib.asynccontextmanager
+    async def started(self, *managers: LinkManager):
+        """Run managers that know each other's addresses."""
+        for links in managers:
+            await links.start()
+        peers = [
+            Peer(links.identity.daemon_id, links.identity.address) for links in managers
+        ]
+        for links in managers:
+            links.set_peers(peers)
+        try:
+            yield
+        finally:
+            for links in managers:
+                await links.stop()
+
+    @contextlib.asynccontextmanager
+    async def relayed(self, mode: RelayMode = RelayMode.PASS, settings=FAST):
+        """Run ``a``, which reaches ``b`` through a relay, and ``b``."""
+        a, b = make_manager("a", settings=settings), make_manager("b")
+        async with self.started(a, b):
+            relay = Relay(b.identity.address, mode)
+            await relay.start()
+            a.set_peers([Peer("b", relay.address)])
+            try:
+                yield a, b, relay
+            finally:
+                await relay.stop()
+
+    async def test_neighbours_link_and_call(self) -> None:
+        """Link both ways, and answer calls and one-way messages."""
+        a, b = make_manager("a"), make_manager("b")
+        heard = []
+        b.handle(Done, lambda done, sender: heard.append(sender.daemon_id))
+        async with self.started(a, b):
+            a.set_neighbours(["b"])
+            b.set_neighbours(["a"])
+            await wait_until(lambda: a.linked_peers() and b.linked_peers())
+            self.assertEqual(Echo("x"), await a.call("b", Question("x"), 5))
+            self.assertEqual(Echo("y"), await b.call("a", Question("y"), 5))
+            self.assertEqual(1, a.broadcast(Done()))
+            await wait_until(lambda: heard == ["a"])
+            self.assertEqual("zone-a", a.linked_peers()["b"].zone)
+
+    async def test_simultaneous_dials_leave_one_link(self) -> None:
+        """Give up the second link when both ends dialed at once."""
+        a, b = make_manager("a"), make_manager("b")
+        async with self.started(a, b):
+            await asyncio.gather(a._dial("b", lasting=True), b._dial("a", lasting=True))
+            await wait_until(lambda: a.link_count() == b.link_count() == 1)
+            self.assertTrue(a.lasting_links()[0].dialed)
+
+    async def test_on_demand_link_is_shared_and_closed_when_idle(self) -> None:
+        """Open one link for many calls, and close it when unused."""
+        settings = LinkSettings(heartbeat_seconds=0.05, idle_seconds=0.3)
+        a, b = make_manager("a", settings=settings), make_manager("b")
+        async with self.started(a, b):
+            await asyncio.gather(*(a.call("b", Question("x"), 5) for _ in range(50)))
+            self.assertEqual(1, a.link_count())
+            self.assertEqual(0, a.traffic.frames_sent_by_kind["beat"])
+            await wait_until(lambda: a.link_count() == b.link_count() == 0)
+
+    async def test_faults_of_calls_have_types(self) -> None:
+        """Tell unsent calls, lost answers and failures apart."""
+        a, b = make_manager("a"), make_manager("b")
+
+        async def hang(question: Question, sender: Identity) -> Echo:
+            if question.text == "store":
+                raise StoreUnavailable("down", step="read")
+            await asyncio.sleep(60)
+
+        b.handle(Question, hang)
+        async with self.started(a, b):
+            for daemon_id, question, error in (
+                ("nobody", Question("x"), PeerUnavailable),
+                ("b", Question("hang"), AnswerLost),
+                ("b", Question("store"), CallFailed),
+                ("b", Done(), CallFailed),
+            ):
+                with self.subTestError(error) as caught:
+                    await a.call(daemon_id, question, 0.3)
+                self.assertEqual(daemon_id, caught[0].peer)
+                self.assertTrue(caught[0].step)
+
+    @contextlib.contextmanager
+    def subTestError(self, expected: type[Exception]):
+        """Demand an error and hand it out."""
+        caught = []
+        try:
+            yield caught
+        except expected as error:
+            caught.append(error)
+        self.assertEqual(1, len(caught), expected)
+
+    async def test_relay_faults(self) -> None:
+        """Come back after refused, silent, forgotten and cut links."""
+
+        def forget(relay: Relay) -> None:
+            relay.forget_connections()
+
+        def cut(relay: Relay) -> None:
+            relay.cut_connections()
+
+        def refuse(relay: Relay) -> None:
+            relay.mode = RelayMode.REFUSE
+            relay.cut_connections()
+
+        def swallow(relay: Relay) -> None:
+            relay.mode = RelayMode.SILENT
+            relay.forget_connections()
+
+        for fault in (forget, cut, refuse, swallow):
+            async with self.relayed() as (a, b, relay):
+                a.set_neighbours(["b"])
+                await wait_until(a.linked_peers)
+                first = a.lasting_links()[0]
+                fault(relay)
+                await wait_until(first.closed.is_set)
+                if relay.mode is not RelayMode.PASS:
+                    await self.wait_for_dials(relay, 3)
+                    self.assertEqual({}, a.linked_peers())
+                relay.mode = RelayMode.PASS
+                await wait_until(a.linked_peers)
+                self.assertEqual(Echo("x"), await a.call("b", Question("x"), 5))
+
+    async def wait_for_dials(self, relay: Relay, count: int) -> None:
+        """Wait until a relay was dialed that many times more."""
+        enough = relay.accepted + count
+        await wait_until(lambda: relay.accepted >= enough)
+
+    async def test_unused_link_that_was_forgotten_loses_no_call(self) -> None:
+        """Probe an on-demand link before trusting a call to it."""
+        async with self.relayed() as (a, b, relay):
+            await a.call("b", Question("x"), 5)
+            relay.forget_connections()
+            await asyncio.sleep(FAST.silence_seconds + 0.1)
+            self.assertEqual(Echo("y"), await a.call("b", Question("y"), 5))
+
+    async def test_broken_frames_leave_the_link_up(self) -> None:
+        """Count and drop what cannot be read; close on oversized frames."""
+        a, b = make_manager("a"), make_manager("b")
+        async with self.started(a, b):
+            link = await a._dial("b", lasting=True)
+            for content in (b"\xff", "text", cbor2.dumps(["no-such", []]), b""):
+                await link.connection.send(content)
+            self.assertEqual(Echo("x"), await a.call("b", Question("x"), 5))
+            self.assertEqual(3, b.traffic.faults_by_reason["MalformedFrame"])
+            self.assertEqual(1, b.traffic.faults_by_reason["UnknownMessage"])
+            await link.connection.send(bytes(2 << 20))
+            await wait_until(link.closed.is_set)
+            self.assertEqual(Echo("x"), await a.call("b", Question("x"), 5))
+
+    async def test_strangers_are_turned_away(self) -> None:
+        """Admit nobody without a key, and trust nobody without one."""
+        for own, other, linked in (
+            ((b"one",), (b"two",), False),
+            ((b"old", b"new"), (b"old",), True),
+            ((b"old", b"new"), (b"new", b"old"), True),
+            ((b"old", b"new"), (b"new",), False),
+        ):
+            a = make_manager("a", keys=LinkKeys(own))
+            b = make_manager("b", keys=LinkKeys(other))
+            async with self.started(a, b):
+                if linked:
+                    await a.call("b", Question("x"), 5)
+                else:
+                    with self.subTestError(PeerUnavailable):
+                        await a.call("b", Question("x"), 5)
+                    self.assertEqual(0, a.link_count() + b.link_count())
+        self.assertRaises(ImproperlyConfigured, LinkKeys, (b"",))
+
+    async def test_a_stray_connection_is_dropped(self) -> None:
+        """Close connections that never say hello, or say something else."""
+        b = make_manager("b")
+        async with self.started(b):
+            for content in (None, b"\xff", "text", cbor2.dumps(["beat", []])):
+                connection = await connections.connect(b.identity.address, 5)
+                await connection.recv()
+                if content is not None:
+                    await connection.send(content)
+                async with asyncio.timeout(5):
+                    await connection.wait_closed()
+            self.assertEqual(4, b.traffic.faults_by_reason["accept"])
+
+    async def test_a_wrong_daemon_at_an_address_is_not_taken(self) -> None:
+        """Refuse a link to a daemon other than the one dialed."""
+        a, b = make_manager("a"), make_manager("b")
+        async with self.started(a, b):
+            a.set_peers([Peer("c", b.identity.address)])
+            with self.subTestError(PeerUnavailable):
+                await a.call("c", Question("x"), 5)
+
+    async def test_an_old_run_is_refused_after_a_new_one(self) -> None:
+        """Let the newest run of a daemon hold its links, and no older one."""
+        for old_rank, new_rank in (((1, b"x"), (2, b"a")), ((2, b"a"), (2, b"b"))):
+            old = make_manager("a", old_rank[0], boot_id=old_rank[1])
+            new = make_manager("a", new_rank[0], boot_id=new_rank[1])
+            b = make_manager("b")
+            seen = []
+            old.events.subscribe(seen.append)
+            async with self.started(old, b), self.started(new):
+                new.set_peers([Peer("b", b.identity.address)])
+                first = await old._dial("b", lasting=True)
+                # It was paused from here on, for longer than a start takes.
+                old._started_at -= manager.STARTUP_SECONDS + 1
+                await new._dial("b", lasting=True)
+                await wait_until(first.closed.is_set)
+                with self.subTestError(PeerUnavailable):
+                    await old._dial("b", lasting=True)
+                self.assertIn(Superseded(new_rank[0]), seen)
+                self.assertEqual(new_rank[0], b.linked_peers()["a"].incarnation)
+
+    async def test_a_clock_that_went_back_does_not_lock_a_daemon_out(self) -> None:
+        """Raise the incarnation of a daemon that has just started."""
+        b = make_manager("b")
+        async with self.started(b):
+            for incarnation in (5, 3):
+                a = make_manager("a", incarnation)
+                async with self.started(a):
+                    a.set_peers([Peer("b", b.identity.address)])
+                    a.set_neighbours(["b"])
+                    await wait_until(a.linked_peers)
+            self.assertEqual(6, a.identity.incarnation)
+
+    async def test_own_pause_is_not_the_peers_silence(self) -> None:
+        """Keep links when this process was the one that stood still."""
+        a, b = make_manager("a"), make_manager("b", settings=LinkSettings())
+        async with self.started(a, b):
+            link = await a._dial("b", lasting=True)
+            # Blocks the loop on purpose, as a stopped process would.
+            time.sleep(FAST.silence_seconds * 2)  # noqa: ASYNC251
+            await asyncio.sleep(FAST.heartbeat_seconds)
+            self.assertEqual("", link.close_reason)
--- /dev/null
+++ b/packages/teaselpond/tests/membership/test_decisions.py
@@ -0,0 +1,156 @@
+"""Check the membership's pure decisions in tables."""
+
+from collections import Counter
+
+import testtools
+
+from teaselpond.links.facts import FactStore
+from teaselpond.membership.damping import DampingSettings, FlapDamping
+from teaselpond.membership.listing import HostListing, poll_interval
+from teaselpond.membership.neighbours import (
+    TOTAL_LINKS,
+    Candidate,
+    choose_neighbours,
+)
+from teaselpond.membership.records import HOST_TOPIC
+from teaselpond.membership.suspicion import SuspicionClock, SuspicionSettings
+from teaselpond_model.contracts import Address, Host, HostKind, HostState
+
+
+def make_fleet(size: int, zones: int = 17) -> list[Candidate]:
+    """Return daemons spread over zones."""
+    return [Candidate(f"d{n}", f"z{n % zones}") for n in range(size)]
+
+
+def make_links(fleet: list[Candidate]) -> dict[str, set[str]]:
+    """Return each daemon's peers when all dial their neighbours."""
+    peers_by_id = {each.daemon_id: set() for each in fleet}
+    for each in fleet:
+        for peer_id in choose_neighbours(each, fleet):
+            peers_by_id[each.daemon_id].add(peer_id)
+            peers_by_id[peer_id].add(each.daemon_id)
+    return peers_by_id
+
+
+def reach(peers_by_id: dict[str, set[str]], lost_ids: set[str]) -> int:
+    """Return how many daemons one of them reaches."""
+    left = [each for each in peers_by_id if each not in lost_ids]
+    seen, queue = {left[0]}, [left[0]]
+    while queue:
+        for peer_id in peers_by_id[queue.pop()] - lost_ids - seen:
+            seen.add(peer_id)
+            queue.append(peer_id)
+    return len(seen)
+
+
+class NeighbourTests(testtools.TestCase):
+    """Check the shape of the links at every size."""
+
+    def test_small_fleets_are_linked_in_full(self) -> None:
+        """Link every pair while the fleet is small."""
+        for size in range(1, TOTAL_LINKS + 2):
+            for peers in make_links(make_fleet(size, 3)).values():
+                self.assertEqual(size - 1, len(peers))
+
+    def test_large_fleet_is_bounded_and_stays_whole(self) -> None:
+        """Bound the degree, and stay connected when zones are lost."""
+        fleet = make_fleet(340)
+        peers_by_id = make_links(fleet)
+        degrees = Counter(len(peers) for peers in peers_by_id.values())
+        self.assertTrue(max(degrees) <= 4 * TOTAL_LINKS, degrees)
+        for zones in (0, 1, 4):
+            lost = {each.daemon_id for each in fleet if int(each.zone[1:]) < zones}
+            self.assertEqual(340 - len(lost), reach(peers_by_id, lost))
+
+    def test_one_loss_changes_few_links(self) -> None:
+        """Leave the links alone that a lost daemon had no part in."""
+        fleet = make_fleet(100)
+        before, after = make_links(fleet), make_links(fleet[1:])
+        changed = sum(before[each] - {"d0"} != after[each] for each in after)
+        self.assertTrue(changed <= 2 * len(before["d0"]) + 2, changed)
+
+
+class SuspicionTests(testtools.TestCase):
+    """Check when daemons are suspected and given up."""
+
+    def test_table(self) -> None:
+        """Follow events by time and see who is due."""
+        clock = SuspicionClock(SuspicionSettings(1.0, 4.0, 3.0))
+        clock.note_lost("a", 0.0)
+        clock.note_lost("b", 0.0)
+        clock.note_linked("b")
+        for now, suspects, gone in (
+            (0.9, (), ()),
+            (1.0, ("a",), ()),
+        ):
+            self.assertEqual(suspects, clock.due_suspects(now))
+            self.assertEqual(gone, clock.due_gone(now))
+        clock.note_suspected("a", 1.0)
+        clock.note_suspected("a", 3.9)
+        self.assertEqual((), clock.due_gone(3.9))
+        self.assertEqual(("a",), clock.due_gone(4.0))
+        clock.note_answered("a", 4.0)
+        self.assertEqual((), clock.due_gone(9.0))
+        self.assertEqual((), clock.due_suspects(5.9))
+        self.assertEqual(("a",), clock.due_suspects(6.0))
+
+
+class DampingTests(testtools.TestCase):
+    """Check when a host counts as flapping."""
+
+    def test_table(self) -> None:
+        """Suppress after quick changes, and reuse after a rest."""
+        for changes, now, suppressed in (
+            ((), 0, False),
+            ((0, 1, 2), 2, False),
+            ((0, 1, 2, 3), 3, True),
+            ((0, 1, 2, 3), 20, True),
+            ((0, 1, 2, 3), 60, False),
+            ((0, 30, 60, 90), 90, False),
+            (tuple(range(100)), 150, True),
+            (tuple(range(100)), 200, False),
+        ):
+            damping = FlapDamping(DampingSettings())
+            for at in changes:
+                damping.note_change("h", at)
+                damping.is_suppressed("h", at + 0.5)
+            self.assertEqual(suppressed, damping.is_suppressed("h", now), changes)
+
+
+class ListingTests(testtools.TestCase):
+    """Check what a poll of the lagging list may change."""
+
+    def test_table(self) -> None:
+        """Let a stale poll undo nothing that a peer has just told."""
+        live = Host("h", Address("127.0.0.1", 1), "z", HostKind.ENGINE)
+        leaving = Host("h", live.address, "z", HostKind.ENGINE, HostState.LEAVING)
+        for known, poll, seconds, changed in (
+            ((), (live,), 0, True),
+            ((live,), (live,), 99, False),
+            ((live,), (leaving,), 0, True),
+            ((leaving,), (live,), 1, False),
+            ((leaving,), (live,), 11, True),
+            ((live,), (), 1, False),
+            ((live,), (), 11, True),
+        ):
+            listing = HostListing(FactStore(), 10.0)
+            if known:
+                listing.apply(known, 0.0)
+                listing.note_heard("h", 0.0)
+            self.assertEqual(changed, bool(listing.apply(poll, seconds)))
+
+    def test_a_long_list_is_read_seldom(self) -> None:
+        """Stay within the bytes a second that polls may take."""
+        self.assertEqual(2.0, poll_interval(15, 2.0))
+        self.assertTrue(poll_interval(7740, 2.0) > 700)
+
+    def test_facts_of_hosts_cannot_go_back(self) -> None:
+        """Number each change higher than the last."""
+        store = FactStore()
+        listing = HostListing(store, 0.0)
+        live = Host("h", Address("127.0.0.1", 1), "z", HostKind.ENGINE)
+        numbers = []
+        for hosts in ((live,), (), (live,)):
+            listing.apply(hosts, 0.0)
+            numbers.append(store.get(HOST_TOPIC, "h", 0.0).number)
+        self.assertEqual([1, 2, 3], numbers)
