Take the list's peer addresses, and name the policy's messages on the links

Ruled out: a common peer port as a setting (the list tells it now). Two holes that switching mechanisms off showed: without heartbeats every test still passed (links were redialed in time), and so did a dialer that did not check the acceptor's proof. A quiet link must now stay the same one, and an impostor that answers with a guessed key must not be taken.

--- a/packages/teaselpond/src/teaselpond/membership/listing.py
+++ b/packages/teaselpond/src/teaselpond/membership/listing.py
@@ -19,7 +19,13 @@
 
 def record_of(host: Host) -> HostRecord:
     """Return a host as it travels."""
-    return HostRecord(host.kind.value, str(host.address), host.zone, host.state.value)
+    return HostRecord(
+        host.kind.value,
+        str(host.address),
+        host.zone,
+        host.state.value,
+        str(host.peer_address) if host.peer_address is not None else "",
+    )
 
 
 def host_of(host_id: str, record: HostRecord) -> Host | None:
@@ -32,6 +38,7 @@
         record.zone,
         HostKind(record.kind),
         HostState(record.state),
+        Address.parse(record.peer_address) if record.peer_address else None,
     )
 
 
--- a/packages/teaselpond/src/teaselpond/membership/records.py
+++ b/packages/teaselpond/src/teaselpond/membership/records.py
@@ -40,6 +40,7 @@
     address: str = ""
     zone: str = ""
     state: str = ""
+    peer_address: str = ""
 
 
 MEMBER_TOPIC = Topic("member", MemberRecord)
--- a/packages/teaselpond/src/teaselpond/membership/service.py
+++ b/packages/teaselpond/src/teaselpond/membership/service.py
@@ -62,7 +62,6 @@
     restate_seconds: float = 600.0
     reunite_seconds: float = 5.0
     list_lag_seconds: float = 10.0
-    peer_port: int | None = None
     suspicion: SuspicionSettings = field(factory=SuspicionSettings)
     damping: DampingSettings = field(factory=DampingSettings)
 
@@ -92,7 +91,7 @@
 
     def __attrs_post_init__(self) -> None:
         store = self.exchange.store
-        self._view = MembershipView(self.settings.peer_port)
+        self._view = MembershipView()
         self._suspicion = SuspicionClock(self.settings.suspicion)
         self._damping = FlapDamping(self.settings.damping)
         self._listing = HostListing(store, self.settings.list_lag_seconds)
@@ -278,12 +277,15 @@
 
     async def _register(self, state: HostState) -> None:
         own = self.links.identity
-        address = own.address
-        if self.settings.peer_port is not None:
-            address = self.caller_address
-        await self.directory.register(
-            Host(own.daemon_id, address, own.zone, HostKind.ENTRY, state)
+        host = Host(
+            own.daemon_id,
+            self.caller_address,
+            own.zone,
+            HostKind.ENTRY,
+            state,
+            own.address,
         )
+        await self.directory.register(host)
 
     async def _poll_forever(self) -> None:
         while True:
--- a/packages/teaselpond/src/teaselpond/membership/view.py
+++ b/packages/teaselpond/src/teaselpond/membership/view.py
@@ -23,13 +23,8 @@
 
 @define
 class MembershipView:
-    """Keep the members up to date, one record or host at a time.
+    """Keep the members up to date, one record or host at a time."""
 
-    ``peer_port`` is where daemons listen for each other; when None, the
-    listed address is that of the links.
-    """
-
-    peer_port: int | None = None
     membership: Membership = field(factory=Membership)
     _records_by_id: dict[str, MemberRecord] = field(factory=dict)
     _incarnations_by_id: dict[str, int] = field(factory=dict)
@@ -107,7 +102,7 @@
             daemon_id=daemon_id,
             incarnation=0,
             zone=host.zone,
-            address=self._peer_address(host),
+            address=host.peer_address or host.address,
             caller_address=host.address,
             state=DaemonState.LISTED,
         )
@@ -130,11 +125,6 @@
             state=state,
         )
 
-    def _peer_address(self, host: Host) -> Address:
-        if self.peer_port is None:
-            return host.address
-        return Address(host.address.ip, self.peer_port)
-
     def _upstream(self, host_id: str) -> Upstream | None:
         host = self._hosts_by_id.get(host_id)
         if host is None or host.kind is HostKind.ENTRY:
--- a/packages/teaselpond/tests/links/test_codec.py
+++ b/packages/teaselpond/tests/links/test_codec.py
@@ -13,7 +13,15 @@
     MalformedFrame,
     UnknownMessage,
 )
+from teaselpond.links.grants import (
+    Grant,
+    HeldGrants,
+    Refusal,
+    Release,
+    SlotRequest,
+)
 from teaselpond.links.messages import Flow, Frame, Heartbeat, Hello, HelloRefused
+from teaselpond.policy import Outcome, RefusalReason, RequestClass
 
 SETTINGS = settings(
     derandomize=True,
@@ -56,6 +64,18 @@
         ):
             self.assertEqual(frame, codec.decode(codec.encode(frame)))
 
+    def test_grants_survive_the_round_trip(self) -> None:
+        """Carry the policy's messages with their enums and options."""
+        for body in (
+            SlotRequest("r", "w", "c", "m", RequestClass.PLAN, 5, ("ab",), 1.5, "d"),
+            Grant("g", "r", "e", 1, 7),
+            Refusal("r", RefusalReason.NO_ENGINE, 2.0),
+            Release("g", Outcome.COMPLETED, None, 1, 2, 3, "i"),
+            HeldGrants("d", ("g", "h")),
+        ):
+            frame = Frame(body, Flow.CALL, 1)
+            self.assertEqual(frame, codec.decode(codec.encode(frame)))
+
     def test_fields_may_be_added_at_the_end(self) -> None:
         """Fill in missing fields and ignore unknown ones."""
         for row, expected in (
--- a/packages/teaselpond/tests/links/test_manager.py
+++ b/packages/teaselpond/tests/links/test_manager.py
@@ -19,10 +19,13 @@
     Peer,
     PeerUnavailable,
     Superseded,
+    codec,
     connections,
+    handshake,
     manager,
     message,
 )
+from teaselpond.links.messages import Challenge, Frame
 from teaselpond.links.peers import Address
 from teaselpond_model.exceptions import ImproperlyConfigured, StoreUnavailable
 from teaselpond_standins.testing import AsyncTestCase
@@ -116,6 +119,9 @@
             self.assertEqual(1, a.broadcast(Done()))
             await wait_until(lambda: heard == ["a"])
             self.assertEqual("zone-a", a.linked_peers()["b"].zone)
+            link = a.lasting_links()[0]
+            await asyncio.sleep(2 * FAST.silence_seconds)
+            self.assertEqual("", link.close_reason)
 
     async def test_simultaneous_dials_leave_one_link(self) -> None:
         """Give up the second link when both ends dialed at once."""
@@ -244,6 +250,29 @@
                     self.assertEqual(0, a.link_count() + b.link_count())
         self.assertRaises(ImproperlyConfigured, LinkKeys, (b"",))
 
+    async def test_an_impostor_is_not_trusted(self) -> None:
+        """Refuse a listener that claims a daemon's name without a key."""
+
+        async def pretend(connection) -> None:
+            stranger = LinkKeys((b"guessed",))
+            await connection.send(codec.encode(Frame(Challenge(b"nonce"))))
+            await connection.recv()
+            identity = Identity("b", 1, "zone-a", LOOPBACK)
+            hello = handshake._make_hello(
+                identity, stranger, handshake.ACCEPTOR, b"", b"", True
+            )
+            await connection.send(codec.encode(Frame(hello)))
+            await connection.wait_closed()
+
+        server = await connections.listen(LOOPBACK, pretend, 5)
+        a = make_manager("a")
+        async with self.started(a):
+            a.set_peers([Peer("b", connections.bound_address(server))])
+            with self.subTestError(PeerUnavailable):
+                await a.call("b", Question("x"), 5)
+        server.close()
+        await server.wait_closed()
+
     async def test_a_stray_connection_is_dropped(self) -> None:
         """Close connections that never say hello, or say something else."""
         b = make_manager("b")
