Hold one lease a daemon, with a fencing number that only grows

Ruled out: a counter of fencing numbers, on which 340 daemons that start at once would collide: the table version of the acquiring write is unique and grows. Before: none. After: LeaseKeeper acquires, renews, settles lost answers by the write's id and counts from when a write was sent; Lease.assert_held takes the present time; LeaseWatch judges other leases by its own clock, with a bound on the clocks' rates.

--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/leases/keeper.py
@@ -0,0 +1,201 @@
+"""Acquire and renew this daemon's lease in the table service."""
+
+import asyncio
+import random
+import time
+import uuid
+from collections.abc import Callable
+
+from absl import logging
+from attrs import evolve
+from reactivex.subject import BehaviorSubject
+
+from teaselpond_model.contracts import ABSENT_VERSION, Check, Delete, Put, TableService
+from teaselpond_model.exceptions import (
+    LeaseLost,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    TransactionConflict,
+)
+
+from .lease import Lease, LeaseSettings
+from .records import LeaseRecord, fence_of, lease_key
+
+JITTER_RATIO = 0.2
+RETRY_RATIO = 0.25
+
+
+class LeaseKeeper:
+    """Keep one lease for this process.
+
+    ``held`` emits the lease when it is acquired and None when it is lost;
+    a renewal emits nothing. The fencing number is the table version of the
+    acquiring write, so that each lease's is higher than all before it.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        daemon_id: str,
+        incarnation: str,
+        *,
+        settings: LeaseSettings | None = None,
+        jitter: Callable[[], float] = random.random,
+        count: Callable[[str], None] = lambda name: None,
+    ) -> None:
+        self.table = table
+        self.daemon_id = daemon_id
+        self.key = lease_key(daemon_id)
+        self.incarnation = incarnation
+        self.settings = settings or LeaseSettings()
+        self.jitter = jitter
+        self.count = count
+        self.held: BehaviorSubject[Lease | None] = BehaviorSubject(None)
+        self._lease: Lease | None = None
+        self._sent_at_by_write: dict[str, float] = {}
+        self._needs_settling = False
+
+    async def run(self) -> None:
+        """Keep the lease until cancelled, then give it up."""
+        try:
+            while True:
+                renewed = await self.step(time.monotonic())
+                await asyncio.sleep(self._pause_seconds(renewed))
+        finally:
+            await self.release()
+
+    def _pause_seconds(self, renewed: bool) -> float:
+        ratio = 1.0 if renewed else RETRY_RATIO
+        spread = 1 + JITTER_RATIO * (self.jitter() - 1)
+        return self.settings.renew_seconds * ratio * spread
+
+    def lease(self, now: float) -> Lease | None:
+        """Return the lease if it is held now."""
+        if self._lease is not None and not self._lease.is_held(now):
+            self.count("lease.lapsed")
+            self._lose("it lapsed")
+        return self._lease
+
+    def assert_held(self, now: float, for_seconds: float = 0.0) -> Lease:
+        """Return the lease, right before acting; raise LeaseLost."""
+        lease = self.lease(now)
+        if lease is None:
+            raise LeaseLost("no lease is held", step="act under a lease")
+        lease.assert_held(now, for_seconds)
+        return lease
+
+    async def step(self, now: float) -> bool:
+        """Settle, acquire or renew, and tell whether the lease is fresh.
+
+        ``now`` is the time right before the call.
+        """
+        self.lease(now)
+        try:
+            async with asyncio.timeout(self.settings.store_timeout_seconds):
+                if self._needs_settling:
+                    await self._settle(now)
+                lease = self._lease
+                if lease is None:
+                    return await self._acquire(now)
+                return await self._renew(lease, now)
+        except TransactionConflict:
+            # Perhaps by an own write whose answer was lost: the next step
+            # reads the record back.
+            self.count("lease.conflict")
+            self._needs_settling = True
+        except (StoreUnavailable, TimeoutError) as error:
+            self._needs_settling = bool(self._sent_at_by_write)
+            self.count("lease.store_unavailable")
+            logging.log_every_n_seconds(
+                logging.WARNING, "the lease isn't renewed: %s", 10, error
+            )
+        return False
+
+    async def _settle(self, now: float) -> None:
+        entry = await self.table.get(self.key)
+        self._needs_settling = False
+        if entry is None:
+            return
+        record = LeaseRecord.from_value(entry.value)
+        sent_at = self._sent_at_by_write.get(record.write_id)
+        if sent_at is not None:
+            self._sent_at_by_write.clear()
+            self._hold(fence_of(entry), entry.version, sent_at, now)
+        elif self._lease and entry.version > self._lease.entry_version:
+            self._lose("it passed to another holder")
+
+    async def _acquire(self, now: float) -> bool:
+        entry = await self.table.get(self.key)
+        version = ABSENT_VERSION if entry is None else entry.version
+        record = LeaseRecord(
+            self.incarnation, uuid.uuid4().hex, self.settings.duration_seconds
+        )
+        written = await self._write(record, version, now)
+        return self._hold(written, written, now, now)
+
+    async def _renew(self, lease: Lease, now: float) -> bool:
+        record = LeaseRecord(
+            self.incarnation,
+            uuid.uuid4().hex,
+            self.settings.duration_seconds,
+            lease.fence,
+        )
+        written = await self._write(record, lease.entry_version, now)
+        return self._hold(lease.fence, written, now, now)
+
+    async def _write(self, record: LeaseRecord, version: int, now: float) -> int:
+        self._sent_at_by_write[record.write_id] = now
+        try:
+            written = await self.table.transact(
+                (Check(self.key, version),), (Put(self.key, record.to_value()),)
+            )
+        except StoreOutcomeUnknown:
+            raise
+        except (StoreUnavailable, TransactionConflict):
+            # Nothing was written by this call.
+            self._sent_at_by_write.pop(record.write_id, None)
+            raise
+        # A write that is still under way checks a version that is gone.
+        self._sent_at_by_write.clear()
+        return written
+
+    def _hold(self, fence: int, version: int, sent_at: float, now: float) -> bool:
+        held_until = sent_at + self.settings.held_seconds
+        lease = Lease(self.daemon_id, fence, version, sent_at, held_until)
+        known = self._lease
+        if known is not None and known.fence == fence:
+            self._lease = evolve(
+                lease, held_until=max(known.held_until, lease.held_until)
+            )
+            return self._lease.is_held(now)
+        if not lease.is_held(now):
+            # It lapsed before it was known to be held.
+            return False
+        self._lease = lease
+        self.count("lease.acquired")
+        logging.info("the lease %d is held", fence)
+        self.held.on_next(lease)
+        return True
+
+    def _lose(self, why: str) -> None:
+        if self._lease is None:
+            return
+        logging.warning("the lease %d is lost: %s", self._lease.fence, why)
+        self._lease = None
+        # A lease that lapsed never comes back, not even by a late answer.
+        self._sent_at_by_write.clear()
+        self.count("lease.lost")
+        self.held.on_next(None)
+
+    async def release(self) -> None:
+        """Give the lease up, so that others needn't wait for its end."""
+        lease = self._lease
+        if lease is None:
+            return
+        self._lose("it is given up")
+        checks = (Check(self.key, lease.entry_version),)
+        try:
+            async with asyncio.timeout(self.settings.store_timeout_seconds):
+                await self.table.transact(checks, (Delete(self.key),))
+        except (StoreUnavailable, TransactionConflict, TimeoutError) as error:
+            logging.info("the lease runs out by itself: %s", error)
--- /dev/null
+++ b/packages/teaselpond/tests/leases/test_keeper.py
@@ -0,0 +1,266 @@
+"""Prove what a lease and its fencing number promise under failure."""
+
+import asyncio
+import random
+
+import testtools
+
+from teaselpond.leases import (
+    Lease,
+    LeaseKeeper,
+    LeaseSettings,
+    LeaseWatch,
+    lease_key,
+)
+from teaselpond_model.contracts import Check, Delete, Put
+from teaselpond_model.exceptions import (
+    ImproperlyConfigured,
+    LeaseLost,
+    StoreUnavailable,
+    TransactionConflict,
+)
+from teaselpond_standins.platform import MemoryTable, PlatformFaultKind
+from teaselpond_standins.testing import AsyncTestCase
+
+REFUSE, DROP = PlatformFaultKind.REFUSE, PlatformFaultKind.DROP
+LOSE, STALE = PlatformFaultKind.LOSE_ANSWER, PlatformFaultKind.STALE
+READ, WRITE = "table.get", "table.transact"
+KEY = lease_key("d1")
+SETTINGS = LeaseSettings(store_timeout_seconds=0.05)
+
+
+class LeaseTestCase(AsyncTestCase):
+    """Offer a table, and keepers of the lease of d1."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = MemoryTable()
+        self.fences: list[int] = []
+
+    def keeper(self, incarnation: str = "a", daemon_id: str = "d1") -> LeaseKeeper:
+        """Return a process's keeper."""
+        keeper = LeaseKeeper(
+            self.table,
+            daemon_id,
+            incarnation,
+            settings=SETTINGS,
+            jitter=lambda: 0.5,
+        )
+        keeper.held.subscribe(lambda lease: lease and self.fences.append(lease.fence))
+        return keeper
+
+
+class KeeperTests(LeaseTestCase):
+    """Check acquiring, renewing and losing."""
+
+    async def test_fault_table(self) -> None:
+        """Meet faults in three steps at 0, 3 and 6 s after the acquisition.
+
+        The columns: the faults, until when the lease is known to be held at
+        6 s, and how many fencing numbers were used by 20 s.
+        """
+        held = SETTINGS.held_seconds
+        for faults, held_until, fences in (
+            ((), 6 + held, 1),
+            (((REFUSE, WRITE, 2),), 6 + held, 1),
+            (((REFUSE, "*", 9),), held, 2),
+            (((DROP, WRITE, 1),), 6 + held, 1),
+            (((LOSE, WRITE, 1),), 6 + held, 1),
+            (((LOSE, WRITE, 1), (REFUSE, READ, 1)), 6 + held, 1),
+            (((LOSE, WRITE, 1), (STALE, READ, 1)), 6 + held, 1),
+            (((LOSE, WRITE, 2),), 6 + held, 1),
+            (((LOSE, WRITE, 3),), 3 + held, 1),
+            (((DROP, WRITE, 3),), held, 2),
+            (((PlatformFaultKind.SLOW, WRITE, 3),), held, 2),
+            (((PlatformFaultKind.SLOW_ANSWER, WRITE, 1),), 6 + held, 1),
+        ):
+            with self.subTest(faults=faults):
+                self.table, self.fences = MemoryTable(), []
+                keeper = self.keeper()
+                self.assertTrue(await keeper.step(0.0))
+                self.table.hold_replica()
+                for kind, operation, count in faults:
+                    self.table.faults.add(kind, operation, count=count, seconds=0.2)
+                for now in (0.5, 3.0, 6.0):
+                    await keeper.step(now)
+                lease = keeper.lease(6.0)
+                self.assertIsNotNone(lease)
+                self.assertEqual(held_until, lease.held_until)
+                self.table.faults.clear()
+                for now in (9.0, 12.0, 15.0, 20.0):
+                    await keeper.step(now)
+                self.assertTrue(keeper.lease(20.0).is_held(20.0))
+                self.assertEqual(fences, len(set(self.fences)), self.fences)
+                self.assertEqual(sorted(set(self.fences)), self.fences)
+
+    async def test_acquisition_whose_answer_is_lost(self) -> None:
+        """Take the lease up from when the write was sent."""
+        self.table.faults.add(LOSE, WRITE, count=1)
+        keeper = self.keeper()
+        self.assertFalse(await keeper.step(0.0))
+        self.assertIsNone(keeper.lease(0.5))
+        self.table.faults.add(REFUSE, WRITE, count=1)
+        self.assertFalse(await keeper.step(1.0))
+        self.assertEqual(SETTINGS.held_seconds, keeper.lease(1.0).held_until)
+        self.assertEqual(1, keeper.lease(1.0).fence)
+
+    async def test_a_holder_that_was_paused_may_not_act(self) -> None:
+        """Lapse by the holder's own clock, and come back with a new number."""
+        keeper = self.keeper()
+        await keeper.step(0.0)
+        keeper.assert_held(8.0)
+        with testtools.ExpectedException(LeaseLost):
+            keeper.assert_held(8.0, for_seconds=1.0)
+        for now in (SETTINGS.held_seconds, 60.0):
+            with testtools.ExpectedException(LeaseLost):
+                keeper.assert_held(now)
+        self.assertIs(None, keeper.held.value)
+        await keeper.step(60.0)
+        self.assertEqual([1, 2], self.fences)
+        keeper.assert_held(60.0)
+
+    async def test_a_second_process_takes_the_lease(self) -> None:
+        """Lose the lease to a later process on the same host."""
+        old, new = self.keeper("a"), self.keeper("b")
+        await old.step(0.0)
+        await new.step(1.0)
+        self.assertFalse(await old.step(2.0))
+        await old.step(2.1)
+        self.assertEqual([1, 2], self.fences[:2])
+        self.assertEqual(sorted(self.fences), self.fences)
+
+    async def test_a_removed_lease_is_not_renewed(self) -> None:
+        """Never renew under a number that others declared dead."""
+        keeper = self.keeper()
+        await keeper.step(0.0)
+        await self.table.transact((), (Delete(KEY),))
+        for now in (3.0, 6.0, 10.0, 10.5):
+            await keeper.step(now)
+        self.assertEqual([1, 3], self.fences)
+
+    async def test_release(self) -> None:
+        """Leave no record behind, and go on when the store is away."""
+        keeper = self.keeper()
+        await keeper.step(0.0)
+        await keeper.release()
+        self.assertIsNone(await self.table.get(KEY))
+        await keeper.step(1.0)
+        self.table.faults.add(DROP)
+        await keeper.release()
+        self.assertIsNone(keeper.lease(1.0))
+
+    async def test_run_keeps_the_lease(self) -> None:
+        """Acquire, renew in time, and give up at the end."""
+        settings = LeaseSettings(duration_seconds=0.4, renew_seconds=0.05)
+        keeper = LeaseKeeper(self.table, "d1", "a", settings=settings)
+        lost, held = asyncio.Event(), asyncio.Event()
+        keeper.held.subscribe(
+            lambda lease: held.set() if lease else held.is_set() and lost.set()
+        )
+        task = asyncio.create_task(keeper.run())
+        await asyncio.wait_for(held.wait(), 10)
+        fence = keeper.held.value.fence
+        async with asyncio.timeout(10):
+            for version in range(fence + 1, fence + 5):
+                await self._reached(version)
+        self.assertEqual(fence, keeper.held.value.fence)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertTrue(lost.is_set())
+        self.assertIsNone(await self.table.get(KEY))
+
+    async def _reached(self, version: int) -> None:
+        entry = await self.table.get(KEY)
+        while entry is None or entry.version < version:
+            await asyncio.sleep(0.01)
+            entry = await self.table.get(KEY)
+
+    def test_settings_that_cannot_hold_are_refused(self) -> None:
+        """Refuse a renewal that comes too late, and an absurd drift."""
+        for values in (
+            {"renew_seconds": 5.0},
+            {"drift_ratio": 0.5},
+            {"drift_ratio": -0.1},
+        ):
+            with testtools.ExpectedException(ImproperlyConfigured):
+                LeaseSettings(**values)
+
+
+class WatchTests(LeaseTestCase):
+    """Check how a lease's end is judged from outside."""
+
+    async def test_a_renewed_lease_has_not_lapsed(self) -> None:
+        """Wait out the whole duration and the drift after each renewal."""
+        keeper, watch = self.keeper(), LeaseWatch(SETTINGS.drift_ratio)
+        self.assertFalse(watch.has_lapsed(KEY, None, 9.0, 100.0))
+        for now in (0.0, 3.0, 6.0):
+            await keeper.step(now)
+            entry = await self.table.get(KEY)
+            watch.observe(KEY, entry, 1000.0 + now)
+            self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, 1000.0 + now))
+        end = 1006.0 + SETTINGS.expired_seconds
+        watch.observe(KEY, entry, end - 0.1)
+        self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, end - 0.1))
+        self.assertTrue(watch.has_lapsed(KEY, entry, 9.0, end))
+        watch.observe(KEY, None, end)
+        self.assertFalse(watch.has_lapsed(KEY, None, 9.0, end))
+        watch.forget(KEY)
+        self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, end + 100))
+
+    async def test_no_lease_is_broken_while_its_holder_may_act(self) -> None:
+        """Mix pauses, faults and drifting clocks; the holder ends first."""
+        broken = 0
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                broken += await self._run_history(random.Random(seed))
+        self.assertGreater(broken, 30)
+
+    async def _run_history(self, rng: random.Random) -> int:
+        """Return how often the watcher broke the holder's lease.
+
+        Both clocks start anywhere, and run as fast or slow as is allowed.
+        """
+        self.table, self.fences = MemoryTable(), []
+        drift = SETTINGS.drift_ratio
+        rates = [rng.choice((1 - drift, 1.0, 1 + drift)) for _ in range(2)]
+        starts = [rng.uniform(0, 1e6) for _ in range(2)]
+        keeper, watch = self.keeper(), LeaseWatch(drift)
+        true_now, broken, next_step = 0.0, 0, 0.0
+        while true_now < 200.0:
+            true_now += rng.uniform(0.0, 1.0)
+            own, watcher = (
+                start + rate * true_now
+                for start, rate in zip(starts, rates, strict=True)
+            )
+            if rng.random() < 0.1:
+                kind = rng.choice((REFUSE, DROP, LOSE, STALE))
+                self.table.faults.add(kind, rng.choice((READ, WRITE)), count=1)
+            if rng.random() < 0.02:
+                next_step = true_now + rng.uniform(5.0, 30.0)
+            if rng.random() < 0.05:
+                self.table.hold_replica()
+            if true_now >= next_step:
+                await keeper.step(own)
+                next_step = max(next_step, true_now + 1.0)
+            broken += await self._break_if_lapsed(keeper, watch, own, watcher)
+            self.assertEqual(sorted(set(self.fences)), self.fences)
+        return broken
+
+    async def _break_if_lapsed(
+        self, keeper: LeaseKeeper, watch: LeaseWatch, own: float, watcher: float
+    ) -> bool:
+        held: Lease | None = keeper._lease
+        try:
+            entry = await self.table.get(KEY)
+        except StoreUnavailable:
+            return False
+        watch.observe(KEY, entry, watcher)
+        if entry is None or not watch.has_lapsed(KEY, entry, 9.0, watcher):
+            return False
+        try:
+            checks = (Check(KEY, entry.version),)
+            await self.table.transact(checks, (Delete(KEY), Put("broken", 1)))
+        except (StoreUnavailable, TransactionConflict):
+            return False
+        self.assertFalse(held is not None and held.is_held(own))
+        return True
