Assemble the daemon: entry, owner, links and delivery in one process

Cause: the parts existed and nothing served a call from end to end. Change: the entry's views, the broker that asks the right owner for slots, pollers of owned engines, the follower that feeds the policy from the configuration and the membership, start and planned stop.

--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/assembly/configuration_links.py
@@ -0,0 +1,60 @@
+"""Carry configuration messages over the links."""
+
+from ..configuration import (
+    ConfigurationDelta,
+    ConfigurationKeeper,
+    ConfigurationNotice,
+    ConfigurationRequest,
+)
+from ..links import LinkClosed, LinkManager, LinkOpened, register
+from ..links.peers import Identity
+
+PULL_SECONDS = 1.0
+
+register("config-notice", ConfigurationNotice)
+register("config-request", ConfigurationRequest)
+register("config-delta", ConfigurationDelta)
+
+
+class LinkedConfiguration:
+    """Announce versions to linked daemons and pull deltas from them."""
+
+    def __init__(self, links: LinkManager) -> None:
+        self._links = links
+        self._keeper: ConfigurationKeeper | None = None
+
+    def attach(self, keeper: ConfigurationKeeper) -> None:
+        """Serve a keeper's peers from now on."""
+        self._keeper = keeper
+        self._links.handle(ConfigurationNotice, self._serve_notice)
+        self._links.handle(ConfigurationRequest, self._serve_request)
+        self._links.events.subscribe(self._follow_link)
+
+    def peer_ids(self) -> tuple[str, ...]:
+        """Return the ids of the linked daemons."""
+        return tuple(self._links.linked_peers())
+
+    def announce(self, notice: ConfigurationNotice) -> None:
+        """Send a notice to every linked daemon."""
+        self._links.broadcast(notice)
+
+    async def pull(
+        self, peer_id: str, request: ConfigurationRequest
+    ) -> ConfigurationDelta:
+        """Ask a peer for a delta; raise LinkError."""
+        return await self._links.call(peer_id, request, PULL_SECONDS)
+
+    def _serve_notice(self, notice: ConfigurationNotice, sender: Identity) -> None:
+        self._keeper.handle_notice(sender.daemon_id, notice)
+
+    def _serve_request(
+        self, request: ConfigurationRequest, sender: Identity
+    ) -> ConfigurationDelta:
+        return self._keeper.answer(request)
+
+    def _follow_link(self, event: object) -> None:
+        if isinstance(event, LinkOpened) and event.lasting:
+            # A daemon that was cut off learns what it has missed.
+            self._links.broadcast(self._keeper.notice())
+        if isinstance(event, LinkClosed):
+            self._keeper.forget_peer(event.peer.daemon_id)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/daemon.py
@@ -0,0 +1,113 @@
+"""Run one router daemon until it is told to stop."""
+
+import asyncio
+import json
+import signal
+import sys
+import time
+
+from absl import logging
+
+from teaselpond_model.exceptions import StoreUnavailable
+from teaselpond_model.platform import Platform
+
+from .assembly.parts import DaemonParts
+from .logs import log_event
+from .metrics import Metrics
+from .settings import Settings, parse_address
+from .upstreams import UpstreamClient
+
+QUARANTINE_REFRESH_SECONDS = 5.0
+OVERDUE_EXIT_CODE = 3
+
+
+class Daemon:
+    """Start the parts in order, serve, and stop them in reverse."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = int(time.time() * 1000)
+        self.metrics = Metrics(
+            parse_address(settings, "statsd") if settings.statsd else None
+        )
+        self._stop_requested = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop without cutting a request."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        platform = Platform.open(
+            self.settings.platform, self.settings.platform_timeout_seconds
+        )
+        async with platform, UpstreamClient() as client:
+            async with UpstreamClient(reuse=False) as single_use_client:
+                await self._run_with(platform, client, single_use_client)
+
+    async def _run_with(
+        self,
+        platform: Platform,
+        client: UpstreamClient,
+        single_use_client: UpstreamClient,
+    ) -> None:
+        parts = DaemonParts(
+            self.settings,
+            self.incarnation,
+            self.metrics,
+            platform,
+            client,
+            single_use_client,
+        )
+        await parts.start()
+        background = asyncio.create_task(self._run_background(parts))
+        self._announce(parts)
+        stop = asyncio.create_task(self._stop_requested.wait())
+        try:
+            await asyncio.wait((background, stop), return_when=asyncio.FIRST_COMPLETED)
+            if background.done():
+                background.result()
+            await self._stop(parts)
+        finally:
+            stop.cancel()
+            background.cancel()
+            await asyncio.gather(background, stop, return_exceptions=True)
+            await parts.stop()
+
+    def _announce(self, parts: DaemonParts) -> None:
+        line = {
+            "listening": str(parts.caller_address),
+            "peers": str(parts.links.identity.address),
+        }
+        print(json.dumps(line), flush=True)
+        log_event("started", step="start", settings=self.settings.public())
+
+    async def _run_background(self, parts: DaemonParts) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(parts.keeper.run())
+            group.create_task(parts.broker.run())
+            group.create_task(parts.jobs.run_forever())
+            group.create_task(self._refresh_quarantine(parts))
+
+    async def _refresh_quarantine(self, parts: DaemonParts) -> None:
+        while True:
+            try:
+                await parts.quarantine.refresh()
+                await parts.quarantine.expire(time.time())
+            except StoreUnavailable as error:
+                log_event(
+                    f"quarantine not read: {error}",
+                    level=logging.WARNING,
+                    step=error.step,
+                )
+            await asyncio.sleep(QUARANTINE_REFRESH_SECONDS)
+
+    async def _stop(self, parts: DaemonParts) -> None:
+        log_event("stopping", step="stop", requests=parts.drain.active)
+        parts.drain.start(time.monotonic())
+        await parts.membership.leave()
+        finished = await parts.drain.run(
+            parts.jobs.hand_over, parts.ledger.drain, parts.relay.drain
+        )
+        log_event("stopped", step="stop", finished=finished)
+        if not finished:
+            sys.exit(OVERDUE_EXIT_CODE)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/application.py
@@ -0,0 +1,65 @@
+"""Put the views together to one HTTP application."""
+
+from aiohttp import web
+
+from .chats import ChatViews
+from .context import EntryContext
+from .health import HealthViews
+from .jobs import JobViews
+from .locate import LocateViews
+from .middleware import problem_middleware
+from .operations import OperationViews
+from .services import ServiceViews
+
+KEEPALIVE_SECONDS = 75.0
+SHUTDOWN_SECONDS = 5.0
+
+
+class Application:
+    """Serve callers and operators on one port."""
+
+    view_classes = (
+        HealthViews,
+        LocateViews,
+        ChatViews,
+        ServiceViews,
+        JobViews,
+        OperationViews,
+    )
+
+    def __init__(self, context: EntryContext) -> None:
+        self.context = context
+        self._runner: web.AppRunner | None = None
+
+    def build(self) -> web.Application:
+        """Return the application with every view's routes."""
+        application = web.Application(
+            client_max_size=self.context.settings.max_body_bytes,
+            middlewares=[problem_middleware(self.context)],
+        )
+        for view_class in self.view_classes:
+            application.add_routes(view_class(self.context).routes())
+        return application
+
+    async def start(self, ip: str, port: int) -> int:
+        """Listen, and return the port."""
+        settings = self.context.settings
+        self._runner = web.AppRunner(
+            self.build(),
+            access_log=None,
+            handle_signals=False,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            handler_cancellation=True,
+            max_line_size=settings.max_header_bytes,
+            max_field_size=settings.max_header_bytes,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ip, port)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- a/packages/teaselpond/src/teaselpond/entry/callers.py
+++ b/packages/teaselpond/src/teaselpond/entry/callers.py
@@ -8,10 +8,10 @@
 from aiohttp import web
 from attrs import frozen
 
-from teaselpond_model.configuration import Document, Workspace
+from teaselpond_model.configuration import Document, WorkspaceItem
 
+from ..delivery.verdicts import Exit, refuse
 from ..exceptions import Refused
-from ..reasons import Reason
 
 WORKSPACE_HEADER = "X-Workspace"
 CHAT_HEADER = "X-Chat"
@@ -32,7 +32,7 @@
     """Hold what a call's headers say; the deadline is on the given clock."""
 
     request_id: str
-    workspace: Workspace
+    workspace: WorkspaceItem
     chat: str
     request_class: str
     deadline: float
@@ -65,21 +65,19 @@
     return _read_name(request, REQUEST_ID_HEADER) or uuid.uuid4().hex
 
 
-def _read_workspace(request: web.Request, document: Document) -> Workspace:
+def _read_workspace(request: web.Request, document: Document) -> WorkspaceItem:
     workspace_id = _read_name(request, WORKSPACE_HEADER)
     if not workspace_id:
         raise _bad_request(f"the header {WORKSPACE_HEADER} is missing")
     workspace = document.workspaces_by_id.get(workspace_id)
     if workspace is None:
-        raise Refused.not_run(
-            Reason.UNKNOWN_WORKSPACE, f"there is no workspace {workspace_id}"
-        )
+        raise refuse(Exit.CALLER_UNKNOWN, f"there is no workspace {workspace_id}")
     if workspace.key_digests and not _key_matches(request, workspace):
-        raise Refused.not_run(Reason.UNAUTHORIZED, "the workspace's key is wrong")
+        raise refuse(Exit.CALLER_UNKNOWN, "the workspace's key is wrong")
     return workspace
 
 
-def _key_matches(request: web.Request, workspace: Workspace) -> bool:
+def _key_matches(request: web.Request, workspace: WorkspaceItem) -> bool:
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer":
         return False
@@ -129,4 +127,4 @@
 
 
 def _bad_request(message: str) -> Refused:
-    return Refused.not_run(Reason.BAD_REQUEST, message)
+    return refuse(Exit.INPUT_INVALID, message)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/chats.py
@@ -0,0 +1,166 @@
+"""Serve chat completions."""
+
+from aiohttp import web
+from attrs import define
+
+from ..delivery import problems
+from ..delivery.chats import ChatCall, parse_chat
+from ..delivery.sinks import AnswerHead
+from ..delivery.verdicts import Exit, refuse
+from ..exceptions import CallerGone, Refused
+from ..policy import RequestClass
+from .bodies import read_body
+from .callers import AFFINITY_HEADER, REQUEST_ID_HEADER, CallContext, read_call
+from .context import EntryContext
+
+EVENT_STREAM = "text/event-stream"
+ENGINE_HEADER = "X-Engine"
+CACHED_HEADER = "X-Cached-Tokens"
+PROMPT_HEADER = "X-Prompt-Tokens"
+
+
+@define
+class StreamSink:
+    """Write an answer's events to the caller's connection."""
+
+    request: web.Request
+    response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the answer's head; raise CallerGone."""
+        self.response = web.StreamResponse(
+            headers={
+                "Content-Type": EVENT_STREAM,
+                "Cache-Control": "no-store",
+                **head_headers(head),
+            }
+        )
+        try:
+            await self.response.prepare(self.request)
+        except ConnectionError as error:
+            raise CallerGone("left before the answer", step="write") from error
+
+    async def write(self, raw: bytes) -> None:
+        """Send whole events; raise CallerGone."""
+        try:
+            await self.response.write(raw)
+        except ConnectionError as error:
+            raise CallerGone("left during the answer", step="write") from error
+
+
+def head_headers(head: AnswerHead) -> dict[str, str]:
+    """Return the headers that tell a caller how it was served."""
+    return {
+        REQUEST_ID_HEADER: head.request_id,
+        ENGINE_HEADER: head.engine_id,
+        AFFINITY_HEADER: head.engine_id,
+        CACHED_HEADER: str(head.cached_tokens),
+        PROMPT_HEADER: str(head.prompt_tokens),
+        "X-Run": "ran",
+    }
+
+
+class ChatViews:
+    """Serve chats, streamed or whole."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self.context = context
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of these views."""
+        return [web.post("/v1/chat/completions", self.complete)]
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Answer one chat turn, or the rest of one."""
+        context = self.context
+        with context.drain.request(context.clock()):
+            call = read_call(
+                request,
+                context.document(),
+                context.clock(),
+                context.settings.default_deadline_seconds,
+            )
+            request["request_id"] = call.request_id
+            body = await read_body(request)
+            if call.last_event_id:
+                return await self._resume(request, call)
+            return await self._run(request, call, self._parse(call, body))
+
+    def _parse(self, call: CallContext, body: bytes) -> ChatCall:
+        chat = parse_chat(
+            body,
+            workspace=call.workspace.workspace_id,
+            chat=call.chat or call.request_id,
+            request_id=call.request_id,
+            request_class=RequestClass(call.request_class),
+            deadline=call.deadline,
+            resumable=True,
+            hint_engine=call.affinity,
+        )
+        if chat.model not in call.workspace.models:
+            raise refuse(
+                Exit.MODEL_UNKNOWN,
+                f"workspace {chat.workspace} has no model {chat.model}",
+            )
+        return chat
+
+    async def _run(
+        self, request: web.Request, call: CallContext, chat: ChatCall
+    ) -> web.StreamResponse:
+        if not chat.streamed:
+            return await self._answer(chat)
+        sink = StreamSink(request)
+        try:
+            await self.context.relay.run(chat, sink)
+        except (Refused, CallerGone) as error:
+            return await self._end(request, sink, call, error)
+        self._note(chat.request_id, "answered whole")
+        await sink.response.write_eof()
+        return sink.response
+
+    async def _answer(self, chat: ChatCall) -> web.Response:
+        answer = await self.context.relay.answer(chat)
+        self._note(chat.request_id, f"answered whole by {answer.head.engine_id}")
+        return web.Response(
+            body=answer.body,
+            content_type="application/json",
+            headers=head_headers(answer.head),
+        )
+
+    async def _resume(
+        self, request: web.Request, call: CallContext
+    ) -> web.StreamResponse:
+        sink = StreamSink(request)
+        try:
+            await self.context.relay.resume(
+                call.last_event_id, call.workspace.workspace_id, sink
+            )
+        except (Refused, CallerGone) as error:
+            return await self._end(request, sink, call, error)
+        self._note(call.request_id, "resumed to its end")
+        await sink.response.write_eof()
+        return sink.response
+
+    async def _end(
+        self,
+        request: web.Request,
+        sink: StreamSink,
+        call: CallContext,
+        error: Refused | CallerGone,
+    ) -> web.StreamResponse:
+        if isinstance(error, CallerGone):
+            error = refuse(Exit.CALLER_GONE_AFTER_SEND, str(error))
+        if sink.response is None:
+            raise error
+        # The head is sent, so that only an event can tell what went wrong.
+        self.context.metrics.incr(error.reason.counter)
+        self._note(call.request_id, f"cut: {error.reason.value}")
+        try:
+            await sink.response.write(problems.render_event(error, call.request_id))
+            await sink.response.write_eof()
+        except ConnectionError:
+            self._note(call.request_id, "the caller is gone")
+        return sink.response
+
+    def _note(self, request_id: str, detail: str) -> None:
+        self.context.journal.note(request_id, "chat", detail, self.context.wall_clock())
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/context.py
@@ -0,0 +1,75 @@
+"""Hold what the views of the entry need."""
+
+import time
+from collections.abc import Callable
+
+from attrs import frozen
+
+from teaselpond_model.configuration import Document
+from teaselpond_model.contracts import Host
+
+from ..assembly.fleet_follower import FleetFollower
+from ..assembly.locator import Locator
+from ..configuration import ConfigurationInForce, ConfigurationKeeper
+from ..delivery.drain import Drain
+from ..delivery.jobs import Jobs
+from ..delivery.ledger import Ledger
+from ..delivery.poison import Quarantine
+from ..delivery.relay import ChatRelay
+from ..delivery.services import IdempotentCalls
+from ..delivery.verdicts import Exit, refuse
+from ..links import LinkManager
+from ..metrics import Metrics
+from ..owner import SlotBroker
+from ..settings import Settings
+from .journal import RequestJournal
+
+NOT_READY_RETRY_SECONDS = 1.0
+
+
+@frozen
+class EntryContext:
+    """Hold the daemon's parts that serve calls."""
+
+    settings: Settings
+    incarnation: int
+    metrics: Metrics
+    keeper: ConfigurationKeeper
+    broker: SlotBroker
+    relay: ChatRelay
+    ledger: Ledger
+    idempotent_calls: IdempotentCalls
+    jobs: Jobs
+    quarantine: Quarantine
+    drain: Drain
+    links: LinkManager
+    fleet: FleetFollower
+    locator: Locator
+    journal: RequestJournal
+    clock: Callable[[], float] = time.monotonic
+    wall_clock: Callable[[], float] = time.time
+
+    def in_force(self) -> ConfigurationInForce:
+        """Return the configuration in force; raise Refused without one."""
+        in_force = self.keeper.in_force.value
+        if in_force is None:
+            raise refuse(Exit.DAEMON_NOT_READY, retry_after=NOT_READY_RETRY_SECONDS)
+        return in_force
+
+    def document(self) -> Document:
+        """Return the document in force; raise Refused without one."""
+        return self.in_force().document
+
+    def upstreams_for(self, service_id: str) -> tuple[Host, ...]:
+        """Return a service's hosts that may take work, the nearest first."""
+        document = self.document()
+        service = document.services_by_id[service_id]
+        members = self.fleet.upstream_hosts()
+        hosts = [
+            members[host_id]
+            for host_id in service.hosts
+            if host_id in members
+            and document.is_host_in(host_id, members[host_id].zone)
+        ]
+        hosts.sort(key=lambda host: (host.zone != self.settings.zone, host.host_id))
+        return tuple(hosts)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/health.py
@@ -0,0 +1,44 @@
+"""Tell whether the daemon lives and whether it is ready."""
+
+from aiohttp import web
+
+from ..delivery.drain import Phase
+from .context import EntryContext
+
+LONE_DAEMON_SECONDS = 5.0
+
+
+class HealthViews:
+    """Serve the health checks."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self.context = context
+        self._started_at = context.clock()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of these views."""
+        return [web.get("/healthz", self.live), web.get("/readyz", self.ready)]
+
+    async def live(self, request: web.Request) -> web.Response:
+        """Answer as long as the event loop runs."""
+        return web.json_response({"status": "live"})
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Answer 200 once the daemon can serve and until it is stopped."""
+        now = self.context.clock()
+        phase = self.context.drain.phase(now)
+        ready = (
+            phase is Phase.SERVING
+            and self.context.keeper.is_ready
+            and self._knows_fleet(now)
+        )
+        return web.json_response(
+            {"ready": ready, "phase": phase.value}, status=200 if ready else 503
+        )
+
+    def _knows_fleet(self, now: float) -> bool:
+        # A daemon that is alone in the fleet waits in vain for a link.
+        return (
+            len(self.context.fleet.membership.usable_daemons()) > 1
+            or now - self._started_at > LONE_DAEMON_SECONDS
+        )
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/locate.py
@@ -0,0 +1,50 @@
+"""Tell callers which addresses to use."""
+
+from aiohttp import web
+
+from ..delivery.verdicts import Exit, refuse
+from ..locate import LocateQuestion
+from .callers import NAME_PATTERN
+from .context import EntryContext
+
+
+class LocateViews:
+    """Serve locate answers; any daemon gives them."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self.context = context
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of these views."""
+        return [web.get("/v1/locate", self.locate)]
+
+    async def locate(self, request: web.Request) -> web.Response:
+        """Answer addresses in order of preference, with a time to live."""
+        workspace = request.query.get("workspace", "")
+        chat = request.query.get("chat", "")
+        document = self.context.document()
+        if not NAME_PATTERN.fullmatch(workspace):
+            raise refuse(Exit.INPUT_INVALID, "the parameter workspace is missing")
+        if chat and not NAME_PATTERN.fullmatch(chat):
+            raise refuse(Exit.INPUT_INVALID, "the parameter chat is not a name")
+        if workspace not in document.workspaces_by_id:
+            raise refuse(Exit.CALLER_UNKNOWN, f"there is no workspace {workspace}")
+        question = LocateQuestion(
+            workspace, chat, request.remote or "", request.query.get("zone", "")
+        )
+        answer = self.context.locator.locate(
+            document, question, self._model(request, workspace)
+        )
+        return web.json_response(
+            {
+                "addresses": [str(address) for address in answer.addresses],
+                "ttl_seconds": answer.ttl_seconds,
+            }
+        )
+
+    def _model(self, request: web.Request, workspace: str) -> str:
+        models = self.context.document().workspaces_by_id[workspace].models
+        asked = request.query.get("model", "")
+        if asked in models:
+            return asked
+        return models[0] if models else ""
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/entry/middleware.py
@@ -0,0 +1,88 @@
+"""Turn every error of a view into a problem answer."""
+
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+from aiohttp import web
+
+from ..delivery import problems
+from ..delivery.verdicts import Exit, refuse
+from ..exceptions import Refused
+from ..logs import log_event
+from .callers import read_request_id
+from .context import EntryContext
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+EXITS_BY_STATUS = {
+    404: Exit.RESOURCE_UNKNOWN,
+    405: Exit.INPUT_INVALID,
+    413: Exit.INPUT_TOO_LARGE,
+}
+
+
+def problem_middleware(context: EntryContext) -> Callable:
+    """Return the middleware that answers refusals and counts them."""
+
+    @web.middleware
+    async def answer_problems(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except Refused as refused:
+            return _answer(context, request, refused)
+        except web.HTTPException as error:
+            if error.status < 400:
+                raise
+            exit_ = EXITS_BY_STATUS.get(error.status, Exit.INPUT_INVALID)
+            refused = refuse(exit_, error.reason, step="http")
+            return _answer(context, request, refused, status=error.status)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            logging.exception("a view failed")
+            # Views that send refuse by themselves once something was sent.
+            refused = refuse(Exit.INTERNAL_AFTER_SEND, f"{type(error).__name__}")
+            return _answer(context, request, refused)
+
+    return answer_problems
+
+
+def _answer(
+    context: EntryContext,
+    request: web.Request,
+    refused: Refused,
+    *,
+    status: int | None = None,
+) -> web.Response:
+    request_id = _request_id(request)
+    context.metrics.incr(refused.reason.counter)
+    context.journal.note(
+        request_id,
+        refused.step,
+        f"refused: {refused.reason.value}, {refused.run.value}: {refused}",
+        context.wall_clock(),
+    )
+    log_event(
+        f"refused: {refused.message}",
+        request_id=request_id,
+        step=refused.step,
+        peer=refused.peer,
+        reason=refused.reason.value,
+        run=refused.run.value,
+    )
+    problem = problems.render(refused, request_id)
+    return web.Response(
+        status=status or problem.status,
+        headers=problem.headers_by_name,
+        body=problem.body,
+    )
+
+
+def _request_id(request: web.Request) -> str:
+    if "request_id" not in request:
+        try:
+            request["request_id"] = read_request_id(request)
+        except Refused:
+            request["request_id"] = ""
+    return request["request_id"]
--- a/packages/teaselpond/src/teaselpond/membership/members.py
+++ b/packages/teaselpond/src/teaselpond/membership/members.py
@@ -1,10 +1,10 @@
 """Describe the daemons and upstream hosts that this daemon knows of."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from types import MappingProxyType
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from teaselpond_model.contracts import Address, HostKind
 
@@ -75,6 +75,15 @@
     upstreams_by_id: Mapping[str, Upstream] = field(factory=dict, converter=_freeze)
     version: int = 0
 
+    def without(self, daemon_ids: Set[str]) -> "Membership":
+        """Return a membership that lacks some daemons."""
+        kept = {
+            daemon_id: daemon
+            for daemon_id, daemon in self.daemons_by_id.items()
+            if daemon_id not in daemon_ids
+        }
+        return evolve(self, daemons_by_id=kept)
+
     def usable_daemons(self) -> tuple[Daemon, ...]:
         """Return the daemons that may own engines and take new work."""
         return tuple(each for each in self.daemons_by_id.values() if each.is_usable)
--- a/packages/teaselpond/src/teaselpond/metrics.py
+++ b/packages/teaselpond/src/teaselpond/metrics.py
@@ -18,11 +18,11 @@
             StatsClient(statsd.ip, statsd.port, prefix=PREFIX) if statsd else None
         )
 
-    def count(self, name: str, amount: int = 1) -> None:
+    def incr(self, stat: str, count: int = 1) -> None:
         """Add to a counter."""
-        self.counts_by_name[name] += amount
+        self.counts_by_name[stat] += count
         if self._client is not None:
-            self._client.incr(name, amount)
+            self._client.incr(stat, count)
 
     def timing(self, name: str, seconds: float) -> None:
         """Record how long something took."""
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -0,0 +1,322 @@
+"""Get slots for requests from this daemon's engines or from other owners."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+
+from attrs import evolve, frozen
+
+from teaselpond_model.contracts import Address, CacheEventPage, LoadReport
+
+from ..delivery.verdicts import Exit, refuse
+from ..exceptions import Refused
+from ..links import AnswerLost, LinkError, LinkManager
+from ..links.peers import Identity
+from ..metrics import Metrics
+from ..policy import (
+    Dispatcher,
+    Grant,
+    Handover,
+    HeldGrants,
+    Home,
+    LoadSum,
+    Queued,
+    Redirect,
+    Refusal,
+    RefusalReason,
+    Release,
+    SlotRequest,
+)
+from .messages import CancelSlot, SlotAsk
+
+ADVANCE_SECONDS = 0.05
+SUM_SECONDS = 1.0
+HELD_SECONDS = 5.0
+OWNER_RETRY_SECONDS = 0.2
+ASKS_LIMIT = 8
+# An owner is told of held grants for this long after it was last asked, so
+# that a grant whose answer was lost is freed.
+OWNER_MEMORY_SECONDS = 30.0
+
+EXITS_BY_REASON = {
+    RefusalReason.DEADLINE_PASSED: Exit.DEADLINE_BEFORE_SEND,
+    RefusalReason.NO_ENGINE: Exit.NO_CANDIDATE,
+    RefusalReason.ENGINES_UNAVAILABLE: Exit.NO_CANDIDATE,
+}
+
+
+@frozen
+class HeldSlot:
+    """Remember which owner gave a grant."""
+
+    grant: Grant
+    owner_id: str
+
+
+class SlotBroker:
+    """Ask the right owner for slots, and serve those who ask this daemon."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        links: LinkManager,
+        metrics: Metrics,
+        incarnation: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self._incarnation = incarnation
+        self._numbers = itertools.count(1)
+        self._links = links
+        self._metrics = metrics
+        self._clock = clock
+        self._held_by_grant: dict[str, HeldSlot] = {}
+        self._waiters_by_request: dict[str, asyncio.Future] = {}
+        self._asked_at_by_owner: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+        links.handle(SlotAsk, self._serve_ask)
+        links.handle(CancelSlot, self._serve_cancel)
+        links.handle(Release, self._serve_release)
+        links.handle(HeldGrants, self._serve_held)
+        links.handle(LoadSum, self._serve_sum)
+        links.handle(Handover, self._serve_handover)
+
+    @property
+    def daemon_id(self) -> str:
+        """Return this daemon's id."""
+        return self.dispatcher.daemon_id
+
+    @property
+    def held_count(self) -> int:
+        """Return the number of slots that this daemon's requests hold."""
+        return len(self._held_by_grant)
+
+    async def run(self) -> None:
+        """Advance queues and publish sums and held grants until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._advance_forever())
+            group.create_task(self._publish_sums())
+            group.create_task(self._publish_held())
+
+    # What requests of this daemon ask.
+
+    async def acquire(self, request: SlotRequest) -> Grant:
+        """Return a grant; raise Refused when there is none in time."""
+        # A caller may repeat its request id, and a slot that is still being
+        # released must not be granted a second time.
+        request = evolve(
+            request,
+            request_id=f"{self.daemon_id}/{self._incarnation}/{next(self._numbers)}",
+            chat=request.chat or request.request_id,
+        )
+        unreachable: set[str] = set()
+        home = self._home(request, unreachable)
+        for attempt in range(1, ASKS_LIMIT + 1):
+            if home is None:
+                raise refuse(Exit.NO_CANDIDATE, retry_after=1.0, step="acquire")
+            asked = evolve(request, attempt=attempt, origin_daemon=self.daemon_id)
+            try:
+                decision = await self._ask(home.owner_id, asked)
+            except LinkError:
+                self._metrics.incr("retries.owner_unreachable")
+                unreachable.add(home.owner_id)
+                await asyncio.sleep(OWNER_RETRY_SECONDS)
+                home = self._home(request, unreachable)
+                continue
+            if isinstance(decision, Grant):
+                self._held_by_grant[decision.grant_id] = HeldSlot(
+                    decision, home.owner_id
+                )
+                return decision
+            if isinstance(decision, Refusal):
+                raise self._refused(decision)
+            home = Home(decision.engine_id, decision.owner_id)
+        raise refuse(Exit.ADMISSION_REFUSED, retry_after=1.0, step="acquire")
+
+    async def release(self, release: Release) -> None:
+        """Give a slot back, also when its owner cannot be reached."""
+        held = self._held_by_grant.pop(release.grant_id, None)
+        if held is None:
+            return
+        if held.owner_id == self.daemon_id:
+            self._release_local(release)
+            return
+        try:
+            await self._links.send(held.owner_id, release)
+        except LinkError:
+            # The owner frees it when this daemon's next list leaves it out.
+            self._metrics.incr("slots.release_unsent")
+
+    # What the daemon learns.
+
+    def observe_load(self, engine_id: str, report: LoadReport) -> None:
+        """Take an engine's load report."""
+        self.dispatcher.observe_load(engine_id, report, self._clock())
+
+    def observe_cache(self, engine_id: str, page: CacheEventPage) -> bool:
+        """Take cache events; return True when a snapshot is due."""
+        return self.dispatcher.observe_cache(engine_id, page, self._clock())
+
+    def observe_snapshot(self, engine_id: str, page: CacheEventPage) -> None:
+        """Take a snapshot of an engine's cache."""
+        self.dispatcher.observe_snapshot(
+            engine_id, page.incarnation, page.last_sequence, page.events, self._clock()
+        )
+
+    def address_of(self, engine_id: str) -> Address | None:
+        """Return an engine's address, None when it isn't known."""
+        profile = self.dispatcher.directory.engines_by_id.get(engine_id)
+        return profile.host.address if profile else None
+
+    def zone_of(self, engine_id: str) -> str:
+        """Return an engine's zone, empty when it isn't known."""
+        profile = self.dispatcher.directory.engines_by_id.get(engine_id)
+        return profile.host.zone if profile else ""
+
+    def hand_over(self, handovers: tuple[Handover, ...]) -> None:
+        """Tell the new owners of engines what this one knew of them."""
+        for handover in handovers:
+            self._spawn(self._send_quietly(handover.to_owner, handover))
+
+    def drop_origin(self, daemon_id: str) -> None:
+        """Free what a daemon held that is gone."""
+        self.dispatcher.drop_origin(daemon_id, self._clock())
+        self._advance()
+
+    # What other daemons ask.
+
+    async def _serve_ask(self, ask: SlotAsk, sender: Identity):
+        request = evolve(
+            ask.request,
+            deadline=self._clock() + ask.remaining_seconds,
+            origin_daemon=sender.daemon_id,
+        )
+        self._metrics.incr("slots.asked_by_peer")
+        return await self._decide(request)
+
+    def _serve_cancel(self, cancel: CancelSlot, sender: Identity) -> None:
+        self._cancel_local(cancel.request_id)
+
+    def _serve_release(self, release: Release, sender: Identity) -> None:
+        self._release_local(release)
+
+    def _serve_held(self, held: HeldGrants, sender: Identity) -> None:
+        named = evolve(held, origin_daemon=sender.daemon_id)
+        self.dispatcher.reconcile(named, self._clock())
+        self._advance()
+
+    def _serve_sum(self, load_sum: LoadSum, sender: Identity) -> None:
+        self.dispatcher.observe_sum(load_sum, self._clock())
+
+    def _serve_handover(self, handover: Handover, sender: Identity) -> None:
+        self.dispatcher.accept(handover, self._clock())
+        self._advance()
+
+    # How it works.
+
+    def _home(self, request: SlotRequest, unreachable: set[str]) -> Home | None:
+        directory = self.dispatcher.directory
+        candidates = directory.candidates(
+            request.workspace, request.chat, request.model
+        )
+        for engine_id in candidates:
+            home = directory.home_at(engine_id)
+            if home is not None and home.owner_id not in unreachable:
+                return home
+        return None
+
+    async def _ask(self, owner_id: str, request: SlotRequest):
+        if owner_id == self.daemon_id:
+            self._metrics.incr("slots.asked_locally")
+            return await self._decide(request)
+        self._metrics.incr("slots.asked_remotely")
+        self._asked_at_by_owner[owner_id] = self._clock()
+        remaining = max(0.0, request.deadline - self._clock())
+        ask = SlotAsk(evolve(request, deadline=0.0), remaining)
+        try:
+            return await self._links.call(owner_id, ask, remaining + 1.0)
+        except (AnswerLost, asyncio.CancelledError):
+            # A grant may be on its way to nobody.
+            self._spawn(self._send_quietly(owner_id, CancelSlot(request.request_id)))
+            raise
+
+    async def _decide(self, request: SlotRequest) -> Grant | Redirect | Refusal:
+        decision = self.dispatcher.request(request, self._clock())
+        if not isinstance(decision, Queued):
+            return decision
+        self._metrics.incr("slots.queued")
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters_by_request[request.request_id] = waiter
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._cancel_local(request.request_id)
+            raise
+        finally:
+            self._waiters_by_request.pop(request.request_id, None)
+
+    def _release_local(self, release: Release) -> None:
+        self.dispatcher.release(release, self._clock())
+        self._advance()
+
+    def _cancel_local(self, request_id: str) -> None:
+        self.dispatcher.cancel(request_id, self._clock())
+        self._advance()
+
+    def _advance(self) -> None:
+        for decision in self.dispatcher.advance(self._clock()):
+            waiter = self._waiters_by_request.get(decision.request_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision)
+            elif isinstance(decision, Grant):
+                # Its caller has left in the meantime.
+                self.dispatcher.cancel(decision.request_id, self._clock())
+
+    def _refused(self, refusal: Refusal) -> Refused:
+        self._metrics.incr(f"policy.refusals.{refusal.reason.value}")
+        exit_ = EXITS_BY_REASON.get(refusal.reason, Exit.ADMISSION_REFUSED)
+        return refuse(
+            exit_,
+            f"no slot: {refusal.reason.value}",
+            retry_after=refusal.retry_after,
+            step="acquire",
+        )
+
+    async def _advance_forever(self) -> None:
+        while True:
+            await asyncio.sleep(ADVANCE_SECONDS)
+            self._advance()
+
+    async def _publish_sums(self) -> None:
+        while True:
+            await asyncio.sleep(SUM_SECONDS)
+            for load_sum in self.dispatcher.sums(self._clock()):
+                self._links.broadcast(load_sum)
+
+    async def _publish_held(self) -> None:
+        while True:
+            await asyncio.sleep(HELD_SECONDS)
+            oldest = self._clock() - OWNER_MEMORY_SECONDS
+            grants_by_owner: dict[str, list[str]] = {
+                owner_id: []
+                for owner_id, asked_at in self._asked_at_by_owner.items()
+                if asked_at > oldest
+            }
+            for grant_id, held in self._held_by_grant.items():
+                if held.owner_id != self.daemon_id:
+                    grants_by_owner.setdefault(held.owner_id, []).append(grant_id)
+            for owner_id, grant_ids in grants_by_owner.items():
+                held_grants = HeldGrants(self.daemon_id, tuple(grant_ids))
+                await self._send_quietly(owner_id, held_grants)
+
+    async def _send_quietly(self, owner_id: str, message) -> None:
+        try:
+            await self._links.send(owner_id, message)
+        except LinkError:
+            self._metrics.incr("links.unsent")
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/owner/fleet.py
@@ -0,0 +1,44 @@
+"""Turn the configuration in force and the membership into policy inputs."""
+
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+from teaselpond_model.configuration import Document, PolicyItem
+from teaselpond_model.contracts import Host
+
+from ..policy import EngineProfile, PolicySettings
+
+SERVING_ROLE = "serve"
+
+
+def build_profiles(
+    document: Document, upstreams_by_id: Mapping[str, Host]
+) -> Iterator[EngineProfile]:
+    """Yield the engines that the document names and the fleet shows."""
+    for pool in document.pools_by_id.values():
+        if pool.role != SERVING_ROLE:
+            continue
+        for host_id in pool.hosts:
+            host = upstreams_by_id.get(host_id)
+            if host is None:
+                continue
+            yield EngineProfile(
+                host=host,
+                model=pool.model,
+                slots=pool.slots,
+                cold_limit=pool.cold_limit,
+                available=document.is_host_in(host_id, host.zone),
+            )
+
+
+def build_settings(policy: PolicyItem) -> PolicySettings:
+    """Return the policy's knobs, as far as the document sets them."""
+    known = {field.name for field in attrs.fields(PolicySettings)}
+    return PolicySettings(
+        **{
+            field.name: getattr(policy, field.name)
+            for field in attrs.fields(PolicyItem)
+            if field.name in known
+        }
+    )
