--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the policy against baselines, in virtual time."""
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/scenarios.py
@@ -0,0 +1,95 @@
+"""Lay out engines, daemons and the faults of a run."""
+
+import enum
+
+from attrs import frozen
+
+from teaselpond.policy import EngineProfile
+from teaselpond_model.contracts import Address, Host, HostKind
+
+from .workload import Surge
+
+SLOTS = 16
+COLD_LIMIT = 2
+MODEL = "assistant"
+TURNS_PER_SLOT_SECOND = 0.27
+
+
+class Fault(enum.Enum):
+    """Name what happens in a run."""
+
+    STEADY = "steady"
+    ZONE = "zone"
+    CHURN = "churn"
+    SURGE = "surge"
+
+
+@frozen
+class Scenario:
+    """Describe one run; times are in seconds of virtual time."""
+
+    fault: Fault
+    engines: int
+    zones: int
+    daemons: int
+    load: float = 0.6
+    seconds: float = 150.0
+    seed: int = 1
+    unequal: bool = False
+
+    @property
+    def first_at(self) -> float:
+        """Return when the fault begins."""
+        return self.seconds / 3
+
+    @property
+    def second_at(self) -> float:
+        """Return when the fault ends."""
+        return 2 * self.seconds / 3
+
+    @property
+    def phases(self) -> dict[str, float]:
+        """Return the starts of the parts of the run."""
+        return {"before": 0.0, "during": self.first_at, "after": self.second_at}
+
+    @property
+    def surge(self) -> Surge:
+        """Return the trace's surge, if there is one."""
+        if self.fault is not Fault.SURGE:
+            return Surge()
+        return Surge("w5", self.first_at, self.second_at, 20.0)
+
+    @property
+    def turns_per_second(self) -> float:
+        """Return the rate that loads all engines as asked."""
+        slots = sum(profile.slots for profile in self.make_engines())
+        return slots * TURNS_PER_SLOT_SECOND * self.load
+
+    def make_engines(self) -> list[EngineProfile]:
+        """Return the engines, dealt over the zones in turn."""
+        return [
+            EngineProfile(
+                Host(
+                    f"engine-{number}",
+                    Address("127.0.0.1", 1),
+                    f"zone-{number % self.zones}",
+                    HostKind.ENGINE,
+                ),
+                MODEL,
+                slots=SLOTS // 2 if self.unequal and number % 3 == 0 else SLOTS,
+                cold_limit=COLD_LIMIT,
+            )
+            for number in range(self.engines)
+        ]
+
+    def make_daemons(self) -> list[Host]:
+        """Return the daemons' hosts, dealt over the zones in turn."""
+        return [
+            Host(
+                f"entry-{number}",
+                Address("127.0.0.1", 1),
+                f"zone-{number % self.zones}",
+                HostKind.ENTRY,
+            )
+            for number in range(self.daemons)
+        ]
