Expect first tokens by the prefills granted before

The owner now adds up the prefills that it grants to each engine; the sum is the expected time and part of the cost of a placement. A workspace's queued requests no longer hold back others.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/baselines.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/baselines.py
@@ -13,7 +13,7 @@
 from .metrics import true_cap
 from .workload import Turn
 
-Chooser = Callable[[Turn, Sequence[VirtualEngine]], VirtualEngine]
+Chooser = Callable[[Turn, Sequence[VirtualEngine]], VirtualEngine | None]
 LOAD_PENALTY_SECONDS = 0.5
 PREFILL_TOKENS_PER_SECOND = 8000.0
 
@@ -76,7 +76,7 @@
     return choose
 
 
-def choose_oracle(turn: Turn, able: Sequence[VirtualEngine]) -> VirtualEngine:
+def choose_oracle(turn: Turn, able: Sequence[VirtualEngine]) -> VirtualEngine | None:
     """Take the cheapest engine below the cap, knowing all without lag."""
 
     def cost(engine: VirtualEngine) -> float:
@@ -89,4 +89,4 @@
         for engine in able
         if engine.in_flight < min(engine.bearable(), true_cap(engine, able))
     ]
-    return min(roomy or able, key=cost)
+    return min(roomy, key=cost, default=None)
--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
@@ -18,14 +18,13 @@
 
 from .daemons import Daemons
 from .engines import Answer, VirtualEngine
-from .runs import ATTEMPTS, World
+from .runs import ATTEMPTS, PATIENCE_SECONDS, World
 from .scenarios import MODEL
 from .workload import Turn, request_prefixes
 
 MESSAGE_SECONDS = 0.002
 ENGINE_SECONDS = 0.001
 LOCATE_SECONDS = 60.0
-PATIENCE_SECONDS = 10.0
 NUMBERS_PER_ATTEMPT = 10_000_000
 _CONVERTER = cattrs.Converter(prefer_attrib_converters=True)
 
--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -125,6 +125,8 @@
 
 
 ATTEMPTS = 3
+PATIENCE_SECONDS = 10.0
+WAIT_SECONDS = 0.05
 
 
 @define
@@ -151,7 +153,10 @@
             for engine in self.world.engines_by_id.values()
             if engine.profile.host.zone not in self._known_out and not engine.is_down
         ]
-        engine = self.choose(turn, able)
+        engine = self.choose(turn, able) if able else None
+        if engine is None:
+            self._wait(turn, attempt)
+            return
         started = self.world.clock.now
 
         def done(answer: Answer) -> None:
@@ -166,3 +171,10 @@
                 self.world.recorder.refuse("failed")
 
         self.world.submit(engine, turn, done)
+
+    def _wait(self, turn: Turn, attempt: int) -> None:
+        clock = self.world.clock
+        if clock.now > turn.at + PATIENCE_SECONDS:
+            self.world.recorder.refuse("no-room")
+            return
+        clock.after(WAIT_SECONDS, lambda: self.serve(turn, attempt))
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -210,7 +210,7 @@
         if is_first and (place := self._known_place(request)) is not None:
             return Redirect(request.request_id, place.owner_id, place.engine_id)
         engine = self._engine_for(pool, request, now)
-        if engine is not None and not self._must_wait(pool, request):
+        if engine is not None and not pool.queue.has_line(request):
             return self._grant(pool, request, engine, now)
         if engine is None and request.attempt < self.settings.attempts_per_request:
             redirect = self._redirect(pool, request, now)
@@ -232,7 +232,7 @@
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> OwnedEngine | None:
         roomy = pool.roomy(request, now)
-        engine = self._placement.choose(request, roomy)
+        engine = self._placement.choose(request, roomy, now)
         if engine is None or not self._over_share(pool, request, now):
             return engine
         return None
@@ -242,9 +242,6 @@
         capacity = pool.capacity(now)
         return not pool.shares.may_take(request.workspace, in_use, capacity)
 
-    def _must_wait(self, pool: ModelPool, request: SlotRequest) -> bool:
-        return pool.queue.ahead_of(request) > 0
-
     def _redirect(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> Redirect | None:
@@ -266,11 +263,13 @@
     def _grant(
         self, pool: ModelPool, request: SlotRequest, engine: OwnedEngine, now: float
     ) -> Grant:
+        cached = self._placement.cached_tokens(request, engine)
         grant, use = self.grants.issue(
             request,
             engine.engine_id,
             URGENCY_BY_CLASS[request.request_class],
-            self._placement.cached_tokens(request, engine),
+            cached,
+            engine.add_prefill(request.prompt_tokens - cached, now),
             now,
         )
         engine.slots.take(use, now)
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -35,6 +35,7 @@
     slots: EngineSlots = field(factory=EngineSlots)
     outliers: OutlierDetector = field(factory=OutlierDetector)
     heard_at: float = float("-inf")
+    prefill_free_at: float = float("-inf")
     _report_sequence: int = -1
     _former: deque[str] = field(factory=lambda: deque(maxlen=FORMER_INCARNATIONS))
 
@@ -77,6 +78,16 @@
         """Return the slots that the engine can bear as warm as it is."""
         return min(self.profile.slots, self.warmup.limit)
 
+    def prefill_wait(self, now: float) -> float:
+        """Return the seconds of granted prefills that are still to do."""
+        return max(0.0, self.prefill_free_at - now)
+
+    def add_prefill(self, tokens: int, now: float) -> float:
+        """Count a granted prefill; return the first token's seconds."""
+        seconds = tokens / self.settings.prefill_tokens_per_second
+        self.prefill_free_at = max(self.prefill_free_at, now) + seconds
+        return self.prefill_free_at - now
+
     def has_room(self, load: FleetLoad) -> bool:
         """Tell whether one more request keeps the engine within its bounds."""
         limit = self.usable_slots()
@@ -167,17 +178,15 @@
             self.outliers.fail(may_eject, self.settings, now)
         elif release.outcome is Outcome.REFUSED_BY_ENGINE:
             self.claim.contest(self.settings.claim_seconds, now)
-        if self._is_slow(release):
+        if self._is_slow(use, release):
             self.warmup.start(ColdReason.SLOW_FIRST_TOKEN, now)
 
-    def _is_slow(self, release: Release) -> bool:
+    def _is_slow(self, use: SlotUse, release: Release) -> bool:
         if release.first_token_seconds is None:
             return False
-        fresh = release.prompt_tokens - release.cached_tokens
-        expected = fresh / self.settings.prefill_tokens_per_second
         bound = max(
             self.settings.slow_first_token_seconds,
-            expected * self.settings.slow_first_token_factor,
+            use.first_token_expected * self.settings.slow_first_token_factor,
         )
         return release.first_token_seconds > bound
 
--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -45,7 +45,7 @@
     settings: PolicySettings
 
     def choose(
-        self, request: SlotRequest, roomy: Sequence[OwnedEngine]
+        self, request: SlotRequest, roomy: Sequence[OwnedEngine], now: float
     ) -> OwnedEngine | None:
         """Return the cheapest engine that has room, None without one."""
         if not roomy:
@@ -58,7 +58,7 @@
         return min(
             roomy,
             key=lambda engine: (
-                self._cost(request, engine, prefixes, home),
+                self._cost(request, engine, prefixes, home, now),
                 engine.engine_id,
             ),
         )
@@ -101,10 +101,12 @@
         engine: OwnedEngine,
         prefixes: Sequence[int],
         home: str,
+        now: float,
     ) -> float:
         cached = min(request.prompt_tokens, engine.prefixes.cached_tokens(prefixes))
         reading = request.prompt_tokens - cached
         seconds = reading / self.settings.prefill_tokens_per_second
+        seconds += engine.prefill_wait(now)
         seconds += (
             FULL_ENGINE_WAIT_SECONDS
             * engine.slots.in_flight
--- a/packages/teaselpond/src/teaselpond/policy/queue.py
+++ b/packages/teaselpond/src/teaselpond/policy/queue.py
@@ -100,6 +100,10 @@
             for line in lines.values()
         )
 
+    def has_line(self, request: SlotRequest) -> bool:
+        """Tell whether requests of the same class and workspace wait."""
+        return request.workspace in self._lines.get(request.request_class, {})
+
     def least_urgent(self) -> Waiting | None:
         """Return the last request of the least urgent class."""
         return max(
--- a/packages/teaselpond/src/teaselpond/policy/slots.py
+++ b/packages/teaselpond/src/teaselpond/policy/slots.py
@@ -20,7 +20,7 @@
     request: SlotRequest
     engine_id: str
     granted_at: float
-    cold: bool = False
+    first_token_expected: float = 0.0
 
 
 @frozen
