--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
@@ -69,6 +69,16 @@
         """Start the daemons."""
         self.daemons = Daemons(self.world, self.settings, self._advance)
         self.daemons.start()
+        self.world.ejected = self._ejected
+
+    def _ejected(self) -> set[str]:
+        now = self.world.clock.now
+        return {
+            engine_id
+            for dispatcher in self.daemons.dispatchers_by_id.values()
+            for engine_id, engine in dispatcher.engines.by_id.items()
+            if engine.outliers.is_ejected(now)
+        }
 
     def leaked_slots(self) -> int:
         """Return the grants that are still open."""
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -59,7 +59,7 @@
         own = self.own_load(now)
         others = self.sums.total(now)
         return FleetLoad(
-            own.in_flight + others.in_flight,
+            own.in_flight + int(others.in_flight * (1 - self.settings.sum_discount)),
             own.slots + others.slots,
             own.engines + others.engines,
             own.ejected + others.ejected,
