Hold back surging workspaces by dynamic thresholds

An engine is cold by a second slow answer, or by a slow one without the expected cache: one slow answer behind urgent prefills had cut a warm engine to its cold limit.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -45,12 +45,17 @@
         return self.scenario.seconds
 
     def able(self) -> list[VirtualEngine]:
-        """Return the engines in service that run and are not ejected."""
+        """Return the engines in service that run and are not ejected.
+
+        A zone counts until the daemons must know that it is out.
+        """
         ejected = self.ejected()
+        notice = self.clock.now - ZONE_NOTICE_SECONDS
+        known_out = {zone for zone, at in self.zones_out.items() if at <= notice}
         return [
             engine
             for engine_id, engine in self.engines_by_id.items()
-            if engine.profile.host.zone not in self.zones_out
+            if engine.profile.host.zone not in known_out
             and not engine.is_down
             and engine_id not in ejected
         ]
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -238,9 +238,9 @@
         return None
 
     def _over_share(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        in_use = pool.in_use()
-        capacity = pool.capacity(now)
-        return not pool.shares.may_take(request.workspace, in_use, capacity)
+        free = pool.capacity(now) - pool.in_use()
+        factor = self.settings.share_factor
+        return not pool.shares.may_take(request.workspace, free, factor)
 
     def _redirect(
         self, pool: ModelPool, request: SlotRequest, now: float
@@ -296,13 +296,22 @@
         if len(pool.queue) < room:
             return True
         last = pool.queue.least_urgent()
-        if last is None or last.urgency <= URGENCY_BY_CLASS[request.request_class]:
+        if last is None or not self._goes_before(pool, request, last):
             return False
         pool.queue.remove(last.request.request_id)
         wait = pool.wait_seconds(len(pool.queue), now)
         self._shed.append(self._refuse(last.request, RefusalReason.SHED, wait))
         return True
 
+    def _goes_before(
+        self, pool: ModelPool, request: SlotRequest, last: Waiting
+    ) -> bool:
+        urgency = URGENCY_BY_CLASS[request.request_class]
+        if urgency != last.urgency:
+            return urgency < last.urgency
+        length = pool.queue.line_length(request)
+        return length + 1 < pool.queue.line_length(last.request)
+
     def _drain(self, pool: ModelPool, now: float) -> list[Grant]:
         grants: list[Grant] = []
         granted = True
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -9,7 +9,7 @@
 
 from .cap import FleetLoad, load_cap
 from .claims import Claim, ClaimState
-from .messages import Handover, Outcome, Release
+from .messages import Handover, Outcome, Release, RequestClass
 from .outliers import OutlierDetector
 from .prefixes import PrefixIndex
 from .profiles import EngineProfile
@@ -21,6 +21,9 @@
 BLOCK_TOKENS = 16
 FORMER_INCARNATIONS = 8
 FOREIGN_TOLERANCE = 1
+SLOW_ANSWERS = 2
+# Engines push the prefills of these back behind more urgent ones.
+PATIENT_CLASSES = frozenset({RequestClass.LABEL, RequestClass.PLAN})
 
 
 @define
@@ -36,6 +39,7 @@
     outliers: OutlierDetector = field(factory=OutlierDetector)
     heard_at: float = float("-inf")
     prefill_free_at: float = float("-inf")
+    _slow_answers: int = 0
     _report_sequence: int = -1
     _former: deque[str] = field(factory=lambda: deque(maxlen=FORMER_INCARNATIONS))
 
@@ -178,7 +182,18 @@
             self.outliers.fail(may_eject, self.settings, now)
         elif release.outcome is Outcome.REFUSED_BY_ENGINE:
             self.claim.contest(self.settings.claim_seconds, now)
-        if self._is_slow(use, release):
+        if use.request.request_class not in PATIENT_CLASSES:
+            self._judge_first_token(use, release, now)
+
+    def _judge_first_token(self, use: SlotUse, release: Release, now: float) -> None:
+        """Start cold at the second slow answer, or at one without cache."""
+        if not self._is_slow(use, release):
+            self._slow_answers = 0
+            return
+        self._slow_answers += 1
+        has_lost_cache = use.cached_expected > 0 and release.cached_tokens == 0
+        if has_lost_cache or self._slow_answers >= SLOW_ANSWERS:
+            self._slow_answers = 0
             self.warmup.start(ColdReason.SLOW_FIRST_TOKEN, now)
 
     def _is_slow(self, use: SlotUse, release: Release) -> bool:
--- a/packages/teaselpond/src/teaselpond/policy/grants.py
+++ b/packages/teaselpond/src/teaselpond/policy/grants.py
@@ -34,7 +34,9 @@
         """Write down a new grant."""
         grant_id = f"{self.prefix}.{next(self._numbers)}"
         grant = Grant(grant_id, request.request_id, engine_id, priority, cached_tokens)
-        use = SlotUse(grant_id, request, engine_id, now, first_token_expected)
+        use = SlotUse(
+            grant_id, request, engine_id, now, first_token_expected, cached_tokens
+        )
         self._uses_by_grant[grant_id] = use
         self._grants_by_request[request.request_id] = grant
         self._grants_by_origin.setdefault(request.origin_daemon, set()).add(grant_id)
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -35,7 +35,7 @@
             model,
             settings,
             RequestQueue(settings.ageing_seconds),
-            WorkspaceShares(settings.workspace_share, settings.share_threshold),
+            WorkspaceShares(),
             SumTable(settings.sum_stale_seconds),
         )
 
--- a/packages/teaselpond/src/teaselpond/policy/queue.py
+++ b/packages/teaselpond/src/teaselpond/policy/queue.py
@@ -102,12 +102,17 @@
 
     def has_line(self, request: SlotRequest) -> bool:
         """Tell whether requests of the same class and workspace wait."""
-        return request.workspace in self._lines.get(request.request_class, {})
+        return self.line_length(request) > 0
 
     def least_urgent(self) -> Waiting | None:
-        """Return the last request of the least urgent class."""
-        return max(
-            self._waiting_by_id.values(),
-            key=lambda waiting: (waiting.urgency, waiting.since),
-            default=None,
-        )
+        """Return the last request of the least urgent class's longest line."""
+        for request_class in reversed(RequestClass):
+            lines = self._lines.get(request_class)
+            if lines:
+                return max(lines.values(), key=len)[-1]
+        return None
+
+    def line_length(self, request: SlotRequest) -> int:
+        """Return how many requests of the same class and workspace wait."""
+        lines = self._lines.get(request.request_class, {})
+        return len(lines.get(request.workspace, ()))
--- a/packages/teaselpond/src/teaselpond/policy/settings.py
+++ b/packages/teaselpond/src/teaselpond/policy/settings.py
@@ -14,7 +14,7 @@
     load_multiple: float = 1.25
     load_floor: int = 2
     sum_stale_seconds: float = 5.0
-    sum_discount: float = 0.0
+    sum_discount: float = 0.03
     # Change of owner
     claim_wait_seconds: float = 2.0
     claim_seconds: float = 10.0
@@ -27,8 +27,7 @@
     # Queue
     queue_per_slot: float = 2.0
     ageing_seconds: float = 2.0
-    workspace_share: float = 0.5
-    share_threshold: float = 0.7
+    share_factor: float = 2.0
     # Placement
     prefix_entries_per_engine: int = 4096
     displaced_chats: int = 4096
--- a/packages/teaselpond/src/teaselpond/policy/shares.py
+++ b/packages/teaselpond/src/teaselpond/policy/shares.py
@@ -9,16 +9,20 @@
 
 @define
 class WorkspaceShares:
-    """Count slots by workspace and bound the share of each under load."""
+    """Bound each workspace's slots by a multiple of those that are free.
+
+    These are the dynamic thresholds of Choudhury and Hahne (1998) for shared
+    buffers: a workspace that surges leaves some slots free for the others,
+    and no share has to be set beforehand.
+    """
 
-    share: float
-    threshold: float
     in_use_by_workspace: Counter[str] = field(factory=Counter)
     _seen_at_by_workspace: dict[str, float] = field(factory=dict)
 
     def see(self, workspace: str, now: float) -> None:
         """Note that a workspace is active."""
         self._seen_at_by_workspace.pop(workspace, None)
+        # The one seen longest ago stands first.
         self._seen_at_by_workspace[workspace] = now
         oldest = next(iter(self._seen_at_by_workspace))
         if self._seen_at_by_workspace[oldest] < now - RECENT_SECONDS:
@@ -34,12 +38,11 @@
         if self.in_use_by_workspace[workspace] <= 0:
             del self.in_use_by_workspace[workspace]
 
-    def may_take(self, workspace: str, in_use: int, limit: int) -> bool:
-        """Tell whether a workspace may take one more of the slots.
+    def may_take(self, workspace: str, free: int, factor: float) -> bool:
+        """Tell whether a workspace may take one more of the free slots.
 
-        Below the threshold, or when it has been alone lately, it may.
+        One that has been alone lately may take all of them.
         """
-        if len(self._seen_at_by_workspace) <= 1 or in_use < self.threshold * limit:
+        if len(self._seen_at_by_workspace) <= 1:
             return True
-        allowed = max(1, int(self.share * limit))
-        return self.in_use_by_workspace[workspace] < allowed
+        return self.in_use_by_workspace[workspace] < factor * free
--- a/packages/teaselpond/src/teaselpond/policy/slots.py
+++ b/packages/teaselpond/src/teaselpond/policy/slots.py
@@ -21,6 +21,7 @@
     engine_id: str
     granted_at: float
     first_token_expected: float = 0.0
+    cached_expected: int = 0
 
 
 @frozen
