Place new chats below the mean

A chat without a place costs the same anywhere, so it goes to the first candidate below the mean instead of the first below the cap; fewer engines then stand at the cap when returning chats come.

--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -209,19 +209,34 @@
         is_first = request.attempt == 1
         if is_first and (place := self._known_place(request)) is not None:
             return Redirect(request.request_id, place.owner_id, place.engine_id)
+        if is_first and self._placement.is_new(request, pool):
+            decision = self._spread(pool, request, now)
+            if decision is not None:
+                return decision
         engine = self._engine_for(pool, request, now)
         if engine is not None and not pool.queue.has_line(request):
             return self._grant(pool, request, engine, now)
         if engine is None and request.attempt < self.settings.attempts_per_request:
-            redirect = self._redirect(pool, request, now)
+            redirect = self._redirect(pool, request, self.settings.load_multiple, now)
             if redirect is not None:
                 return redirect
         return self._enqueue(pool, request, now)
 
+    def _spread(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Redirect | None:
+        """Send a new chat to an owner below the mean, when this one is not."""
+        multiple = self.settings.new_chat_multiple
+        if pool.roomy(request, multiple, now):
+            return None
+        return self._redirect(pool, request, multiple, now)
+
     def _known_place(self, request: SlotRequest):
         engine_id = self._displaced.place(request.workspace, request.chat)
         profile = self.directory.engines_by_id.get(engine_id)
-        if profile is None or not profile.takes_work or engine_id in request.excluded:
+        if request.hint_engine or profile is None:
+            return None
+        if not profile.takes_work or engine_id in request.excluded:
             return None
         home = self.directory.home_at(engine_id)
         if home is None or home.owner_id == self.daemon_id:
@@ -231,7 +246,7 @@
     def _engine_for(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> OwnedEngine | None:
-        roomy = pool.roomy(request, now)
+        roomy = pool.roomy(request, self.settings.load_multiple, now)
         engine = self._placement.choose(request, roomy, now)
         if engine is None or not self._over_share(pool, request, now):
             return engine
@@ -243,9 +258,9 @@
         return not pool.shares.may_take(request.workspace, free, factor)
 
     def _redirect(
-        self, pool: ModelPool, request: SlotRequest, now: float
+        self, pool: ModelPool, request: SlotRequest, multiple: float, now: float
     ) -> Redirect | None:
-        place = self._placement.elsewhere(request, pool, self.daemon_id, now)
+        place = self._placement.elsewhere(request, pool, self.daemon_id, multiple, now)
         if place is None:
             place = self._waiting_place(pool)
         if place is None:
@@ -346,7 +361,7 @@
         """Send a queued request to an owner that has room by now."""
         if request.attempt >= self.settings.attempts_per_request:
             return None
-        redirect = self._redirect(pool, request, now)
+        redirect = self._redirect(pool, request, self.settings.load_multiple, now)
         if redirect is not None:
             pool.queue.remove(request.request_id)
         return redirect
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -92,11 +92,13 @@
         self.prefill_free_at = max(self.prefill_free_at, now) + seconds
         return self.prefill_free_at - now
 
-    def has_room(self, load: FleetLoad) -> bool:
-        """Tell whether one more request keeps the engine within its bounds."""
+    def has_room(self, load: FleetLoad, multiple: float) -> bool:
+        """Tell whether one more request keeps the engine within its bounds.
+
+        The multiple of the mean is the cap's, or a lower one.
+        """
         limit = self.usable_slots()
-        settings = self.settings
-        cap = load_cap(load, limit, settings.load_multiple, settings.load_floor)
+        cap = load_cap(load, limit, multiple, self.settings.load_floor)
         limit = min(limit, cap)
         own = len(self.slots.uses_by_grant)
         return self.slots.in_flight < limit and own < self.claim.limit(limit)
--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -15,6 +15,8 @@
 # A load difference of a whole engine counts as much as this wait.
 FULL_ENGINE_WAIT_SECONDS = 0.5
 DISPLACEMENT_SECONDS = 0.25
+# A returning chat finds more of its prompt than a shared prefix covers.
+KNOWN_PROMPT_SHARE = 0.8
 
 
 @define
@@ -68,8 +70,23 @@
         prefixes = (int(prefix, 16) for prefix in reversed(request.prefixes))
         return min(request.prompt_tokens, engine.prefixes.cached_tokens(prefixes))
 
+    def is_new(self, request: SlotRequest, pool: ModelPool) -> bool:
+        """Tell whether a chat has no place yet, as far as this owner knows."""
+        if request.hint_engine:
+            return False
+        cached = (
+            self.cached_tokens(request, engine)
+            for engine in pool.engines_by_id.values()
+        )
+        return max(cached, default=0) < KNOWN_PROMPT_SHARE * request.prompt_tokens
+
     def elsewhere(
-        self, request: SlotRequest, pool: ModelPool, owner_id: str, now: float
+        self,
+        request: SlotRequest,
+        pool: ModelPool,
+        owner_id: str,
+        multiple: float,
+        now: float,
     ) -> Home | None:
         """Return another owner whose engines are likely to have room."""
         load = pool.fleet_load(now)
@@ -82,18 +99,23 @@
                 continue
             if engine_id in request.excluded:
                 continue
-            if self._free_slots(pool, place.owner_id, load, now) >= 1.0:
+            if self._free_slots(pool, place.owner_id, load, multiple, now) >= 1.0:
                 return place
         return None
 
     def _free_slots(
-        self, pool: ModelPool, owner_id: str, load: FleetLoad, now: float
+        self,
+        pool: ModelPool,
+        owner_id: str,
+        load: FleetLoad,
+        multiple: float,
+        now: float,
     ) -> float:
         sums = pool.sums.of_owner(owner_id, now)
         slots = sum(load_sum.slots for load_sum in sums)
         in_flight = sum(load_sum.in_flight for load_sum in sums)
         mean = load.in_flight / max(1, load.slots)
-        return min(slots, self.settings.load_multiple * mean * slots) - in_flight
+        return min(slots, multiple * mean * slots) - in_flight
 
     def _cost(
         self,
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -65,13 +65,16 @@
             own.ejected + others.ejected,
         )
 
-    def roomy(self, request: SlotRequest, now: float) -> list[OwnedEngine]:
-        """Return the engines that have room for a request."""
+    def roomy(
+        self, request: SlotRequest, multiple: float, now: float
+    ) -> list[OwnedEngine]:
+        """Return the engines that have room for a request below a multiple."""
         load = self.fleet_load(now)
         return [
             engine
             for engine in self.able(now)
-            if engine.has_room(load) and engine.engine_id not in request.excluded
+            if engine.has_room(load, multiple)
+            and engine.engine_id not in request.excluded
         ]
 
     def capacity(self, now: float) -> int:
--- a/packages/teaselpond/src/teaselpond/policy/settings.py
+++ b/packages/teaselpond/src/teaselpond/policy/settings.py
@@ -30,6 +30,7 @@
     share_factor: float = 2.0
     # Placement
     prefix_entries_per_engine: int = 4096
+    new_chat_multiple: float = 1.0
     displaced_chats: int = 4096
     attempts_per_request: int = 3
     # Retries and outliers
