Keep a chat at its engine while daemons start, and be ready only then

Cause: a chat's second turn went to another engine. A request that was passed on did not say which engine had been chosen, and a daemon called itself ready before it had heard of the listed daemons, so that two turns had two owners. Ruled out: the engines' cache events (the prefix was held where turn one ran). Change: a redirect names its engine, callers may hand the last engine back (X-Affinity, a hint that the owner checks), readiness waits for listed daemons.

--- a/packages/teaselpond-standins/src/teaselpond_standins/demo/report.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/demo/report.py
@@ -1,5 +1,7 @@
 """Print what a demo did and whether it held."""
 
+import time
+
 from ..fleet import Fleet
 
 
@@ -9,6 +11,7 @@
     def __init__(self) -> None:
         self.checks = 0
         self.failures = 0
+        self._started_at = time.monotonic()
 
     @property
     def held(self) -> bool:
@@ -17,7 +20,8 @@
 
     def title(self, text: str) -> None:
         """Print the heading of a step."""
-        print(f"\n{text}", flush=True)
+        elapsed = time.monotonic() - self._started_at
+        print(f"\n{text}  [{elapsed:.1f} s]", flush=True)
 
     def tell(self, text: str) -> None:
         """Print one line of what happened."""
--- a/packages/teaselpond-standins/src/teaselpond_standins/fleet/caller.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/fleet/caller.py
@@ -47,6 +47,7 @@
         self.session = session
         self.addresses = addresses
         self.workspace = workspace
+        self.affinity_by_chat: dict[str, str] = {}
 
     async def locate(self, chat: str = "") -> dict[str, Any]:
         """Ask any daemon which addresses to use."""
@@ -69,6 +70,8 @@
         state = StreamState()
         request = {"model": "fitting", "messages": messages, "stream": True, **body}
         headers = {"X-Chat": chat}
+        if chat in self.affinity_by_chat:
+            headers["X-Affinity"] = self.affinity_by_chat[chat]
         error: Exception | None = None
         for _attempt in range(ATTEMPTS):
             for address in await self._addresses(chat):
@@ -80,6 +83,7 @@
                     error = caught
                     continue
                 if answer is not None:
+                    self.affinity_by_chat[chat] = answer.headers.get("X-Affinity", "")
                     return answer
             await asyncio.sleep(RETRY_SECONDS)
         raise CallFailed(f"chat {chat} has no whole answer: {error}", step="chat")
--- a/packages/teaselpond/src/teaselpond/entry/health.py
+++ b/packages/teaselpond/src/teaselpond/entry/health.py
@@ -3,9 +3,10 @@
 from aiohttp import web
 
 from ..delivery.drain import Phase
+from ..membership import DaemonState
 from .context import EntryContext
 
-LONE_DAEMON_SECONDS = 5.0
+STRANGERS_SECONDS = 5.0
 
 
 class HealthViews:
@@ -37,8 +38,9 @@
         )
 
     def _knows_fleet(self, now: float) -> bool:
-        # A daemon that is alone in the fleet waits in vain for a link.
-        return (
-            len(self.context.fleet.membership.usable_daemons()) > 1
-            or now - self._started_at > LONE_DAEMON_SECONDS
-        )
+        # Daemons that are listed and were never heard of may be gone.
+        if now - self._started_at > STRANGERS_SECONDS:
+            return True
+        daemons = self.context.fleet.membership.daemons_by_id.values()
+        strangers = [each for each in daemons if each.state is DaemonState.LISTED]
+        return len(daemons) > 1 and not strangers
--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -131,6 +131,8 @@
                 return decision
             if isinstance(decision, Refusal):
                 raise self._refused(decision)
+            # The next owner keeps the chat at the engine that was chosen.
+            request = evolve(request, hint_engine=decision.engine_id)
             home = Home(decision.engine_id, decision.owner_id)
         raise refuse(Exit.ADMISSION_REFUSED, retry_after=1.0, step="acquire")
 
@@ -220,12 +222,25 @@
         candidates = directory.candidates(
             request.workspace, request.chat, request.model
         )
-        for engine_id in candidates:
+        for engine_id in itertools.chain(self._hinted(request), candidates):
             home = directory.home_at(engine_id)
             if home is not None and home.owner_id not in unreachable:
                 return home
         return None
 
+    def _hinted(self, request: SlotRequest) -> tuple[str, ...]:
+        # The hint comes from the caller: it may choose among engines that
+        # could serve the request anyway, and the owner still decides.
+        profile = self.dispatcher.directory.engines_by_id.get(request.hint_engine)
+        if (
+            profile is None
+            or profile.model != request.model
+            or not profile.takes_work
+            or request.hint_engine in request.excluded
+        ):
+            return ()
+        return (request.hint_engine,)
+
     async def _ask(self, owner_id: str, request: SlotRequest):
         if owner_id == self.daemon_id:
             self._metrics.incr("slots.asked_locally")
