Add the drill: a real fleet under seeded faults, judged from outside

The promises hold or not for the whole fleet under many faults at once, so they are judged by the upstreams' and the callers' own records, never by what a daemon says of itself.

Ruled out: judging load against the plain mean of all engines: an engine that was crashed, paused, spoilt or out shortly before may take no work, so that the mean of the others is the bound; and keeping callers' connections, which would blame a planned stop for a reuse.

Before: nothing.

--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/drill.py
@@ -0,0 +1,21 @@
+"""Run a drill from the command line."""
+
+import asyncio
+import sys
+
+from ..drill import Drill, DrillPlan
+
+
+class DrillCommand:
+    """Soak a fleet under seeded faults and judge its promises."""
+
+    name = "drill"
+
+    def __call__(
+        self, seed: int = 1, seconds: float = 60.0, mean_gap_seconds: float = 2.0
+    ) -> None:
+        """Run a drill; exit 0 only when every promise held."""
+        drill = Drill(DrillPlan(seed, seconds, mean_gap_seconds))
+        verdicts = asyncio.run(drill.run())
+        held = all(verdict.held for verdict in verdicts)
+        sys.exit(0 if held and not drill.records.failures else 1)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/callers.py
@@ -0,0 +1,250 @@
+"""Ask for work as callers do, in loops that end with the drill."""
+
+import asyncio
+import itertools
+import json
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from attrs import define, evolve, field
+
+from ..engine import expected_answer
+from ..fleet.document import MODEL, ORDER_SERVICE, STOCK_SERVICE, WORKSPACES
+from .calling import Call, Client, PartialAnswer
+from .records import Attempt, DrillRecords, Ending, Work, WorkKind
+
+CHATS = 12
+MAX_TURNS = 4
+THINK_SECONDS = 0.5
+RETRY_SECONDS = 0.4
+RETRY_LIMIT_SECONDS = 2.0
+GIVE_UP_SECONDS = 60.0
+RESUMPTIONS = 4
+PLAN_POLL_SECONDS = 0.5
+ORDER_REPEAT_SHARE = 0.3
+CHAT_PATH = "/v1/chat/completions"
+
+
+@define(eq=False)
+class Callers:
+    """Hold what all the callers of a drill share."""
+
+    client: Client
+    records: DrillRecords
+    addresses: Callable[[], Sequence[str]]
+    seed: int
+    ends_at: float
+    _numbers: itertools.count = field(factory=itertools.count)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether no new work is asked for."""
+        return time.time() >= self.ends_at
+
+    def new_work(self, kind: WorkKind) -> Work:
+        """Return a new piece of work, recorded."""
+        work = Work(kind, f"{kind.value}-{next(self._numbers)}")
+        self.records.work.append(work)
+        return work
+
+    async def hold_chats(self, number: int) -> None:
+        """Hold chats that return, turn by turn."""
+        source = random.Random(f"chat-{self.seed}-{number}")
+        turns_by_chat: dict[str, list[dict[str, str]]] = {}
+        while not self.is_over:
+            chat = f"{number}-{source.randrange(CHATS)}"
+            messages = turns_by_chat.setdefault(chat, [])
+            if len(messages) >= 2 * MAX_TURNS:
+                messages.clear()
+            words = source.randint(5, 100)
+            text = f"{chat} " + "scan " * source.randint(10, 150) + f"words:{words}"
+            messages.append({"role": "user", "content": text})
+            work = self.new_work(WorkKind.CHAT)
+            await self._chat(work, chat, messages, source)
+            answer = {"role": "assistant", "content": work.expected}
+            messages.append(answer)
+            await asyncio.sleep(source.uniform(0, 2 * THINK_SECONDS))
+
+    async def send_labels(self, number: int) -> None:
+        """Ask for short answers that are not streamed."""
+        source = random.Random(f"label-{self.seed}-{number}")
+        while not self.is_over:
+            work = self.new_work(WorkKind.LABEL)
+            messages = [{"role": "user", "content": f"label {work.work_id} words:3"}]
+            work.expected = expected_answer(messages)
+            call = self._chat_call(work, source, messages, {"X-Class": "label"})
+            await self._repeat(work, call, _read_answer)
+            await asyncio.sleep(source.uniform(0, 2 * THINK_SECONDS))
+
+    async def place_orders(self, number: int) -> None:
+        """Place orders, some of them again after they were confirmed."""
+        source = random.Random(f"order-{self.seed}-{number}")
+        while not self.is_over:
+            work = self.new_work(WorkKind.ORDER)
+            call = Call(
+                "POST",
+                f"/v1/services/{ORDER_SERVICE}/orders",
+                "",
+                WORKSPACES[0],
+                {"Idempotency-Key": work.work_id},
+                {"shell": work.work_id},
+            )
+            await self._repeat(work, call, str, ends_unsure=True)
+            if work.result is not None and source.random() < ORDER_REPEAT_SHARE:
+                await self._try_once(work, call, 0)
+            await asyncio.sleep(source.uniform(0, 2 * THINK_SECONDS))
+
+    async def look_up(self, number: int) -> None:
+        """Look stock up, which may be repeated."""
+        source = random.Random(f"lookup-{self.seed}-{number}")
+        while not self.is_over:
+            work = self.new_work(WorkKind.LOOKUP)
+            path = f"/v1/services/{STOCK_SERVICE}/shells/{work.work_id}"
+            call = Call("GET", path, "", source.choice(WORKSPACES), {})
+            await self._repeat(work, call, str)
+            await asyncio.sleep(source.uniform(0, 2 * THINK_SECONDS))
+
+    async def submit_plans(self, number: int) -> None:
+        """Submit fitting plans and wait for each."""
+        source = random.Random(f"plan-{self.seed}-{number}")
+        while not self.is_over:
+            work = self.new_work(WorkKind.PLAN)
+            words = source.randint(30, 80)
+            text = f"{work.work_id} " + "pressure " * 200 + f"words:{words}"
+            messages = [{"role": "user", "content": text}]
+            work.expected = expected_answer(messages)
+            headers = {"Idempotency-Key": work.work_id}
+            body = {"model": MODEL, "messages": messages}
+            call = Call("POST", "/v1/jobs", "", WORKSPACES[1], headers, body)
+            accepted = await self._repeat(work, call, lambda _: None)
+            if accepted is not None:
+                work.accepted = True
+                await self._await_plan(work, json.loads(accepted.text)["job_id"])
+            await asyncio.sleep(source.uniform(0, 4 * THINK_SECONDS))
+
+    async def send_poison(self, word: str, times: int) -> None:
+        """Send a poison request again and again, to daemons in turn."""
+        work = self.new_work(WorkKind.POISON)
+        messages = [{"role": "user", "content": f"{word} words:5"}]
+        call = self._chat_call(work, random.Random(word), messages, {})
+        for number in range(times):
+            await self._try_once(work, call, number)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _chat_call(
+        self,
+        work: Work,
+        source: random.Random,
+        messages: list[dict[str, str]],
+        headers: dict[str, str],
+        **body: Any,
+    ) -> Call:
+        body = {"model": MODEL, "messages": list(messages), **body}
+        return Call("POST", CHAT_PATH, "", source.choice(WORKSPACES), headers, body)
+
+    async def _chat(
+        self,
+        work: Work,
+        chat: str,
+        messages: list[dict[str, str]],
+        source: random.Random,
+    ) -> None:
+        work.expected = expected_answer(messages)
+        headers = {"X-Chat": chat}
+        call = self._chat_call(work, source, messages, headers, stream=True)
+        give_up = time.time() + GIVE_UP_SECONDS
+        while time.time() < give_up:
+            partial = PartialAnswer()
+            attempt = await self._stream(work, call, partial, chat)
+            if attempt is not None and partial.is_whole:
+                work.result = partial.text
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+        work.gave_up = True
+
+    async def _stream(
+        self, work: Work, call: Call, partial: PartialAnswer, chat: str
+    ) -> Attempt | None:
+        """Ask once, and resume on other daemons while the stream is cut."""
+        attempt = None
+        for number in range(1 + RESUMPTIONS):
+            address = await self._address(call.workspace, chat, number)
+            if address is None:
+                return attempt
+            call = evolve(call, request_id=_attempt_id(work))
+            if partial.last_event_id:
+                headers = {**call.headers, "Last-Event-ID": partial.last_event_id}
+                call = evolve(call, headers=headers)
+            attempt = await self.client.stream(address, call, partial)
+            work.attempts.append(attempt)
+            if partial.is_whole or not partial.last_event_id:
+                return attempt
+            await asyncio.sleep(RETRY_SECONDS)
+        return attempt
+
+    async def _repeat(
+        self,
+        work: Work,
+        call: Call,
+        read: Callable[[str], str | None],
+        *,
+        ends_unsure: bool = False,
+    ) -> Attempt | None:
+        """Try until answered, or until it may have run when that ends it."""
+        give_up = time.time() + GIVE_UP_SECONDS
+        for number in itertools.count():
+            if time.time() >= give_up:
+                break
+            attempt = await self._try_once(work, call, number)
+            if attempt is not None and attempt.ending is Ending.WHOLE:
+                work.result = read(attempt.text)
+                # What a caller is shown is the text within the answer.
+                work.attempts[-1] = evolve(attempt, text=work.result or "")
+                return attempt
+            if ends_unsure and attempt is not None and attempt.run in UNSURE_RUNS:
+                break
+            await asyncio.sleep(min(RETRY_SECONDS * (number + 1), RETRY_LIMIT_SECONDS))
+        work.gave_up = True
+        return None
+
+    async def _try_once(self, work: Work, call: Call, number: int) -> Attempt | None:
+        address = await self._address(call.workspace, "", number)
+        if address is None:
+            return None
+        call = evolve(call, request_id=_attempt_id(work))
+        attempt = await self.client.attempt(address, call)
+        work.attempts.append(attempt)
+        return attempt
+
+    async def _address(self, workspace: str, chat: str, number: int) -> str | None:
+        addresses = await self.client.locate(self.addresses(), workspace, chat)
+        return addresses[number % len(addresses)] if addresses else None
+
+    async def _await_plan(self, work: Work, job_id: str) -> None:
+        give_up = time.time() + 2 * GIVE_UP_SECONDS
+        while time.time() < give_up:
+            call = Call("GET", f"/v1/jobs/{job_id}", "", WORKSPACES[1], {})
+            address = await self._address(call.workspace, "", 0)
+            if address is not None:
+                attempt = await self.client.attempt(address, call)
+                state = json.loads(attempt.text) if attempt.text else {}
+                if state.get("state") == "done":
+                    work.result = _read_answer(json.dumps(state["result"]))
+                    return
+                if state.get("state") == "failed":
+                    work.result = f"failed: {state.get('reason')}"
+                    return
+            await asyncio.sleep(PLAN_POLL_SECONDS)
+
+
+UNSURE_RUNS = frozenset({"may-have-run", "ran"})
+
+
+def _attempt_id(work: Work) -> str:
+    return f"{work.work_id}.{len(work.attempts) + 1}"
+
+
+def _read_answer(text: str) -> str:
+    return json.loads(text)["choices"][0]["message"]["content"]
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/calling.py
@@ -0,0 +1,204 @@
+"""Make one attempt of a call, and tell exactly how it ended."""
+
+import json
+import time
+from collections.abc import Sequence
+from contextlib import AbstractAsyncContextManager
+from typing import Any
+
+import aiohttp
+from attrs import define, frozen
+
+from .records import Attempt, Ending
+
+SILENT_SECONDS = 12.0
+CONNECT_SECONDS = 2.0
+CALL_SECONDS = 60.0
+LOCATE_SECONDS = 2.0
+END_OF_STREAM = "[DONE]"
+
+UNSENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+CUT_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError)
+
+
+@frozen
+class Call:
+    """Describe a request to any daemon."""
+
+    method: str
+    path: str
+    request_id: str
+    workspace: str
+    headers: dict[str, str]
+    body: dict[str, Any] | None = None
+
+
+@define
+class PartialAnswer:
+    """Hold what a caller has of a streamed answer."""
+
+    text: str = ""
+    last_event_id: str = ""
+    is_whole: bool = False
+    problem: dict[str, Any] | None = None
+    _event: str = ""
+
+    def read_line(self, line: str) -> None:
+        """Take one line of a stream; raise ValueError for rubbish."""
+        name, _, value = line.partition(":")
+        value = value.strip()
+        if not line:
+            self._event = ""
+        elif name == "id":
+            self.last_event_id = value
+        elif name == "event":
+            self._event = value
+        elif name == "data":
+            self._read_data(value)
+
+    def _read_data(self, data: str) -> None:
+        if data == END_OF_STREAM:
+            self.is_whole = True
+            return
+        content = json.loads(data)
+        if self._event == "error":
+            self.problem = content
+            return
+        for choice in content.get("choices", ()):
+            self.text += choice.get("delta", {}).get("content") or ""
+
+
+@define(eq=False)
+class Client:
+    """Call daemons on fresh connections, as a caller that keeps none."""
+
+    session: aiohttp.ClientSession
+
+    @classmethod
+    def open(cls) -> "Client":
+        """Return a client; call inside a running loop."""
+        # Connections that are kept would blame a stop for what is a reuse.
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_SECONDS, sock_connect=CONNECT_SECONDS, sock_read=SILENT_SECONDS
+        )
+        return cls(aiohttp.ClientSession(connector=connector, timeout=timeout))
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self.session.close()
+
+    async def locate(
+        self, addresses: Sequence[str], workspace: str, chat: str
+    ) -> tuple[str, ...]:
+        """Ask the first daemon that answers which addresses to use."""
+        params = {"workspace": workspace, "chat": chat}
+        timeout = aiohttp.ClientTimeout(total=LOCATE_SECONDS)
+        for address in addresses:
+            try:
+                async with self.session.get(
+                    f"http://{address}/v1/locate", params=params, timeout=timeout
+                ) as response:
+                    if response.status == 200:
+                        return tuple((await response.json())["addresses"])
+            except CUT_ERRORS:
+                continue
+        return ()
+
+    async def attempt(self, address: str, call: Call) -> Attempt:
+        """Send a call whose answer comes whole."""
+        started = time.time()
+        try:
+            async with self._send(address, call) as response:
+                text = await response.text()
+                if response.status >= 400:
+                    return _refused(address, call, started, response, text)
+                return Attempt(
+                    call.request_id,
+                    address,
+                    started,
+                    time.time(),
+                    Ending.WHOLE,
+                    status=response.status,
+                    text=text,
+                )
+        except CUT_ERRORS as error:
+            return _failed(address, call, started, error)
+
+    async def stream(self, address: str, call: Call, partial: PartialAnswer) -> Attempt:
+        """Send a call whose answer is streamed, adding to a partial one."""
+        started = time.time()
+        reason = ""
+        try:
+            async with self._send(address, call) as response:
+                if response.status >= 400:
+                    text = await response.text()
+                    return _refused(address, call, started, response, text)
+                async for line in response.content:
+                    partial.read_line(line.decode().rstrip("\r\n"))
+        except UNSENT_ERRORS as error:
+            return _failed(address, call, started, error)
+        except CUT_ERRORS as error:
+            reason = repr(error)[:120]
+        problem = partial.problem or {}
+        partial.problem = None
+        return Attempt(
+            call.request_id,
+            address,
+            started,
+            time.time(),
+            Ending.WHOLE if partial.is_whole else Ending.CUT,
+            status=200,
+            run=problem.get("run", ""),
+            reason=problem.get("reason", reason),
+            text=partial.text,
+        )
+
+    def _send(self, address: str, call: Call) -> AbstractAsyncContextManager:
+        headers = {
+            "X-Request-Id": call.request_id,
+            "X-Workspace": call.workspace,
+            **call.headers,
+        }
+        return self.session.request(
+            call.method,
+            f"http://{address}{call.path}",
+            json=call.body,
+            headers=headers,
+            allow_redirects=False,
+        )
+
+
+def _refused(
+    address: str,
+    call: Call,
+    started: float,
+    response: aiohttp.ClientResponse,
+    text: str,
+) -> Attempt:
+    try:
+        problem = json.loads(text)
+    except ValueError:
+        problem = {}
+    return Attempt(
+        call.request_id,
+        address,
+        started,
+        time.time(),
+        Ending.REFUSED,
+        status=response.status,
+        run=response.headers.get("X-Run", ""),
+        reason=str(problem.get("reason", text[:80])),
+    )
+
+
+def _failed(address: str, call: Call, started: float, error: Exception) -> Attempt:
+    is_unsent = isinstance(error, UNSENT_ERRORS)
+    return Attempt(
+        call.request_id,
+        address,
+        started,
+        time.time(),
+        Ending.UNREACHABLE if is_unsent else Ending.CUT,
+        reason=repr(error)[:120],
+    )
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/disturbances.py
@@ -0,0 +1,269 @@
+"""Draw a seeded schedule of what goes wrong in a drill."""
+
+import random
+from collections.abc import Callable
+
+from attrs import frozen
+
+from ..engine import EngineFaultKind
+from ..fleet import FleetPlan
+from ..platform import PlatformFaultKind
+from ..service import ServiceFaultKind
+
+# The drill's first seconds are calm, so that the engines warm up a little.
+CALM_SECONDS = 2.0
+
+
+@frozen
+class Disturbance:
+    """Strike at a time after the start, for some seconds."""
+
+    at: float
+    seconds: float
+
+
+@frozen
+class KillDaemon(Disturbance):
+    """Kill a daemon and start it again afterwards."""
+
+    daemon_id: str
+
+
+@frozen
+class PauseDaemon(Disturbance):
+    """Stop a daemon's process and let it go on afterwards."""
+
+    daemon_id: str
+
+
+@frozen
+class StopDaemon(Disturbance):
+    """Stop a daemon as planned and start it again afterwards."""
+
+    daemon_id: str
+
+
+@frozen
+class CrashEngine(Disturbance):
+    """Crash an engine, which comes back cold."""
+
+    engine_id: str
+
+
+@frozen
+class PauseEngine(Disturbance):
+    """Let an engine stand still with its connections open."""
+
+    engine_id: str
+
+
+@frozen
+class TurnEngineCold(Disturbance):
+    """Turn an engine cold without notice."""
+
+    engine_id: str
+
+
+@frozen
+class DrainEngine(Disturbance):
+    """List an engine as leaving, and as live again afterwards."""
+
+    engine_id: str
+
+
+@frozen
+class SpoilAnswers(Disturbance):
+    """Spoil the next answers of an engine."""
+
+    engine_id: str
+    kind: EngineFaultKind
+    event: int
+    count: int
+
+
+@frozen
+class SpoilCalls(Disturbance):
+    """Spoil the next calls of a plain service."""
+
+    service_id: str
+    kind: ServiceFaultKind
+    count: int
+
+
+@frozen
+class StopStore(Disturbance):
+    """Let the platform refuse every connection."""
+
+
+@frozen
+class SpoilStore(Disturbance):
+    """Spoil a share of the platform's calls."""
+
+    kind: PlatformFaultKind
+    operation: str
+    count: int
+
+
+@frozen
+class TakeZoneOut(Disturbance):
+    """Take a zone out and bring it back afterwards."""
+
+    zone: str
+
+
+@frozen
+class RaceOperators(Disturbance):
+    """Let operators change the same thing at the same time."""
+
+    workspace: str
+
+
+@frozen
+class SendPoison(Disturbance):
+    """Send a request that crashes each engine that runs it, repeatedly."""
+
+    word: str
+
+
+ENGINE_KINDS = (
+    EngineFaultKind.BREAK,
+    EngineFaultKind.FORGET,
+    EngineFaultKind.SILENCE,
+    EngineFaultKind.TRUNCATE,
+    EngineFaultKind.CROSS,
+    EngineFaultKind.DUPLICATE,
+    EngineFaultKind.RUBBISH,
+    EngineFaultKind.REFUSE,
+)
+SERVICE_KINDS = tuple(ServiceFaultKind)
+STORE_KINDS = (
+    PlatformFaultKind.LOSE_ANSWER,
+    PlatformFaultKind.DROP,
+    PlatformFaultKind.REFUSE,
+    PlatformFaultKind.SLOW,
+    PlatformFaultKind.RUBBISH,
+)
+
+
+@frozen
+class Drawing:
+    """Draw disturbances of each kind from one seeded source."""
+
+    random: random.Random
+    plan: FleetPlan
+    service_ids: tuple[str, ...]
+    workspaces: tuple[str, ...]
+
+    def kill_daemon(self, at: float) -> Disturbance:
+        """Draw a daemon to kill."""
+        return KillDaemon(at, self._seconds(0.5, 3), self._daemon())
+
+    def pause_daemon(self, at: float) -> Disturbance:
+        """Draw a daemon to pause, at times past its lease."""
+        return PauseDaemon(at, self._seconds(1, 15), self._daemon())
+
+    def stop_daemon(self, at: float) -> Disturbance:
+        """Draw a daemon to stop."""
+        return StopDaemon(at, self._seconds(0.5, 3), self._daemon())
+
+    def crash_engine(self, at: float) -> Disturbance:
+        """Draw an engine to crash."""
+        return CrashEngine(at, 0, self._engine())
+
+    def pause_engine(self, at: float) -> Disturbance:
+        """Draw an engine to pause."""
+        return PauseEngine(at, self._seconds(1, 8), self._engine())
+
+    def turn_engine_cold(self, at: float) -> Disturbance:
+        """Draw an engine to turn cold."""
+        return TurnEngineCold(at, 0, self._engine())
+
+    def drain_engine(self, at: float) -> Disturbance:
+        """Draw an engine to list as leaving."""
+        return DrainEngine(at, self._seconds(8, 12), self._engine())
+
+    def spoil_answers(self, at: float) -> Disturbance:
+        """Draw answers of an engine to spoil."""
+        kind = self.random.choice(ENGINE_KINDS)
+        event = self.random.randint(0, 12)
+        count = self.random.randint(1, 4)
+        return SpoilAnswers(at, 0, self._engine(), kind, event, count)
+
+    def spoil_calls(self, at: float) -> Disturbance:
+        """Draw calls of a service to spoil."""
+        kind = self.random.choice(SERVICE_KINDS)
+        service_id = self.random.choice(self.service_ids)
+        return SpoilCalls(
+            at, self._seconds(1, 8), service_id, kind, self.random.randint(1, 3)
+        )
+
+    def stop_store(self, at: float) -> Disturbance:
+        """Draw an outage of the platform."""
+        return StopStore(at, self._seconds(1, 10))
+
+    def spoil_store(self, at: float) -> Disturbance:
+        """Draw calls of the platform to spoil."""
+        kind = self.random.choice(STORE_KINDS)
+        operation = self.random.choice(("table.transact", "table.*", "*"))
+        return SpoilStore(
+            at, self._seconds(0.5, 4), kind, operation, self.random.randint(1, 10)
+        )
+
+    def take_zone_out(self, at: float) -> Disturbance:
+        """Draw a zone to take out."""
+        return TakeZoneOut(
+            at, self._seconds(6, 12), self.random.choice(self.plan.zones)
+        )
+
+    def race_operators(self, at: float) -> Disturbance:
+        """Draw a workspace that operators change."""
+        return RaceOperators(at, 0, self.random.choice(self.workspaces))
+
+    def send_poison(self, at: float) -> Disturbance:
+        """Draw a poison word."""
+        return SendPoison(at, 0, f"poison-{self.random.randrange(10**6)}")
+
+    def _seconds(self, least: float, most: float) -> float:
+        return round(self.random.uniform(least, most), 2)
+
+    def _daemon(self) -> str:
+        return self.random.choice(self.plan.daemon_ids())
+
+    def _engine(self) -> str:
+        return self.random.choice(self.plan.engine_ids())
+
+
+DRAWERS: tuple[Callable[[Drawing, float], Disturbance], ...] = (
+    Drawing.kill_daemon,
+    Drawing.pause_daemon,
+    Drawing.stop_daemon,
+    Drawing.crash_engine,
+    Drawing.pause_engine,
+    Drawing.turn_engine_cold,
+    Drawing.drain_engine,
+    Drawing.spoil_answers,
+    Drawing.spoil_answers,
+    Drawing.spoil_calls,
+    Drawing.spoil_calls,
+    Drawing.stop_store,
+    Drawing.spoil_store,
+    Drawing.take_zone_out,
+    Drawing.race_operators,
+    Drawing.send_poison,
+)
+
+
+def draw_schedule(
+    drawing: Drawing, seconds: float, mean_gap_seconds: float
+) -> tuple[Disturbance, ...]:
+    """Return disturbances at random times, drawing all kinds in turn."""
+    schedule: list[Disturbance] = []
+    at = CALM_SECONDS
+    bag: list[Callable[[Drawing, float], Disturbance]] = []
+    while at < seconds:
+        if not bag:
+            bag = list(DRAWERS)
+            drawing.random.shuffle(bag)
+        schedule.append(bag.pop()(drawing, round(at, 2)))
+        at += drawing.random.uniform(0, 2 * mean_gap_seconds)
+    return tuple(schedule)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
@@ -0,0 +1,149 @@
+"""Run a drill: a real fleet, callers, disturbances and then the verdicts."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+
+import aiohttp
+from attrs import define, field, frozen
+
+from ..fleet import Fleet, FleetPlan
+from ..fleet.document import WORKSPACES
+from .callers import Callers
+from .calling import Client
+from .disturbances import Disturbance, Drawing, draw_schedule
+from .judges import judge_all
+from .records import DrillRecords, WorkKind
+from .strikes import Arena, strike
+from .upstreams import UpstreamReports, read_upstreams
+from .verdicts import Verdict
+from .watching import watch_versions
+
+SETTLE_SECONDS = 150.0
+
+
+@frozen
+class DrillPlan:
+    """Describe a drill; the same plan disturbs the same things again."""
+
+    seed: int = 1
+    seconds: float = 60.0
+    mean_gap_seconds: float = 2.0
+    chats: int = 6
+    labels: int = 2
+    orders: int = 3
+    lookups: int = 1
+    plans: int = 2
+    fleet: FleetPlan = FleetPlan()
+
+
+@define(eq=False)
+class Drill:
+    """Run one drill and tell what happens as it does."""
+
+    plan: DrillPlan
+    tell: Callable[[str], None] = print
+    records: DrillRecords = field(factory=DrillRecords)
+    _started: float = field(default=0.0, init=False)
+
+    async def run(self) -> tuple[Verdict, ...]:
+        """Run the drill and return a verdict for each promise."""
+        plan = self.plan
+        self.tell(f"seed {plan.seed}, {plan.seconds:g} s")
+        async with Fleet(plan.fleet) as fleet, aiohttp.ClientSession() as session:
+            client = Client.open()
+            try:
+                upstreams = await self._run(fleet, session, client)
+            finally:
+                await client.close()
+        verdicts = judge_all(self.records, upstreams)
+        self._tell_outcome(verdicts)
+        return verdicts
+
+    async def _run(
+        self, fleet: Fleet, session: aiohttp.ClientSession, client: Client
+    ) -> UpstreamReports:
+        plan = self.plan
+        self._started = self.records.started = time.time()
+        callers = Callers(
+            client,
+            self.records,
+            fleet.live_addresses,
+            plan.seed,
+            self._started + plan.seconds,
+        )
+        arena = Arena(fleet, session, self.records, callers, set(), set())
+        watch = asyncio.create_task(watch_versions(fleet, session, self.records))
+        work = [asyncio.create_task(loop) for loop in self._caller_loops(callers)]
+        strikes = [
+            asyncio.create_task(self._strike_at(disturbance, arena))
+            for disturbance in self._schedule(fleet)
+        ]
+        try:
+            await self._settle([*work, *strikes])
+            return await read_upstreams(fleet, session)
+        finally:
+            await _cancel([watch, *work, *strikes])
+
+    def _schedule(self, fleet: Fleet) -> tuple[Disturbance, ...]:
+        drawing = Drawing(
+            random.Random(self.plan.seed),
+            fleet.plan,
+            tuple(fleet.services_by_id),
+            WORKSPACES,
+        )
+        return draw_schedule(drawing, self.plan.seconds, self.plan.mean_gap_seconds)
+
+    def _caller_loops(self, callers: Callers) -> list[Coroutine]:
+        plan = self.plan
+        loops: list[Coroutine] = []
+        for loop, count in (
+            (callers.hold_chats, plan.chats),
+            (callers.send_labels, plan.labels),
+            (callers.place_orders, plan.orders),
+            (callers.look_up, plan.lookups),
+            (callers.submit_plans, plan.plans),
+        ):
+            loops += [loop(number) for number in range(count)]
+        return loops
+
+    async def _strike_at(self, disturbance: Disturbance, arena: Arena) -> None:
+        await asyncio.sleep(self._started + disturbance.at - time.time())
+        self.tell(f"{disturbance.at:7.2f} s  {disturbance}")
+        try:
+            await strike(disturbance, arena)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            # An upstream that is down already can't be struck.
+            self.tell(f"{time.time() - self._started:7.2f} s  missed: {error!r}")
+
+    async def _settle(self, tasks: list[asyncio.Task]) -> None:
+        """Wait for all work and strikes, and record those that failed."""
+        limit = self.plan.seconds + SETTLE_SECONDS
+        done, pending = await asyncio.wait(tasks, timeout=limit)
+        for task in done:
+            if task.exception() is not None:
+                self.records.failures.append(repr(task.exception()))
+        for task in pending:
+            self.records.failures.append(f"never ended: {task.get_coro()!r}")
+
+    def _tell_outcome(self, verdicts: tuple[Verdict, ...]) -> None:
+        for kind in WorkKind:
+            work = [work for work in self.records.work if work.kind is kind]
+            answered = sum(one.result is not None for one in work)
+            attempts = sum(len(one.attempts) for one in work)
+            self.tell(
+                f"{kind.value:7} {len(work):4} asked, {answered:4} answered, "
+                f"{attempts:5} attempts"
+            )
+        for verdict in verdicts:
+            self.tell(str(verdict))
+        for failure in self.records.failures:
+            self.tell(f"FAILED    the drill itself: {failure}")
+        self.tell(f"seed {self.plan.seed}")
+
+
+async def _cancel(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/judges/engines.py
@@ -0,0 +1,95 @@
+"""Judge what the engines were given."""
+
+from collections.abc import Iterable, Iterator
+
+from ..load_caps import find_loads_above_cap
+from ..records import DrillRecords, Interval
+from ..upstreams import EngineReport, UpstreamReports
+from ..verdicts import Verdict
+
+# Within these times a change that was accepted must be obeyed everywhere.
+OUT_SECONDS = 3.0
+LEAVING_SECONDS = 5.0
+ENGINES_PER_POISON = 2
+
+
+def judge_zones(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no work began in a zone some seconds after it was out."""
+    breaches = []
+    for interval in records.zones_out:
+        engines = [e for e in upstreams.engines if e.zone == interval.name]
+        breaches += _starts_within(engines, interval, OUT_SECONDS)
+    promise = f"a zone taken out gets no new work after {OUT_SECONDS:g} s"
+    return Verdict(promise, len(records.zones_out), tuple(breaches))
+
+
+def judge_leaving(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no work began on an engine some seconds after it left."""
+    breaches = []
+    for interval in records.engines_leaving:
+        engines = [e for e in upstreams.engines if e.engine_id == interval.name]
+        breaches += _starts_within(engines, interval, LEAVING_SECONDS)
+    promise = f"a leaving engine gets no new work after {LEAVING_SECONDS:g} s"
+    return Verdict(promise, len(records.engines_leaving), tuple(breaches))
+
+
+def judge_overruns(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no engine ever had more requests than slots."""
+    breaches = tuple(e.engine_id for e in upstreams.engines if e.overrun)
+    promise = "no engine had more requests than slots"
+    return Verdict(promise, len(upstreams.engines), breaches)
+
+
+def judge_caps(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no engine was loaded above the multiple of the mean."""
+    changes = sum(len(engine.history) for engine in upstreams.engines)
+    troubles = (
+        *records.zones_out,
+        *records.engines_leaving,
+        *records.engines_troubled,
+    )
+    breaches = tuple(find_loads_above_cap(upstreams.engines, troubles, records.started))
+    return Verdict("no engine was loaded above the cap", changes, breaches)
+
+
+def judge_cold_starts(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no engine fell over in a cold start."""
+    breaches = tuple(
+        f"{engine.engine_id} fell over {engine.cold_crashes} time(s)"
+        for engine in upstreams.engines
+        if engine.cold_crashes
+    )
+    promise = "no freshly started engine got more than it can bear"
+    return Verdict(promise, len(upstreams.engines), breaches)
+
+
+def judge_sudden_cold(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that no engine fell over after it turned cold without notice."""
+    breaches = tuple(
+        f"{engine.engine_id} fell over {engine.sudden_cold_crashes} time(s)"
+        for engine in upstreams.engines
+        if engine.sudden_cold_crashes
+    )
+    promise = "no engine that turned cold got more than it can bear"
+    return Verdict(promise, len(upstreams.engines), breaches)
+
+
+def judge_poison(records: DrillRecords, upstreams: UpstreamReports) -> Verdict:
+    """Demand that a poison request took down few engines."""
+    breaches = []
+    for word in records.poison_words:
+        deaths = sum(e.crashes_by_poison.get(word, 0) for e in upstreams.engines)
+        if deaths > ENGINES_PER_POISON:
+            breaches.append(f"{word} took down {deaths} engines")
+    promise = f"a poison request takes down at most {ENGINES_PER_POISON} engines"
+    return Verdict(promise, len(records.poison_words), tuple(breaches))
+
+
+def _starts_within(
+    engines: Iterable[EngineReport], interval: Interval, settle_seconds: float
+) -> Iterator[str]:
+    for engine in engines:
+        for start in engine.starts:
+            if interval.start + settle_seconds < start.time < interval.end:
+                late = f"{start.time - interval.start:.1f} s"
+                yield f"{start.request_id} began on {engine.engine_id} after {late}"
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/load_caps.py
@@ -0,0 +1,106 @@
+"""Find the moments at which an engine was loaded above the cap."""
+
+import math
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator, Sequence
+
+from attrs import frozen
+
+from .records import Interval
+from .upstreams import EngineReport
+
+LOAD_MULTIPLE = 1.25
+LOAD_FLOOR = 2
+# A request is admitted before it arrives, and the mean may fall meanwhile.
+ADMISSION_SECONDS = 1.0
+RECOVERY_SECONDS = 15.0
+
+
+@frozen
+class LoadLine:
+    """Hold an engine's load over time."""
+
+    times: tuple[float, ...]
+    loads: tuple[int, ...]
+
+    @classmethod
+    def of(cls, engine: EngineReport) -> "LoadLine":
+        """Return an engine's load from its recorded changes."""
+        return cls(
+            tuple(change.time for change in engine.history),
+            tuple(change.running + change.waiting for change in engine.history),
+        )
+
+    def at(self, time: float) -> int:
+        """Return the load at a time."""
+        index = bisect_right(self.times, time)
+        return self.loads[index - 1] if index else 0
+
+    def rises(self) -> Iterator[tuple[float, int]]:
+        """Yield when the load grew, and to what."""
+        last = 0
+        for time, load in zip(self.times, self.loads, strict=True):
+            if load > last:
+                yield time, load
+            last = load
+
+    def times_within(self, start: float, end: float) -> Sequence[float]:
+        """Return the times of change within a span."""
+        return self.times[
+            bisect_right(self.times, start) : bisect_right(self.times, end)
+        ]
+
+
+def find_loads_above_cap(
+    engines: Sequence[EngineReport], troubles: Sequence[Interval], started: float
+) -> Iterator[str]:
+    """Yield each rise of an engine's load above the cap.
+
+    The cap is the engine's share of all load, by what the engines that may
+    take work can bear, times the multiple, rounded up, and at least the
+    floor. The load counted is the highest of the last second, and an engine
+    that was in trouble counts as one that takes no work.
+    """
+    lines_by_id = {engine.engine_id: LoadLine.of(engine) for engine in engines}
+    for engine in engines:
+        for time, load in lines_by_id[engine.engine_id].rises():
+            if load <= LOAD_FLOOR:
+                continue
+            others = _bearing_of_others(engine, engines, troubles, time)
+            if not others:
+                continue
+            own = engine.bearing_at(time)
+            total = _highest_total(lines_by_id.values(), time)
+            cap = math.ceil(LOAD_MULTIPLE * total * own / (own + others))
+            if load > max(cap, LOAD_FLOOR):
+                yield (
+                    f"{engine.engine_id} at {load}, cap {cap}, at "
+                    f"{time - started:.2f} s: {total} in all, "
+                    f"bears {own} of {own + others}"
+                )
+
+
+def _bearing_of_others(
+    engine: EngineReport,
+    engines: Sequence[EngineReport],
+    troubles: Sequence[Interval],
+    time: float,
+) -> int:
+    troubled = {one.name for one in troubles if one.start < time < one.end}
+    return sum(
+        other.bearing_at(time)
+        for other in engines
+        if other is not engine
+        and other.engine_id not in troubled
+        and other.zone not in troubled
+        and not other.crashed_within(time - RECOVERY_SECONDS, time)
+    )
+
+
+def _highest_total(lines: Iterable[LoadLine], time: float) -> int:
+    lines = tuple(lines)
+    start = time - ADMISSION_SECONDS
+    moments = {start, time}
+    for line in lines:
+        moments.update(line.times_within(start, time))
+    return max(sum(line.at(moment) for line in lines) for moment in moments)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/upstreams.py
@@ -0,0 +1,106 @@
+"""Read what the upstreams themselves recorded."""
+
+from bisect import bisect_right
+from collections import Counter
+from typing import Any
+
+import aiohttp
+from attrs import frozen
+
+from teaselpond_model.platform import make_converter
+
+from ..engine.records import LoadChange, RunStart
+from ..fleet import Fleet
+
+
+@frozen
+class EngineReport:
+    """Hold what one engine recorded."""
+
+    engine_id: str
+    slots: int
+    overrun: bool
+    cold_crashes: int
+    sudden_cold_crashes: int
+    crashes_by_poison: dict[str, int]
+    crash_times: tuple[float, ...]
+    starts: tuple[RunStart, ...]
+    history: tuple[LoadChange, ...]
+
+    @property
+    def zone(self) -> str:
+        """Return the engine's availability zone."""
+        return self.engine_id.split("-")[1]
+
+    def bearing_at(self, time: float) -> int:
+        """Return how many requests the engine could bear at a time."""
+        index = bisect_right(self.history, time, key=lambda change: change.time)
+        return self.history[index - 1].bearing if index else self.slots
+
+    def crashed_within(self, start: float, end: float) -> bool:
+        """Tell whether the engine crashed within a span."""
+        return any(start < time <= end for time in self.crash_times)
+
+
+@frozen
+class ServiceReport:
+    """Hold what one plain service recorded."""
+
+    service_id: str
+    runs_by_key: dict[str, int]
+
+
+@frozen
+class UpstreamReports:
+    """Hold what all upstreams recorded."""
+
+    engines: tuple[EngineReport, ...]
+    services: tuple[ServiceReport, ...]
+
+    def starts_by_request_id(self) -> Counter[str]:
+        """Count the runs that engines began under each request id."""
+        return Counter(
+            start.request_id for engine in self.engines for start in engine.starts
+        )
+
+    def runs_by_key(self) -> Counter[str]:
+        """Count the runs that services made under each key."""
+        runs: Counter[str] = Counter()
+        for service in self.services:
+            runs.update(service.runs_by_key)
+        return runs
+
+
+async def read_upstreams(
+    fleet: Fleet, session: aiohttp.ClientSession
+) -> UpstreamReports:
+    """Ask every upstream of a fleet for its records."""
+    engines = []
+    for engine_id, process in fleet.engines_by_id.items():
+        ran = await _read(session, f"{process.url}/_ran?history=1")
+        engines.append(_engine_report(engine_id, fleet.plan.slots, ran))
+    services = []
+    for service_id, process in fleet.services_by_id.items():
+        ran = await _read(session, f"{process.url}/_ran")
+        services.append(ServiceReport(service_id, ran["by_key"]))
+    return UpstreamReports(tuple(engines), tuple(services))
+
+
+def _engine_report(engine_id: str, slots: int, ran: dict[str, Any]) -> EngineReport:
+    structure = make_converter().structure
+    return EngineReport(
+        engine_id=engine_id,
+        slots=slots,
+        overrun=ran["overrun"],
+        cold_crashes=ran["cold_crashes"],
+        sudden_cold_crashes=ran["sudden_cold_crashes"],
+        crashes_by_poison=ran["crashes_by_poison"],
+        crash_times=tuple(ran["crash_times"]),
+        starts=structure(ran["starts"], tuple[RunStart, ...]),
+        history=structure(ran["history"], tuple[LoadChange, ...]),
+    )
+
+
+async def _read(session: aiohttp.ClientSession, url: str) -> dict[str, Any]:
+    async with session.get(url) as response:
+        return await response.json()
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/watching.py
@@ -0,0 +1,52 @@
+"""Watch which configuration each daemon says is in force."""
+
+import asyncio
+import time
+
+import aiohttp
+
+from ..fleet import Fleet
+from .records import DrillRecords, VersionSeen
+
+WATCH_SECONDS = 0.5
+ASK_SECONDS = 1.0
+
+
+async def watch_versions(
+    fleet: Fleet, session: aiohttp.ClientSession, records: DrillRecords
+) -> None:
+    """Ask every daemon again and again, until cancelled."""
+    while True:
+        daemons = dict(fleet.daemons_by_id)
+        await asyncio.gather(
+            *(
+                _watch(daemon_id, daemon.url, session, records)
+                for daemon_id, daemon in daemons.items()
+                if daemon.running
+            )
+        )
+        await asyncio.sleep(WATCH_SECONDS)
+
+
+async def _watch(
+    daemon_id: str, url: str, session: aiohttp.ClientSession, records: DrillRecords
+) -> None:
+    timeout = aiohttp.ClientTimeout(total=ASK_SECONDS)
+    # A paused daemon answers with what it knew when it was asked.
+    asked = time.time()
+    try:
+        async with session.get(f"{url}/readyz", timeout=timeout) as response:
+            ready = response.status == 200
+        async with session.get(f"{url}/ops/status", timeout=timeout) as response:
+            status = await response.json()
+    except (aiohttp.ClientError, TimeoutError, ValueError):
+        return
+    records.versions_seen.append(
+        VersionSeen(
+            time=asked,
+            daemon_id=daemon_id,
+            incarnation=str(status["incarnation"]),
+            version=status["config_version"],
+            ready=ready,
+        )
+    )
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/engine.py
@@ -68,7 +68,7 @@
 
     def crash(self) -> None:
         """Lose all work, streams and cache, and start cold and anew."""
-        self.records.crashes += 1
+        self.records.crash_times.append(time.time())
         for task in self._tasks:
             task.cancel()
         self._tasks = []
--- a/packages/teaselpond-standins/src/teaselpond_standins/engine/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/engine/records.py
@@ -39,7 +39,7 @@
     completed: int = 0
     cancelled: int = 0
     refused: int = 0
-    crashes: int = 0
+    crash_times: list[float] = field(factory=list)
     cold_crashes: int = 0
     # Those of a cold start that came without notice are counted apart.
     sudden_cold_crashes: int = 0
--- a/packages/teaselpond-standins/tests/engine/test_faults.py
+++ b/packages/teaselpond-standins/tests/engine/test_faults.py
@@ -138,7 +138,7 @@
             self.assertEqual(case.seen, await self.look(), case)
             records = standin.records
             self.assertEqual(case.ran, records.starts_by_request_id["r1"], case)
-            self.assertEqual(case.crashes, records.crashes, case)
+            self.assertEqual(case.crashes, len(records.crash_times), case)
             await self.wait_until(lambda s=standin: s.server.is_listening)
             whole = Seen(200, "r1", ids(ALL_EVENTS), "whole", True)
             self.assertEqual(whole, await self.look(), case)
@@ -188,7 +188,7 @@
             self.assertEqual("whole", (await self.look()).ending)
         seen = await asyncio.gather(*(self.look() for _ in range(4)))
         self.assertEqual({"whole"}, {one.ending for one in seen})
-        self.assertEqual(1, standin.records.crashes)
+        self.assertEqual(1, len(standin.records.crash_times))
 
     async def test_sudden_cold(self) -> None:
         """Bear what runs, and after one answer no more than a cold start."""
@@ -197,7 +197,7 @@
         await asyncio.gather(*(self.look() for _ in range(8)))
         standin.engine.turn_cold()
         await asyncio.gather(*(self.look() for _ in range(2)))
-        self.assertEqual(0, standin.records.crashes)
+        self.assertEqual([], standin.records.crash_times)
         await asyncio.gather(*(self.look() for _ in range(4)))
         records = standin.records
         self.assertEqual((0, 1), (records.cold_crashes, records.sudden_cold_crashes))
