Tell how old a load would have allowed a rise above the cap

Cause: trials showed rises by one above the cap; whether the owners' sums were stale or nothing allowed them decides where to look. Before: the bare rise. After: each names the age of the load that explains it, or none.

--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/load_caps.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/load_caps.py
@@ -2,7 +2,7 @@
 
 import math
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 
 from attrs import frozen
 
@@ -13,6 +13,8 @@
 LOAD_FLOOR = 2
 # A request is admitted before it arrives, and the mean may fall meanwhile.
 ADMISSION_SECONDS = 1.0
+# A breach is told apart by how old the load is that would have allowed it.
+STALE_SECONDS = (2.0, 3.0, 5.0, 8.0)
 RECOVERY_SECONDS = 15.0
 
 
@@ -61,25 +63,33 @@
     floor. The load counted is the highest of the last second, and an engine
     that was in trouble counts as one that takes no work.
     """
-    lines_by_id = {engine.engine_id: LoadLine.of(engine) for engine in engines}
-    for engine in engines:
-        for time, load in lines_by_id[engine.engine_id].rises():
-            if load <= LOAD_FLOOR:
-                continue
+    lines = [LoadLine.of(engine) for engine in engines]
+    for engine, line in zip(engines, lines, strict=True):
+        for time, load in line.rises():
             others = _bearing_of_others(engine, engines, troubles, time)
-            if not others:
+            if load <= LOAD_FLOOR or not others:
                 continue
-            own = engine.bearing_at(time)
-            total = _highest_total(lines_by_id.values(), time)
-            cap = math.ceil(LOAD_MULTIPLE * total * own / (own + others))
-            if load > max(cap, LOAD_FLOOR):
+            share = engine.bearing_at(time) / (engine.bearing_at(time) + others)
+            total = _highest_total(lines, time, ADMISSION_SECONDS)
+            if load > _cap(total, share):
                 yield (
-                    f"{engine.engine_id} at {load}, cap {cap}, at "
-                    f"{time - started:.2f} s: {total} in all, "
-                    f"bears {own} of {own + others}"
+                    f"{engine.engine_id} at {load}, cap {_cap(total, share)}, at "
+                    f"{time - started:.2f} s: {total} in all, its share {share:.2f}, "
+                    + _explain(lines, time, load, share)
                 )
 
 
+def _cap(total: int, share: float) -> int:
+    return max(LOAD_FLOOR, math.ceil(LOAD_MULTIPLE * total * share))
+
+
+def _explain(lines: Sequence[LoadLine], time: float, load: int, share: float) -> str:
+    for seconds in STALE_SECONDS:
+        if load <= _cap(_highest_total(lines, time, seconds), share):
+            return f"within it by the load of up to {seconds:g} s before"
+    return f"nor within it by any load of {STALE_SECONDS[-1]:g} s before"
+
+
 def _bearing_of_others(
     engine: EngineReport,
     engines: Sequence[EngineReport],
@@ -97,9 +107,8 @@
     )
 
 
-def _highest_total(lines: Iterable[LoadLine], time: float) -> int:
-    lines = tuple(lines)
-    start = time - ADMISSION_SECONDS
+def _highest_total(lines: Sequence[LoadLine], time: float, seconds: float) -> int:
+    start = time - seconds
     moments = {start, time}
     for line in lines:
         moments.update(line.times_within(start, time))
