Claim engines for orders, and bound rolling changes

Ruled out: a lease or a claim for each engine owned: 7,400 of them would cost writes while nothing changes; a claim is written when an order is due. Judging a foreign lease by its expiry time: clocks aren't compared. Before: none. After: EngineClaims takes or confirms a claim by one transaction under the own lease; an engine that ignores fences is waited for (lease + order timeout, times drift), one that checks them is taken with a higher number. Rollout is one record a model, moved by compare-and-set.

--- a/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
@@ -112,7 +112,6 @@
     order_timeout_seconds: float = rules.number(0.1, 3_600, 10.0)
     order_concurrency: int = rules.whole(1, 1_000, 1)
     capacity_floor_ratio: float = rules.number(0, 1, 0.75)
-    weight_loads_per_minute: float = rules.number(0.01, 100_000, 60.0)
 
 
 Item = (
--- a/packages/teaselpond/src/teaselpond/leases/__init__.py
+++ b/packages/teaselpond/src/teaselpond/leases/__init__.py
@@ -2,15 +2,17 @@
 
 from .keeper import LeaseKeeper
 from .lease import Lease, LeaseSettings
-from .records import LEASE_PREFIX, LeaseRecord, lease_key
-from .watch import LeaseWatch
+from .records import LEASE_PREFIX, LeaseRecord, fence_of, lease_key
+from .watch import ENDED_VERSION, LeaseWatch
 
 __all__ = [
+    "ENDED_VERSION",
     "LEASE_PREFIX",
     "Lease",
     "LeaseKeeper",
     "LeaseRecord",
     "LeaseSettings",
     "LeaseWatch",
+    "fence_of",
     "lease_key",
 ]
--- a/packages/teaselpond/src/teaselpond/leases/keeper.py
+++ b/packages/teaselpond/src/teaselpond/leases/keeper.py
@@ -54,6 +54,7 @@
         self._lease: Lease | None = None
         self._sent_at_by_write: dict[str, float] = {}
         self._needs_settling = False
+        self._lock = asyncio.Lock()
 
     async def run(self) -> None:
         """Keep the lease until cancelled, then give it up."""
@@ -89,6 +90,10 @@
 
         ``now`` is the time right before the call.
         """
+        async with self._lock:
+            return await self._step(now)
+
+    async def _step(self, now: float) -> bool:
         self.lease(now)
         try:
             async with asyncio.timeout(self.settings.store_timeout_seconds):
@@ -187,6 +192,15 @@
         self.count("lease.lost")
         self.held.on_next(None)
 
+    async def renumber(self, now: float) -> None:
+        """Take a new lease, whose fencing number is higher than any before.
+
+        ``now`` is the time right before the call.
+        """
+        async with self._lock:
+            self._lose("a higher number is needed")
+            await self._step(now)
+
     async def release(self) -> None:
         """Give the lease up, so that others needn't wait for its end."""
         lease = self._lease
--- a/packages/teaselpond/src/teaselpond/leases/watch.py
+++ b/packages/teaselpond/src/teaselpond/leases/watch.py
@@ -2,9 +2,7 @@
 
 from attrs import define, field, frozen
 
-from teaselpond_model.contracts import TableEntry
-
-from .records import LeaseRecord
+ENDED_VERSION = 1 << 62
 
 
 @frozen
@@ -26,30 +24,26 @@
     drift_ratio: float
     _sightings_by_key: dict[str, Sighting] = field(factory=dict)
 
-    def observe(self, key: str, entry: TableEntry | None, now: float) -> None:
-        """Note a record that was read; ``now`` is the time of the answer."""
-        version = 0 if entry is None else entry.version
+    def observe(self, key: str, version: int, now: float) -> None:
+        """Note a record's version; ``now`` is the time of the answer.
+
+        A record that has ended for good has ENDED_VERSION.
+        """
         known = self._sightings_by_key.get(key)
         # An older version comes from a stale copy, and proves nothing.
-        if known is None or version > known.version or (version == 0 != known.version):
+        if known is None or version > known.version:
             self._sightings_by_key[key] = Sighting(version, now)
 
-    def unchanged_seconds(self, key: str, now: float) -> float:
-        """Return for how long a record is known not to have changed."""
-        known = self._sightings_by_key.get(key)
-        return 0.0 if known is None else max(now - known.since, 0.0)
+    def is_watched(self, key: str) -> bool:
+        """Tell whether a record was observed before."""
+        return key in self._sightings_by_key
 
-    def has_lapsed(
-        self, key: str, entry: TableEntry | None, duration_seconds: float, now: float
-    ) -> bool:
-        """Tell whether a lease that was watched has lapsed.
-
-        ``duration_seconds`` counts for a record that is gone.
-        """
-        if entry is not None:
-            duration_seconds = LeaseRecord.from_value(entry.value).duration_seconds
-        wait = duration_seconds * (1 + self.drift_ratio)
-        return self.unchanged_seconds(key, now) >= wait
+    def has_lapsed(self, key: str, seconds: float, now: float) -> bool:
+        """Tell whether a record is unchanged for some seconds of true time."""
+        known = self._sightings_by_key.get(key)
+        return known is not None and now - known.since >= seconds * (
+            1 + self.drift_ratio
+        )
 
     def forget(self, key: str) -> None:
         """Drop a record that is no longer of interest."""
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/__init__.py
@@ -0,0 +1,20 @@
+"""Order engines to run what the configuration wishes."""
+
+from .claims import ClaimPending, EngineClaims
+from .fleet import EngineFleet, EngineLink
+from .keeper import OrderKeeper
+from .rollouts import ModelCapacity, Rollout
+from .wishes import EngineWish, next_order, wishes_by_engine
+
+__all__ = [
+    "ClaimPending",
+    "EngineClaims",
+    "EngineFleet",
+    "EngineLink",
+    "EngineWish",
+    "ModelCapacity",
+    "OrderKeeper",
+    "Rollout",
+    "next_order",
+    "wishes_by_engine",
+]
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -0,0 +1,222 @@
+"""Bring one engine to the state that the configuration wishes."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+from attrs import evolve, frozen
+
+from teaselpond_model.contracts import (
+    Address,
+    EngineOrder,
+    LoadReport,
+    OrderKind,
+    WeightStore,
+)
+from teaselpond_model.exceptions import (
+    LeaseLost,
+    TeaselpondError,
+    TransactionConflict,
+)
+
+from ..exceptions import UpstreamRefused
+from ..leases import LeaseKeeper
+from .claims import ClaimPending, EngineClaims, FenceTooLow
+from .fleet import EngineFleet, EngineLink
+from .places import RolloutPlaces
+from .rollouts import ModelCapacity, RolloutLimits
+from .settings import OrderSettings
+from .wishes import EngineWish, interrupts_work, next_order
+
+OLD_FENCE_STATUS = 409
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@frozen
+class ChangeContext:
+    """Hold what changes of engines work with."""
+
+    leases: LeaseKeeper
+    claims: EngineClaims
+    places: RolloutPlaces
+    fleet: EngineFleet
+    link: EngineLink
+    weights: WeightStore
+    settings: OrderSettings
+    clock: Callable[[], float] = time.monotonic
+    sleep: Sleep = asyncio.sleep
+    count: Callable[[str], None] = lambda name: None
+
+
+@frozen
+class WishInForce:
+    """Hold an engine's wish and the limits under which it may change."""
+
+    wish: EngineWish
+    limits: RolloutLimits
+    order_seconds: float
+    engine_ids: frozenset[str]
+
+
+class OrderFailed(TeaselpondError):
+    """Report that an engine didn't come to the state that was ordered."""
+
+
+class WishChanged(TeaselpondError):
+    """Report that the configuration wishes something else by now."""
+
+
+class EngineChange:
+    """Give one engine the orders it needs, one after the other."""
+
+    def __init__(
+        self,
+        context: ChangeContext,
+        engine_id: str,
+        address: Address,
+        wish_in_force: Callable[[], WishInForce | None],
+    ) -> None:
+        self.context = context
+        self.engine_id = engine_id
+        self.address = address
+        self.wish_in_force = wish_in_force
+
+    async def run(self) -> bool:
+        """Give the orders that are due; tell whether the engine is as wished.
+
+        False means that it is to be tried again later.
+        """
+        try:
+            while True:
+                current = self._current()
+                report = await self.context.link.load(self.address)
+                order = next_order(current.wish, report)
+                if order is None:
+                    return await self._finish(current)
+                if not await self._carry_out(order, current, report):
+                    return False
+        except FenceTooLow:
+            await self._take_higher_fence()
+        except (ClaimPending, TransactionConflict, WishChanged, LeaseLost) as error:
+            logging.info("the change of %s waits: %s", self.engine_id, error)
+        except TeaselpondError as error:
+            self.context.count("orders.put_off")
+            logging.warning("the change of %s is put off: %s", self.engine_id, error)
+        finally:
+            self.context.fleet.resume(self.engine_id)
+        return False
+
+    def _current(self) -> WishInForce:
+        current = self.wish_in_force()
+        if current is None:
+            raise WishChanged("the engine isn't ordered from here any more")
+        return current
+
+    async def _finish(self, current: WishInForce) -> bool:
+        rollout = await self.context.places.read(current.wish)
+        if rollout.mentions(self.engine_id):
+            await self.context.places.finish(current.wish)
+        return True
+
+    async def _carry_out(
+        self, order: EngineOrder, current: WishInForce, report: LoadReport
+    ) -> bool:
+        if interrupts_work(order):
+            if not await self._take_place(current):
+                return False
+            await self._drain(current)
+        elif (await self.context.places.read(current.wish)).has_failed(self.engine_id):
+            return False
+        if order.kind is OrderKind.LOAD_MODEL:
+            await self._take_weights(order, current)
+        try:
+            await self._send(order, current, report)
+        except OrderFailed as error:
+            await self._fail(current, error)
+            return False
+        return True
+
+    async def _take_place(self, current: WishInForce) -> bool:
+        fleet, model = self.context.fleet, current.wish.model
+        capacity = ModelCapacity(
+            fleet.slots_by_engine(model), fleet.requests_in_use(model)
+        )
+        return await self.context.places.take(
+            current.wish, capacity, current.limits, current.engine_ids
+        )
+
+    async def _drain(self, current: WishInForce) -> None:
+        """Wait until nothing runs on the engine; nothing is cut short."""
+        fleet = self.context.fleet
+        fleet.hold(self.engine_id)
+        while fleet.in_flight(self.engine_id):
+            await self.context.sleep(self.context.settings.report_seconds)
+            self._assert_unchanged(current)
+
+    async def _take_weights(self, order: EngineOrder, current: WishInForce) -> None:
+        """Wait for a download that the weight store lets the fleet start."""
+        while True:
+            grant = await self.context.weights.request(
+                self.engine_id, order.model, order.model_version
+            )
+            if grant.granted:
+                return
+            self.context.count("orders.weights_awaited")
+            await self.context.sleep(grant.retry_after)
+            self._assert_unchanged(current)
+
+    def _assert_unchanged(self, current: WishInForce) -> None:
+        if self._current().wish != current.wish:
+            raise WishChanged("the configuration wishes something else")
+
+    async def _send(
+        self, order: EngineOrder, current: WishInForce, report: LoadReport
+    ) -> None:
+        context = self.context
+        seconds = current.order_seconds
+        lease = context.leases.assert_held(context.clock(), seconds)
+        if current.wish.checks_fence and report.fence > lease.fence:
+            raise FenceTooLow(f"the engine has seen {report.fence}")
+        await context.claims.claim(current.wish, lease, seconds)
+        self._assert_unchanged(current)
+        # Right before acting: the claim's transaction took time.
+        lease.assert_held(context.clock(), seconds)
+        context.count(f"orders.{order.kind.value}")
+        try:
+            async with asyncio.timeout(seconds):
+                await context.link.order(
+                    self.address, evolve(order, fence=lease.fence), seconds=seconds
+                )
+        except UpstreamRefused as error:
+            if error.status == OLD_FENCE_STATUS and current.wish.checks_fence:
+                raise FenceTooLow("the engine has seen a newer one") from error
+            raise OrderFailed(str(error), step=order.kind.value) from error
+        except (TeaselpondError, TimeoutError) as error:
+            # It may have taken effect: only the engine's report can tell.
+            logging.warning("the answer of %s is lost: %s", self.engine_id, error)
+        await self._await_effect(order, current)
+
+    async def _await_effect(self, order: EngineOrder, current: WishInForce) -> None:
+        context = self.context
+        give_up = context.clock() + context.settings.settle_seconds
+        while context.clock() < give_up:
+            try:
+                report = await context.link.load(self.address)
+            except TeaselpondError as error:
+                logging.info("%s doesn't report: %s", self.engine_id, error)
+            else:
+                if next_order(current.wish, report) != order:
+                    return
+            await context.sleep(context.settings.report_seconds)
+        raise OrderFailed("the engine doesn't report it", step=order.kind.value)
+
+    async def _fail(self, current: WishInForce, error: OrderFailed) -> None:
+        self.context.count("orders.failed")
+        logging.error("an order to %s failed: %s", self.engine_id, error)
+        await self.context.places.fail(current.wish, str(error))
+
+    async def _take_higher_fence(self) -> None:
+        self.context.count("orders.fence_too_low")
+        await self.context.leases.renumber(self.context.clock())
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/claims.py
@@ -0,0 +1,183 @@
+"""Make sure that one daemon at a time gives orders to an engine."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from attrs import frozen
+
+from teaselpond_model.contracts import (
+    ABSENT_VERSION,
+    Check,
+    Delete,
+    Put,
+    TableEntry,
+    TableService,
+)
+from teaselpond_model.exceptions import TeaselpondError, TransactionConflict
+
+from ..leases import (
+    ENDED_VERSION,
+    Lease,
+    LeaseRecord,
+    LeaseSettings,
+    LeaseWatch,
+    fence_of,
+    lease_key,
+)
+from .wishes import EngineWish
+
+CLAIM_PREFIX = "orders/claims/"
+
+
+class ClaimPending(TeaselpondError):
+    """Report that an engine may not be given orders yet."""
+
+
+class FenceTooLow(TeaselpondError):
+    """Report that a lease with a higher fencing number is needed."""
+
+
+@frozen
+class ClaimRecord:
+    """Name the daemon that may give orders, and the lease it does so under."""
+
+    daemon_id: str
+    incarnation: str
+    fence: int
+
+    def to_value(self) -> dict[str, Any]:
+        """Convert to a JSON value."""
+        return {
+            "daemon_id": self.daemon_id,
+            "incarnation": self.incarnation,
+            "fence": self.fence,
+        }
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> "ClaimRecord":
+        """Read a JSON value; raise KeyError when a member is missing."""
+        return cls(value["daemon_id"], value["incarnation"], value["fence"])
+
+
+def claim_key(engine_id: str) -> str:
+    """Return the table key of an engine's claim."""
+    return f"{CLAIM_PREFIX}{engine_id}"
+
+
+class EngineClaims:
+    """Claim engines under this daemon's lease.
+
+    A claim is written when an order is due, not for each engine owned, so
+    that it costs the table service nothing while nothing changes.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        daemon_id: str,
+        incarnation: str,
+        lease_settings: LeaseSettings,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.table = table
+        self.daemon_id = daemon_id
+        self.incarnation = incarnation
+        self.lease_settings = lease_settings
+        self.clock = clock
+        self.watch = LeaseWatch(lease_settings.drift_ratio)
+        self.claimed_engines: set[str] = set()
+
+    async def claim(self, wish: EngineWish, lease: Lease, order_seconds: float) -> None:
+        """Take or confirm the claim on an engine by one transaction.
+
+        Raise ClaimPending when a former holder may still act, FenceTooLow,
+        StoreUnavailable or TransactionConflict.
+        """
+        key = claim_key(wish.engine_id)
+        entry = await self.table.get(key)
+        checks = [
+            Check(key, ABSENT_VERSION if entry is None else entry.version),
+            Check(lease_key(self.daemon_id), lease.entry_version),
+        ]
+        writes: list[Put | Delete] = []
+        known = None if entry is None else ClaimRecord.from_value(entry.value)
+        own = ClaimRecord(self.daemon_id, self.incarnation, lease.fence)
+        if known is not None and known.incarnation != self.incarnation:
+            if wish.checks_fence:
+                self._check_fence(known, lease)
+            else:
+                lapsed = await self._wait_out(known, order_seconds)
+                checks.extend(lapsed)
+                writes.extend(Delete(c.key) for c in lapsed if c.version)
+        if known != own:
+            writes.append(Put(key, own.to_value()))
+        # Also a claim that is already held is confirmed by a transaction:
+        # the read above may be stale.
+        await self.table.transact(tuple(checks), tuple(writes))
+        self.claimed_engines.add(wish.engine_id)
+        if known is not None:
+            self.watch.forget(f"{lease_key(known.daemon_id)}@{known.fence}")
+
+    def _check_fence(self, known: ClaimRecord, lease: Lease) -> None:
+        if known.fence > lease.fence:
+            raise FenceTooLow(
+                f"{known.daemon_id} has claimed it under {known.fence}",
+                step="claim an engine",
+            )
+
+    async def _wait_out(
+        self, known: ClaimRecord, order_seconds: float
+    ) -> tuple[Check, ...]:
+        """Return the checks that a former holder's lease is still lapsed.
+
+        An order that was sent just before may take effect until its timeout
+        has passed as well. Raise ClaimPending until then.
+        """
+        key = lease_key(known.daemon_id)
+        entry = await self.table.get(key)
+        watched = f"{key}@{known.fence}"
+        checks = (Check(key, ABSENT_VERSION if entry is None else entry.version),)
+        if entry is None and not self.watch.is_watched(watched):
+            # The read may come from a copy that is older than the lease.
+            await self.table.transact(checks, ())
+        # What was read may have been written until now, not only until asked.
+        now = self.clock()
+        if entry is None or fence_of(entry) > known.fence:
+            self.watch.observe(watched, ENDED_VERSION, now)
+        else:
+            self.watch.observe(watched, entry.version, now)
+        seconds = self._duration(entry) + order_seconds
+        if not self.watch.has_lapsed(watched, seconds, now):
+            raise ClaimPending(
+                f"{known.daemon_id} may still give orders",
+                step="claim an engine",
+                peer=known.daemon_id,
+            )
+        if entry is not None and fence_of(entry) > known.fence:
+            return ()
+        return checks
+
+    def _duration(self, entry: TableEntry | None) -> float:
+        duration = self.lease_settings.duration_seconds
+        if entry is None:
+            return duration
+        return max(duration, LeaseRecord.from_value(entry.value).duration_seconds)
+
+    async def release(self, engine_id: str) -> None:
+        """Give a claim up, once no order is under way.
+
+        Raise StoreUnavailable. A claim that has passed on stays.
+        """
+        key = claim_key(engine_id)
+        entry = await self.table.get(key)
+        if entry is not None:
+            known = ClaimRecord.from_value(entry.value)
+            if known.incarnation == self.incarnation:
+                check = Check(key, entry.version)
+                try:
+                    await self.table.transact((check,), (Delete(key),))
+                except TransactionConflict:
+                    pass
+        self.claimed_engines.discard(engine_id)
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/keeper.py
@@ -0,0 +1,139 @@
+"""Compare wishes with engines, and start changes."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable
+
+from absl import logging
+
+from teaselpond_model.configuration import Document
+from teaselpond_model.contracts import Address
+from teaselpond_model.exceptions import StoreUnavailable
+
+from .change import ChangeContext, EngineChange, WishInForce
+from .settings import limits_from
+from .wishes import EngineWish, next_order, wishes_by_engine
+
+
+class OrderKeeper:
+    """Bring this daemon's engines to the state that the document wishes."""
+
+    def __init__(
+        self,
+        context: ChangeContext,
+        document: Callable[[], Document | None],
+        *,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self.context = context
+        self.document = document
+        self.jitter = jitter
+        self._tasks_by_engine: dict[str, asyncio.Task[bool]] = {}
+        # Engines that are as wished and hold no place in a rollout, as far
+        # as this daemon knows since it owns them.
+        self._settled: set[str] = set()
+        self._tries_by_engine: Counter[str] = Counter()
+        self._wishes_of: Document | None = None
+        self._wishes_by_engine: dict[str, EngineWish] = {}
+
+    async def run(self) -> None:
+        """Compare until cancelled; changes under way are given up then."""
+        try:
+            while True:
+                await self.check()
+                spread = 0.5 + self.jitter()
+                await asyncio.sleep(self.context.settings.check_seconds * spread)
+        finally:
+            await self.stop()
+
+    async def check(self) -> None:
+        """Start a change of each owned engine that isn't as wished."""
+        owned = self.context.fleet.owned_engines()
+        self._settled &= owned.keys()
+        for engine_id in self._due(owned.keys()):
+            self._start(engine_id, owned[engine_id])
+        await self._release_others(owned.keys())
+
+    def _due(self, owned: Iterable[str]) -> list[str]:
+        """Return one engine of each model, the one tried least often.
+
+        While a rollout is full, each engine that waits for a place costs
+        the table service a read at each check.
+        """
+        wishes = self._wishes()
+        due_by_model: dict[str, str] = {}
+        for engine_id in sorted(owned, key=lambda each: self._tries_by_engine[each]):
+            if engine_id in wishes and self._needs_change(wishes[engine_id]):
+                due_by_model.setdefault(wishes[engine_id].model, engine_id)
+        return list(due_by_model.values())
+
+    def _needs_change(self, wish: EngineWish) -> bool:
+        report = self.context.fleet.last_report(wish.engine_id)
+        if report is None or self._is_busy(wish.engine_id):
+            return False
+        if next_order(wish, report) is not None:
+            self._settled.discard(wish.engine_id)
+        return wish.engine_id not in self._settled
+
+    def _wishes(self) -> dict[str, EngineWish]:
+        document = self.document()
+        if document is not self._wishes_of:
+            self._wishes_by_engine = wishes_by_engine(document) if document else {}
+            self._wishes_of = document
+        return self._wishes_by_engine
+
+    def _start(self, engine_id: str, address: Address) -> None:
+        change = EngineChange(
+            self.context, engine_id, address, self._wish_of(engine_id)
+        )
+        self._tries_by_engine[engine_id] += 1
+        task = asyncio.create_task(change.run(), name=f"change {engine_id}")
+        task.add_done_callback(lambda done: self._note_end(engine_id, done))
+        self._tasks_by_engine[engine_id] = task
+
+    def _note_end(self, engine_id: str, task: asyncio.Task[bool]) -> None:
+        if task.cancelled():
+            return
+        if task.exception() is not None:
+            logging.error("the change of %s broke: %r", engine_id, task.exception())
+        elif task.result():
+            self._settled.add(engine_id)
+
+    def _is_busy(self, engine_id: str) -> bool:
+        task = self._tasks_by_engine.get(engine_id)
+        return task is not None and not task.done()
+
+    def _wish_of(self, engine_id: str) -> Callable[[], WishInForce | None]:
+        def wish_in_force() -> WishInForce | None:
+            wishes = self._wishes()
+            document = self._wishes_of
+            owned = self.context.fleet.owned_engines()
+            if document is None or engine_id not in wishes or engine_id not in owned:
+                return None
+            policy = document.policy
+            return WishInForce(
+                wishes[engine_id],
+                limits_from(policy),
+                policy.order_timeout_seconds,
+                frozenset(wishes),
+            )
+
+        return wish_in_force
+
+    async def _release_others(self, owned: Collection[str]) -> None:
+        for engine_id in sorted(self.context.claims.claimed_engines):
+            if engine_id in owned or self._is_busy(engine_id):
+                continue
+            try:
+                await self.context.claims.release(engine_id)
+            except StoreUnavailable as error:
+                logging.info("the claim on %s isn't released: %s", engine_id, error)
+
+    async def stop(self) -> None:
+        """End the changes under way."""
+        tasks = list(self._tasks_by_engine.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks_by_engine.clear()
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/places.py
@@ -0,0 +1,77 @@
+"""Keep the rollouts in the table service."""
+
+from collections.abc import Callable
+
+from teaselpond_model.contracts import ABSENT_VERSION, Check, Put, TableService
+from teaselpond_model.exceptions import TransactionConflict
+
+from .rollouts import ModelCapacity, Rollout, RolloutLimits, rollout_key
+from .wishes import EngineWish
+
+WRITE_ATTEMPTS = 10
+
+
+class RolloutPlaces:
+    """Give engines places in their model's rollout, and free them."""
+
+    def __init__(self, table: TableService) -> None:
+        self.table = table
+
+    async def take(
+        self,
+        wish: EngineWish,
+        capacity: ModelCapacity,
+        limits: RolloutLimits,
+        engine_ids: frozenset[str],
+    ) -> bool:
+        """Give an engine a place, if the limits allow it.
+
+        A write whose answer is lost raises StoreUnavailable; a place that
+        the engine has by it is found by the next call. Raise also
+        TransactionConflict when too many daemons write at once.
+        """
+
+        def begin(rollout: Rollout) -> Rollout | None:
+            current = rollout.without_gone(engine_ids)
+            if not current.admits(wish.engine_id, capacity, limits):
+                return None
+            return current.begin(wish.engine_id)
+
+        return await self._change(wish, begin)
+
+    async def finish(self, wish: EngineWish) -> None:
+        """Free an engine's place; raise as ``take``."""
+        await self._change(wish, lambda rollout: rollout.finish(wish.engine_id))
+
+    async def fail(self, wish: EngineWish, reason: str) -> None:
+        """Free an engine's place and note its failure; raise as ``take``."""
+        await self._change(wish, lambda rollout: rollout.fail(wish.engine_id, reason))
+
+    async def read(self, wish: EngineWish) -> Rollout:
+        """Return the rollout to the wish's target; raise StoreUnavailable."""
+        entry = await self.table.get(rollout_key(wish.model))
+        known = (
+            Rollout(wish.target) if entry is None else Rollout.from_value(entry.value)
+        )
+        return known.towards(wish.target)
+
+    async def _change(
+        self, wish: EngineWish, change: Callable[[Rollout], Rollout | None]
+    ) -> bool:
+        key = rollout_key(wish.model)
+        for attempt in range(WRITE_ATTEMPTS):
+            entry = await self.table.get(key)
+            version = ABSENT_VERSION if entry is None else entry.version
+            known = None if entry is None else Rollout.from_value(entry.value)
+            changed = change((known or Rollout(wish.target)).towards(wish.target))
+            if changed is None:
+                return False
+            writes = () if changed == known else (Put(key, changed.to_value()),)
+            try:
+                # An unchanged rollout is confirmed too: the read may be stale.
+                await self.table.transact((Check(key, version),), writes)
+                return True
+            except TransactionConflict:
+                if attempt == WRITE_ATTEMPTS - 1:
+                    raise
+        return False
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/orders/settings.py
@@ -0,0 +1,31 @@
+"""Set the times of orders."""
+
+from attrs import frozen
+
+from teaselpond_model.configuration import PolicyItem
+
+from .rollouts import RolloutLimits
+
+CHECK_SECONDS = 5.0
+RETRY_SECONDS = 2.0
+SETTLE_SECONDS = 300.0
+REPORT_SECONDS = 0.5
+
+
+@frozen
+class OrderSettings:
+    """Hold how often wishes are compared, and for how long to wait.
+
+    ``settle_seconds`` is how long an engine may take, after an order, until
+    it reports the new state.
+    """
+
+    check_seconds: float = CHECK_SECONDS
+    retry_seconds: float = RETRY_SECONDS
+    settle_seconds: float = SETTLE_SECONDS
+    report_seconds: float = REPORT_SECONDS
+
+
+def limits_from(policy: PolicyItem) -> RolloutLimits:
+    """Return the limits that the configuration sets."""
+    return RolloutLimits(policy.order_concurrency, policy.capacity_floor_ratio)
--- a/packages/teaselpond/tests/leases/test_keeper.py
+++ b/packages/teaselpond/tests/leases/test_keeper.py
@@ -6,6 +6,7 @@
 import testtools
 
 from teaselpond.leases import (
+    ENDED_VERSION,
     Lease,
     LeaseKeeper,
     LeaseSettings,
@@ -192,20 +193,19 @@
     async def test_a_renewed_lease_has_not_lapsed(self) -> None:
         """Wait out the whole duration and the drift after each renewal."""
         keeper, watch = self.keeper(), LeaseWatch(SETTINGS.drift_ratio)
-        self.assertFalse(watch.has_lapsed(KEY, None, 9.0, 100.0))
+        self.assertFalse(watch.has_lapsed(KEY, 9.0, 100.0))
         for now in (0.0, 3.0, 6.0):
             await keeper.step(now)
-            entry = await self.table.get(KEY)
-            watch.observe(KEY, entry, 1000.0 + now)
-            self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, 1000.0 + now))
+            watch.observe(KEY, (await self.table.get(KEY)).version, 1000.0 + now)
+            self.assertFalse(watch.has_lapsed(KEY, 9.0, 1000.0 + now))
         end = 1006.0 + SETTINGS.expired_seconds
-        watch.observe(KEY, entry, end - 0.1)
-        self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, end - 0.1))
-        self.assertTrue(watch.has_lapsed(KEY, entry, 9.0, end))
-        watch.observe(KEY, None, end)
-        self.assertFalse(watch.has_lapsed(KEY, None, 9.0, end))
+        watch.observe(KEY, 1, end - 0.1)
+        self.assertFalse(watch.has_lapsed(KEY, 9.0, end - 0.1))
+        self.assertTrue(watch.has_lapsed(KEY, 9.0, end))
+        watch.observe(KEY, ENDED_VERSION, end)
+        self.assertFalse(watch.has_lapsed(KEY, 9.0, end))
         watch.forget(KEY)
-        self.assertFalse(watch.has_lapsed(KEY, entry, 9.0, end + 100))
+        self.assertFalse(watch.has_lapsed(KEY, 9.0, end + 100))
 
     async def test_no_lease_is_broken_while_its_holder_may_act(self) -> None:
         """Mix pauses, faults and drifting clocks; the holder ends first."""
@@ -254,8 +254,10 @@
             entry = await self.table.get(KEY)
         except StoreUnavailable:
             return False
-        watch.observe(KEY, entry, watcher)
-        if entry is None or not watch.has_lapsed(KEY, entry, 9.0, watcher):
+        if entry is None:
+            return False
+        watch.observe(KEY, entry.version, watcher)
+        if not watch.has_lapsed(KEY, SETTINGS.duration_seconds, watcher):
             return False
         try:
             checks = (Check(KEY, entry.version),)
--- /dev/null
+++ b/packages/teaselpond/tests/orders/test_rollouts.py
@@ -0,0 +1,103 @@
+"""Check which engines may change at a time."""
+
+import testtools
+
+from teaselpond.orders import (
+    EngineWish,
+    ModelCapacity,
+    Rollout,
+    next_order,
+    wishes_by_engine,
+)
+from teaselpond.orders.rollouts import RolloutLimits
+from teaselpond_model.configuration import read_toml
+from teaselpond_model.contracts import LoadReport, OrderKind
+
+SLOTS = {"e1": 8, "e2": 8, "e3": 8, "e4": 8}
+DOCUMENT = """
+[zones.innsbruck]
+region = "tyrol"
+[capacity.pools.fitting]
+model = "fitting"
+hosts = ["e1", "e2"]
+role = "serve"
+checks_fence = false
+[models.fitting]
+version = "4"
+adapters = ["labels"]
+"""
+
+
+def rollout(*changing: str, failed: tuple[str, ...] = ()) -> Rollout:
+    """Return a rollout to one target."""
+    return Rollout("t", frozenset(changing), dict.fromkeys(failed, "why"))
+
+
+class RolloutTests(testtools.TestCase):
+    """Check the limits of a rollout."""
+
+    def test_admission_table(self) -> None:
+        """Keep capacity above need, and stop on failures.
+
+        The columns: the rollout, the requests in use, the concurrency, the
+        floor, the engine and whether it may begin.
+        """
+        for state, requests, concurrency, floor, engine_id, admitted in (
+            (rollout(), 0, 1, 0.75, "e1", True),
+            (rollout(), 24, 1, 0.75, "e1", True),
+            (rollout(), 25, 1, 0.75, "e1", False),
+            (rollout(), 0, 1, 1.0, "e1", True),
+            (rollout("e2"), 0, 1, 0.5, "e1", False),
+            (rollout("e2"), 0, 2, 0.5, "e1", True),
+            (rollout("e2"), 0, 2, 0.75, "e1", False),
+            (rollout("e2"), 17, 2, 0.5, "e1", False),
+            (rollout("e1"), 32, 1, 0.75, "e1", True),
+            (rollout("gone"), 0, 1, 0.75, "e1", True),
+            (rollout("e2"), 32, 1, 0.75, "out", True),
+            (rollout(failed=("e1",)), 0, 1, 0.75, "e1", False),
+            (rollout(failed=("e2",)), 0, 1, 0.75, "e1", True),
+            (rollout(failed=("e2", "e3")), 0, 1, 0.75, "e1", False),
+            (rollout("e1", failed=("e2", "e3")), 0, 1, 0.75, "e1", True),
+        ):
+            capacity = ModelCapacity(SLOTS, requests)
+            limits = RolloutLimits(concurrency, floor)
+            found = state.admits(engine_id, capacity, limits)
+            self.assertEqual(admitted, found, (state, requests, engine_id))
+
+    def test_a_new_target_starts_afresh(self) -> None:
+        """Turn a stopped rollout back by another target."""
+        stopped = rollout("e1", failed=("e2", "e3"))
+        self.assertTrue(stopped.is_stopped)
+        self.assertIs(stopped, stopped.towards("t"))
+        back = stopped.towards("other")
+        self.assertEqual(Rollout("other", frozenset({"e1"})), back)
+
+    def test_places_come_and_go(self) -> None:
+        """Begin, finish, fail, and drop engines that are gone."""
+        state = rollout().begin("e1").begin("e2").fail("e2", "broken")
+        self.assertEqual(rollout("e1").changing, state.changing)
+        self.assertTrue(state.mentions("e2"))
+        self.assertEqual(state, Rollout.from_value(state.to_value()))
+        self.assertEqual(rollout("e1"), state.finish("e2"))
+        self.assertEqual(frozenset(), state.without_gone(frozenset("e9")).changing)
+
+
+class WishTests(testtools.TestCase):
+    """Check what is ordered to bring an engine to a wish."""
+
+    def test_orders_follow_each_other(self) -> None:
+        """Load the model, then adapters, then set the role."""
+        wish = wishes_by_engine(read_toml(DOCUMENT).document)["e1"]
+        expected = EngineWish("e1", "fitting", "4", ("labels",), "serve", False)
+        self.assertEqual(expected, wish)
+        for model, version, adapters, role, kind in (
+            ("fitting", "3", (), "serve", OrderKind.LOAD_MODEL),
+            ("other", "4", ("labels",), "serve", OrderKind.LOAD_MODEL),
+            ("fitting", "4", ("old",), "idle", OrderKind.LOAD_ADAPTER),
+            ("fitting", "4", ("labels",), "idle", OrderKind.SET_ROLE),
+            ("fitting", "4", ("old", "labels"), "serve", None),
+        ):
+            report = LoadReport("i", 1, 0, 0, 0, model, version, adapters, role)
+            order = next_order(wish, report, 7)
+            self.assertIs(kind, order and order.kind)
+            self.assertEqual(7 if kind else None, order and order.fence)
