Bring engines to the configuration's wish by fenced orders

Ruled out: one table read for each engine that waits for a place: each daemon tries one engine of a model at a check. Repeating an order whose answer was lost: only the engine's report tells. Before: none. After: OrderKeeper compares wishes with reports; EngineChange takes a place in the rollout, waits until nothing runs on the engine, asks the weight store, checks lease and claim right before the order, and reads the effect back. Two failed engines stop a rollout, another configuration turns it back, and a new owner goes on with a change.

--- /dev/null
+++ b/packages/teaselpond/tests/orders/test_keeper.py
@@ -0,0 +1,425 @@
+"""Check changes of engines from the wish to the report, under faults."""
+
+import asyncio
+from collections.abc import Mapping
+
+from attrs import define, evolve, field
+
+from teaselpond.exceptions import UpstreamRefused
+from teaselpond.leases import LeaseKeeper, LeaseSettings
+from teaselpond.orders import EngineClaims, OrderKeeper, Rollout
+from teaselpond.orders.change import ChangeContext
+from teaselpond.orders.places import RolloutPlaces
+from teaselpond.orders.rollouts import rollout_key
+from teaselpond.orders.settings import OrderSettings
+from teaselpond_model.configuration import Document, read_toml
+from teaselpond_model.contracts import (
+    Address,
+    EngineOrder,
+    LoadReport,
+    OrderKind,
+    Put,
+)
+from teaselpond_model.exceptions import UpstreamBroken, UpstreamUnavailable
+from teaselpond_standins.platform import (
+    MemoryTable,
+    MemoryWeights,
+    PlatformFaultKind,
+)
+from teaselpond_standins.testing import AsyncTestCase
+
+DOCUMENT = """
+[zones.innsbruck]
+region = "tyrol"
+[capacity.pools.fitting]
+model = "fitting"
+hosts = ["e1", "e2", "e3", "e4"]
+checks_fence = CHECKS
+[models.fitting]
+version = "VERSION"
+[policy]
+order_timeout_seconds = 5.0
+"""
+LEASES = LeaseSettings(duration_seconds=15.0, store_timeout_seconds=1.0)
+SETTINGS = OrderSettings(settle_seconds=20.0)
+ENGINE_IDS = ("e1", "e2", "e3", "e4")
+
+
+def document(version: str, checks: str = "true") -> Document:
+    """Return the document with one version of the model."""
+    text = DOCUMENT.replace("VERSION", version).replace("CHECKS", checks)
+    return read_toml(text).document
+
+
+@define
+class FakeEngine:
+    """Take orders as an engine does, some of them badly."""
+
+    report: LoadReport
+    checks_fence: bool = True
+    orders: list[EngineOrder] = field(factory=list)
+    refuses: bool = False
+    loses_answers: int = 0
+    ignores_orders: int = 0
+
+    def obey(self, order: EngineOrder) -> None:
+        """Carry an order out; raise as the engine's client does."""
+        if self.refuses:
+            raise UpstreamRefused(500, b"", not_run=False)
+        if self.checks_fence and order.fence < self.report.fence:
+            raise UpstreamRefused(409, b"", not_run=True)
+        self.orders.append(order)
+        if self.ignores_orders:
+            self.ignores_orders -= 1
+            raise UpstreamBroken("the engine crashed")
+        self.report = evolve(self.report, fence=order.fence)
+        if order.kind is OrderKind.LOAD_MODEL:
+            self.report = evolve(self.report, model_version=order.model_version)
+        if self.loses_answers:
+            self.loses_answers -= 1
+            raise UpstreamBroken("the answer is lost")
+
+
+class World:
+    """Hold the table, the engines and one clock for several daemons.
+
+    Nothing waits: a sleep moves the clock.
+    """
+
+    def __init__(self, version: str = "3", checks: str = "true") -> None:
+        self.now = 0.0
+        self.table = MemoryTable()
+        self.weights = MemoryWeights(clock=lambda: self.now)
+        self.document = document(version, checks)
+        self.checks = checks
+        self.in_flight: dict[str, int] = {}
+        self.requests = 0
+        self.held: set[str] = set()
+        self.least_left = len(ENGINE_IDS)
+        self.engines_by_id = {
+            engine_id: FakeEngine(
+                LoadReport("i", 1, 0, 0, 0, "fitting", version), checks == "true"
+            )
+            for engine_id in ENGINE_IDS
+        }
+
+    def address(self, engine_id: str) -> Address:
+        """Return an address that names the engine."""
+        return Address("127.0.0.1", 1 + ENGINE_IDS.index(engine_id))
+
+    def engine(self, address: Address) -> FakeEngine:
+        """Return the engine at an address."""
+        return self.engines_by_id[ENGINE_IDS[address.port - 1]]
+
+    async def sleep(self, seconds: float) -> None:
+        """Move the clock, and let the work on held engines end."""
+        self.now += seconds
+        for engine_id in self.held:
+            self.in_flight[engine_id] = max(self.in_flight.get(engine_id, 0) - 1, 0)
+        await asyncio.sleep(0)
+
+    def hold(self, engine_id: str) -> None:
+        """Take an engine out of work, and note how many are left."""
+        self.held.add(engine_id)
+        self.least_left = min(self.least_left, len(ENGINE_IDS) - len(self.held))
+
+    def versions(self) -> list[str]:
+        """Return what each engine runs."""
+        return [engine.report.model_version for engine in self.engines_by_id.values()]
+
+    def order_count(self) -> int:
+        """Return how many orders all engines have taken."""
+        return sum(len(engine.orders) for engine in self.engines_by_id.values())
+
+
+class Daemon:
+    """Be one daemon's fleet view and engine link over a world."""
+
+    def __init__(self, world: World, daemon_id: str, owned: tuple[str, ...]) -> None:
+        self.world = world
+        self.owned = owned
+        self.counts: list[str] = []
+        self.leases = LeaseKeeper(
+            world.table, daemon_id, f"{daemon_id}-i", settings=LEASES
+        )
+        claims = EngineClaims(
+            world.table, daemon_id, f"{daemon_id}-i", LEASES, clock=lambda: world.now
+        )
+        self.context = ChangeContext(
+            self.leases,
+            claims,
+            RolloutPlaces(world.table),
+            fleet=self,
+            link=self,
+            weights=world.weights,
+            settings=SETTINGS,
+            clock=lambda: world.now,
+            sleep=self.sleep,
+            count=self.counts.append,
+        )
+        self.keeper = OrderKeeper(self.context, lambda: world.document)
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep in the world, with the lease renewed."""
+        await self.world.sleep(seconds)
+        await self.leases.step(self.world.now)
+
+    async def check(self, rounds: int = 1) -> None:
+        """Compare some times, and wait for the changes of each."""
+        for _ in range(rounds):
+            self.world.now += 5.0
+            await self.leases.step(self.world.now)
+            await self.keeper.check()
+            tasks = self.keeper._tasks_by_engine.values()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def owned_engines(self) -> Mapping[str, Address]:
+        """Return the engines and their addresses."""
+        return {engine_id: self.world.address(engine_id) for engine_id in self.owned}
+
+    def last_report(self, engine_id: str) -> LoadReport | None:
+        """Return an engine's report."""
+        return self.world.engines_by_id[engine_id].report
+
+    def slots_by_engine(self, model: str) -> Mapping[str, int]:
+        """Return the slots of all engines."""
+        return dict.fromkeys(ENGINE_IDS, 8)
+
+    def requests_in_use(self, model: str) -> int:
+        """Return the world's."""
+        return self.world.requests
+
+    def hold(self, engine_id: str) -> None:
+        """Take an engine out of work."""
+        self.world.hold(engine_id)
+
+    def resume(self, engine_id: str) -> None:
+        """Give an engine work again."""
+        self.world.held.discard(engine_id)
+
+    def in_flight(self, engine_id: str) -> int:
+        """Return what runs on an engine."""
+        return self.world.in_flight.get(engine_id, 0)
+
+    async def load(self, address: Address) -> LoadReport:
+        """Return an engine's report."""
+        return self.world.engine(address).report
+
+    async def order(
+        self, address: Address, order: EngineOrder, *, seconds: float
+    ) -> None:
+        """Give an engine an order."""
+        engine = self.world.engine(address)
+        running = self.world.in_flight.get(ENGINE_IDS[address.port - 1], 0)
+        if running:
+            raise AssertionError(f"{running} requests would be cut")
+        engine.obey(order)
+
+
+class ChangeTests(AsyncTestCase):
+    """Check rolling changes."""
+
+    async def test_a_version_rolls_over_all_engines(self) -> None:
+        """Change one engine after the other, once each, cutting nothing."""
+        world = World()
+        first, second = (
+            Daemon(world, "d1", ("e1", "e2")),
+            Daemon(world, "d2", ("e3", "e4")),
+        )
+        world.document = document("4")
+        world.in_flight = dict.fromkeys(ENGINE_IDS, 3)
+        for _ in range(4):
+            await asyncio.gather(first.check(), second.check())
+        self.assertEqual(["4"] * 4, world.versions())
+        self.assertEqual(4, world.order_count())
+        self.assertEqual(len(ENGINE_IDS) - 1, world.least_left)
+        self.assertEqual(set(), world.held)
+        self.assertEqual(4, len(world.weights.grants))
+        before = world.table.faults.calls_by_operation.total()
+        await first.keeper.check()
+        self.assertEqual(before, world.table.faults.calls_by_operation.total())
+
+    async def test_nothing_changes_while_all_capacity_is_needed(self) -> None:
+        """Wait until the others can bear the load."""
+        world = World()
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        world.document, world.requests = document("4"), 25
+        await daemon.check(5)
+        self.assertEqual(["3"] * 4, world.versions())
+        world.requests = 24
+        await daemon.check(4)
+        self.assertEqual(["4"] * 4, world.versions())
+
+    async def test_fault_table(self) -> None:
+        """Come to the wish once each fault is over, with the fewest orders."""
+        table_faults = PlatformFaultKind.REFUSE, PlatformFaultKind.LOSE_ANSWER
+        for checks in ("true", "false"):
+            for fault in (None, "loses", *table_faults, PlatformFaultKind.SLOW_ANSWER):
+                with self.subTest(checks=checks, fault=fault):
+                    world = World(checks=checks)
+                    daemon = Daemon(world, "d1", ENGINE_IDS)
+                    await daemon.check()
+                    world.document = document("4", checks)
+                    if fault == "loses":
+                        for engine in world.engines_by_id.values():
+                            engine.loses_answers = 1
+                    elif fault is not None:
+                        world.table.faults.add(fault, "table.transact", count=3)
+                    await daemon.check(10)
+                    self.assertEqual(["4"] * 4, world.versions())
+                    self.assertEqual(4, world.order_count())
+                    self.assertNotIn("orders.failed", daemon.counts)
+                    rollout = await self._rollout(world)
+                    self.assertEqual(frozenset(), rollout.changing)
+
+    async def _rollout(self, world: World) -> Rollout:
+        entry = await world.table.get(rollout_key("fitting"))
+        return Rollout.from_value(entry.value)
+
+    async def test_failures_stop_a_rollout_until_it_is_turned_back(self) -> None:
+        """Order no further engines after two failures, then go back."""
+        world = World()
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        world.document = document("4")
+        await daemon.check()
+        world.engines_by_id["e2"].refuses = True
+        world.engines_by_id["e3"].ignores_orders = 9
+        await daemon.check(10)
+        self.assertEqual(["4", "3", "3", "3"], world.versions())
+        rollout = await self._rollout(world)
+        self.assertEqual({"e2", "e3"}, set(rollout.reasons_by_failed_engine))
+        self.assertEqual(2, daemon.counts.count("orders.failed"))
+        self.assertEqual([], world.engines_by_id["e4"].orders)
+        self.assertEqual(1, len(world.engines_by_id["e3"].orders))
+        world.engines_by_id["e2"].refuses = False
+        world.document = document("3")
+        await daemon.check(5)
+        self.assertEqual(["3"] * 4, world.versions())
+        self.assertEqual([], world.engines_by_id["e4"].orders)
+
+    async def test_a_change_that_waits_follows_the_wish(self) -> None:
+        """Give up before the order when the configuration turns back."""
+        world = World()
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        world.document = document("4")
+        world.in_flight = {"e1": 3}
+        sleep = daemon.sleep
+
+        async def turn_back(seconds: float) -> None:
+            world.document = document("3")
+            await sleep(seconds)
+
+        daemon.keeper.context = evolve(daemon.context, sleep=turn_back)
+        await daemon.check(6)
+        self.assertEqual(0, world.order_count())
+        self.assertEqual(set(), world.held)
+        self.assertEqual(frozenset(), (await self._rollout(world)).changing)
+
+    async def test_a_new_owner_goes_on(self) -> None:
+        """Take over an engine whose owner died in the middle of a change."""
+        for checks in ("true", "false"):
+            with self.subTest(checks=checks):
+                world = World(checks=checks)
+                old = Daemon(world, "d1", ENGINE_IDS)
+                world.document = document("4", checks)
+                old.context.link.order = self._die
+                await old.check()
+                rollout = await self._rollout(world)
+                self.assertEqual({"e1"}, set(rollout.changing))
+                new = Daemon(world, "d2", ENGINE_IDS)
+                await new.check()
+                waited = checks == "false"
+                self.assertEqual("3" if waited else "4", world.versions()[0])
+                await new.check(12)
+                self.assertEqual(["4"] * 4, world.versions())
+                self.assertEqual(frozenset(), (await self._rollout(world)).changing)
+
+    async def _die(self, address: Address, order: EngineOrder, *, seconds: float):
+        raise asyncio.CancelledError
+
+    async def test_a_place_left_behind_is_freed(self) -> None:
+        """Free the place of an engine whose change ended unseen."""
+        world = World("4")
+        wish_key = rollout_key("fitting")
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        left = Rollout("fitting:4:serve", frozenset({"e3"}))
+        await world.table.transact((), (Put(wish_key, left.to_value()),))
+        await daemon.check(4)
+        self.assertEqual(frozenset(), (await self._rollout(world)).changing)
+
+    async def test_a_paused_owner_orders_nothing(self) -> None:
+        """Check the lease right before the order, after all waiting."""
+        for checks in ("true", "false"):
+            world = World(checks=checks)
+            daemon = Daemon(world, "d1", ENGINE_IDS)
+            await daemon.check()
+            world.document = document("4", checks)
+            claim = daemon.context.claims.claim
+
+            async def pause(*arguments, claim=claim, world=world) -> None:
+                await claim(*arguments)
+                world.now += 60.0
+
+            daemon.context.claims.claim = pause
+            await daemon.check(2)
+            self.assertEqual(0, world.order_count())
+
+    async def test_an_old_fence_is_refused_by_the_engine(self) -> None:
+        """Meet a newer number, and come back with a higher one."""
+        world = World()
+        daemon = Daemon(world, "d1", ("e1",))
+        await daemon.check()
+        engine = world.engines_by_id["e1"]
+        fence = daemon.leases.lease(world.now).fence
+        engine.report = evolve(engine.report, fence=fence + 1)
+        world.document = document("4")
+        await daemon.check()
+        self.assertEqual("3", world.versions()[0])
+        self.assertIn("orders.fence_too_low", daemon.counts)
+        await daemon.check(2)
+        self.assertEqual("4", world.versions()[0])
+        self.assertGreater(engine.report.fence, fence + 1)
+
+    async def test_weights_are_shared_at_the_stores_rate(self) -> None:
+        """Wait for grants of a store that all daemons use."""
+        world = World()
+        world.weights.downloads_per_second, world.weights.burst = 0.05, 1
+        daemons = [Daemon(world, "d1", ("e1", "e2")), Daemon(world, "d2", ("e3", "e4"))]
+        world.document = document("4")
+        started = world.now
+        for _ in range(12):
+            await asyncio.gather(*(daemon.check() for daemon in daemons))
+        self.assertEqual(["4"] * 4, world.versions())
+        self.assertEqual(4, len(world.weights.grants))
+        self.assertGreaterEqual(world.now - started, 60.0)
+        counts = [name for daemon in daemons for name in daemon.counts]
+        self.assertIn("orders.weights_awaited", counts)
+
+    async def test_claims_of_engines_that_moved_are_released(self) -> None:
+        """Pass an engine that ignores fences on without a wait."""
+        world = World(checks="false")
+        old = Daemon(world, "d1", ENGINE_IDS)
+        world.document = document("4", "false")
+        await old.check()
+        old.owned = ()
+        await old.check()
+        new = Daemon(world, "d2", ENGINE_IDS)
+        world.document = document("5", "false")
+        await new.check()
+        self.assertEqual("5", world.versions()[0])
+
+    async def test_unreachable_engines_stop_nothing(self) -> None:
+        """Go on with the others."""
+        world = World()
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        load = daemon.load
+
+        async def load_others(address: Address) -> LoadReport:
+            if address == world.address("e1"):
+                raise UpstreamUnavailable("gone")
+            return await load(address)
+
+        daemon.context.link.load = load_others
+        world.document = document("4")
+        await daemon.check(10)
+        self.assertEqual(["3", "4", "4", "4"], world.versions())
