--- a/packages/teaselpond/src/teaselpond/delivery/poison.py
+++ b/packages/teaselpond/src/teaselpond/delivery/poison.py
@@ -35,7 +35,7 @@
     incarnation: str
 
 
-@frozen
+@define
 class _SeenDeath:
     at: float
     zone: str
@@ -197,15 +197,24 @@
         self._suspicions_by_fingerprint.pop(fingerprint, None)
 
     async def refresh(self) -> None:
-        """Take in what changed in the table; raise StoreUnavailable."""
+        """Take in what changed in the table; raise StoreUnavailable.
+
+        What is known here and missing there is written back: two daemons
+        that saw one death each may have overwritten each other's record.
+        """
         page = await self._table.scan(QUARANTINE_PREFIX, self._seen_version)
+        missing = []
         for entry in page.entries:
             fingerprint = entry.key.removeprefix(QUARANTINE_PREFIX)
             if entry.value is None:
                 self.receive_lifted(fingerprint)
-            else:
-                self.receive(cattrs.structure(entry.value, Suspicion))
+                continue
+            stored = cattrs.structure(entry.value, Suspicion)
+            known = self._learn(stored)
+            if known.death_ids != stored.death_ids:
+                missing.append(known)
         self._seen_version = max(self._seen_version, page.version)
+        await self._tell(tuple(missing))
 
     async def expire(self, now: float) -> int:
         """Remove what has ended, here and in the table; return how many."""
@@ -233,9 +242,10 @@
         for seen in reversed(self._deaths):
             if seen.engine_id != death.engine_id or now - seen.at > SAME_DEATH_SECONDS:
                 continue
-            if not (death.incarnation and seen.incarnation):
+            if not death.incarnation:
                 return seen.death_id
-            if death.incarnation == seen.incarnation:
+            if seen.incarnation in ("", death.incarnation):
+                seen.incarnation = death.incarnation
                 return seen.death_id
         incarnation = death.incarnation or f"at-{now:.3f}"
         death_id = f"{death.engine_id}/{incarnation}"
--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -0,0 +1,171 @@
+"""Let requests crash engines, and see them kept away."""
+
+import asyncio
+
+from attrs import evolve
+
+from teaselpond.delivery.poison import (
+    MASS_DEATHS,
+    QUARANTINE_SECONDS,
+    SUSPECT_SECONDS,
+    EngineDeath,
+    Quarantine,
+    Suspicion,
+)
+from teaselpond_standins.platform import MemoryTable, PlatformFaultKind
+from teaselpond_standins.testing import AsyncTestCase
+
+from .relays import ENGINE, RelayBench, make_call
+
+POISON = "please run poison-a"
+PAIR = (("w", "f"),)
+
+
+class Peers:
+    """Pass suspicions on to other daemons at once."""
+
+    def __init__(self) -> None:
+        self.others: list[Quarantine] = []
+
+    async def tell_suspicions(self, suspicions: tuple[Suspicion, ...]) -> None:
+        for other in self.others:
+            for suspicion in suspicions:
+                other.receive(suspicion)
+
+    async def tell_lifted(self, fingerprint: str) -> None:
+        for other in self.others:
+            other.receive_lifted(fingerprint)
+
+
+class PoisonTests(AsyncTestCase):
+    """Check poison requests against engines that crash."""
+
+    async def test_poison_takes_down_two_engines_at_most(self) -> None:
+        """Send a poison prompt again and again, at two daemons."""
+        async with RelayBench(engines=5) as bench:
+            other = bench.make_relay("d2")
+            seen = [await bench.ask(make_call(POISON))]
+            await other.quarantine.refresh()
+            for relay in (bench.relay, other, other, bench.relay):
+                seen.append(await bench.ask(make_call(POISON), relay=relay))
+            crashes = sum(each.records.crashes for each in bench.standins)
+            self.assertEqual(2, crashes)
+            self.assertEqual(["quarantined may-have-run"], seen[:1])
+            self.assertEqual(["quarantined not-run"] * 4, seen[1:])
+
+    async def test_innocents_beside_it_are_served(self) -> None:
+        """Retry what ran beside a poison prompt, and blame none of it."""
+        async with RelayBench(engines=4, engine=evolve(ENGINE, slots=16)) as bench:
+            calls = [make_call(f"innocent {n} words:60", f"r{n}") for n in range(6)]
+            asked = [asyncio.create_task(bench.ask(call)) for call in calls]
+            records = bench.standins[0].records
+            await self.wait_until(lambda: len(records.starts_by_request_id) == 6)
+            poisoned = await bench.ask(make_call(POISON, "poison"))
+            self.assertEqual("quarantined may-have-run", poisoned)
+            self.assertEqual(["whole"] * 6, await asyncio.gather(*asked))
+            now = bench.relay.wall_clock()
+            listed = bench.relay.quarantine.list_all(now)
+            self.assertEqual([2], [len(each.death_ids) for each in listed])
+
+
+class QuarantineTests(AsyncTestCase):
+    """Check what daemons know and tell of suspects."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 1000.0
+        self.table = MemoryTable()
+
+    def make(self, peers: Peers | None = None) -> Quarantine:
+        """Return one daemon's quarantine, on a clock that stands still."""
+        return Quarantine(self.table, peers, wall_clock=lambda: self.now)
+
+    async def kill(self, quarantine: Quarantine, engine: str, zone: str = "z") -> None:
+        """Record a death of an engine that ran the request f."""
+        await quarantine.record_death(EngineDeath(engine, "i"), PAIR, zone=zone)
+
+    async def test_two_deaths_seen_by_two_daemons(self) -> None:
+        """Quarantine when two daemons saw one death each, then let go."""
+        peers = Peers()
+        one, other = self.make(peers), self.make()
+        peers.others.append(other)
+        await self.kill(one, "e1")
+        self.assertTrue(other.is_suspect("f", self.now))
+        await self.kill(other, "e2")
+        self.assertTrue(other.is_quarantined("f", self.now))
+        await one.refresh()
+        self.assertTrue(one.is_quarantined("f", self.now))
+        restarted = self.make()
+        await restarted.refresh()
+        self.assertTrue(restarted.is_quarantined("f", self.now))
+        later = self.now + QUARANTINE_SECONDS
+        self.assertFalse(one.is_quarantined("f", later))
+        self.assertEqual(1, await one.expire(later))
+        await restarted.refresh()
+        self.assertEqual((), restarted.list_all(self.now))
+
+    async def test_one_death_seen_by_many_counts_once(self) -> None:
+        """Count a death once, with its incarnation known or not."""
+        one = self.make()
+        for incarnation in ("", "i", "i", ""):
+            await one.record_death(EngineDeath("e1", incarnation), PAIR, zone="z")
+        self.assertFalse(one.is_quarantined("f", self.now))
+        await one.record_death(EngineDeath("e1", "i2"), PAIR, zone="z")
+        self.assertTrue(one.is_quarantined("f", self.now))
+
+    async def test_lift_is_told(self) -> None:
+        """End a quarantine by hand, everywhere."""
+        peers = Peers()
+        one, other = self.make(peers), self.make()
+        peers.others.append(other)
+        for engine in ("e1", "e2"):
+            await self.kill(one, engine)
+        await one.clear("f")
+        later = self.make()
+        await later.refresh()
+        for quarantine in (one, other, later):
+            self.assertFalse(quarantine.is_quarantined("f", self.now))
+
+    async def test_table_down_keeps_the_local_record(self) -> None:
+        """Quarantine without the table."""
+        self.table.faults.add(PlatformFaultKind.REFUSE)
+        one = self.make()
+        for engine in ("e1", "e2"):
+            await self.kill(one, engine)
+        self.assertTrue(one.is_quarantined("f", self.now))
+
+    async def test_loss_of_a_zone_is_not_laid_to_requests(self) -> None:
+        """Blame no request for deaths among many in one zone."""
+        one = self.make()
+        for number in range(MASS_DEATHS - 1):
+            await one.record_death(EngineDeath(f"x{number}", "i"), (), zone="z")
+        for number in range(4):
+            await self.kill(one, f"e{number}")
+        self.assertFalse(one.is_suspect("f", self.now))
+
+    async def test_suspicion_ends(self) -> None:
+        """Forget one death after a time."""
+        one = self.make()
+        await self.kill(one, "e1")
+        self.now += SUSPECT_SECONDS
+        self.assertFalse(one.is_suspect("f", self.now))
+
+    async def test_suspects_run_one_at_a_time(self) -> None:
+        """Let one suspect at a time onto an engine, also after a cancel."""
+        one = self.make()
+        running = []
+        most = []
+
+        async def run(engine: str) -> None:
+            async with one.turn(engine):
+                running.append(engine)
+                most.append(running.count(engine))
+                await asyncio.sleep(0.001)
+                running.remove(engine)
+
+        tasks = [asyncio.create_task(run(f"e{n % 2}")) for n in range(10)]
+        await asyncio.sleep(0.0015)
+        tasks[2].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual({1}, set(most))
+        self.assertEqual({}, one._turns_by_engine)
--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_tokens.py
@@ -0,0 +1,88 @@
+"""Forge, spoil and exchange the tokens that callers hold."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from teaselpond.delivery.tokens import (
+    TOKEN_SECONDS,
+    InvalidToken,
+    ResumeTokens,
+    SigningKey,
+    StreamPlace,
+    TokenSigner,
+)
+
+OLD = SigningKey("old", b"o" * 16)
+NEW = SigningKey("new", b"n" * 16)
+PLACE = StreamPlace("w", "r", "e", "127.0.0.1:80", "s", 1000)
+NOW = 1010.0
+TOKENS = ResumeTokens(TokenSigner([OLD]))
+TOKEN = TOKENS.prefix(PLACE) + ".7"
+
+
+class TokenTests(testtools.TestCase):
+    """Check that a token is of use to its own caller only."""
+
+    def test_own_token_is_read(self) -> None:
+        """Read the place and the event number."""
+        resumed = TOKENS.read(TOKEN, "w", NOW)
+        self.assertEqual((PLACE, 7), (resumed.place, resumed.after))
+
+    def test_keys_rotate(self) -> None:
+        """Accept the former key beside the new one, and not after it."""
+        both = ResumeTokens(TokenSigner([NEW, OLD]))
+        both.read(TOKEN, "w", NOW)
+        with testtools.ExpectedException(InvalidToken):
+            ResumeTokens(TokenSigner([NEW])).read(TOKEN, "w", NOW)
+        with testtools.ExpectedException(InvalidToken):
+            TOKENS.read(both.prefix(PLACE) + ".1", "w", NOW)
+
+    def test_tokens_that_are_refused(self) -> None:
+        """Refuse another workspace's, an old one, and one of other use."""
+        other_use = TokenSigner([OLD]).sign("affinity", ["w", "r", "e", "a", "s", 1])
+        for token, workspace, now in (
+            (TOKEN, "x", NOW),
+            (TOKEN, "w", 1000 + TOKEN_SECONDS + 1),
+            (other_use + ".1", "w", NOW),
+            (TOKEN.rpartition(".")[0], "w", NOW),
+            (TOKEN[:-1] + "\u0667", "w", NOW),
+            (TOKEN + "9" * 9, "w", NOW),
+            ("." * 5000, "w", NOW),
+            ("", "w", NOW),
+        ):
+            with testtools.ExpectedException(InvalidToken):
+                TOKENS.read(token, workspace, now)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.integers(0, len(TOKEN) - 3), st.characters(max_codepoint=0x2FF))
+    def test_changed_token_is_refused(self, position: int, character: str) -> None:
+        """Refuse a token of which one character was changed."""
+        changed = TOKEN[:position] + character + TOKEN[position + 1 :]
+        try:
+            place = TOKENS.read(changed, "w", NOW).place
+        except InvalidToken:
+            return
+        # The last character of base64 may hold bits without a meaning.
+        self.assertEqual(PLACE, place)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.text(max_size=300))
+    def test_rubbish_is_refused(self, text: str) -> None:
+        """Refuse any text."""
+        with testtools.ExpectedException(InvalidToken):
+            TOKENS.read(text, "w", NOW)
+
+    def test_keys_are_checked_and_never_shown(self) -> None:
+        """Refuse weak keys without naming their secret."""
+        secret = "ab" * 16
+        keys = SigningKey.parse_all(f"k1:{secret},k2:{'cd' * 16}")
+        self.assertEqual(["k1", "k2"], [key.key_id for key in keys])
+        self.assertNotIn("abab", repr(keys))
+        for text in ("", "k1", "k1:abab", "k1:xyxyxyxyxyxyxyxyxyxyxyxyxyxyxyxyxyxy"):
+            try:
+                SigningKey.parse_all(text)
+            except ValueError as error:
+                self.assertNotIn("abab", str(error) + repr(error.__cause__))
+            else:
+                self.fail(text)
--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_verdicts.py
@@ -0,0 +1,110 @@
+"""Check the table of verdicts and the bodies made from it."""
+
+import ast
+import json
+from pathlib import Path
+
+import testtools
+
+import teaselpond
+from teaselpond.delivery import problems
+from teaselpond.delivery.verdicts import (
+    EXITS,
+    Exit,
+    Run,
+    RunHistory,
+    refuse,
+    refuse_admission,
+)
+from teaselpond.policy import Refusal, RefusalReason
+from teaselpond.reasons import Reason
+from teaselpond_model.contracts import Address
+
+SOURCE = Path(teaselpond.__file__).parent
+
+
+class VerdictTests(testtools.TestCase):
+    """Check that each exit has one verdict, given in one place."""
+
+    def test_every_exit_has_a_verdict_and_every_reason_an_exit(self) -> None:
+        """Leave no exit undecided and no reason unused."""
+        self.assertEqual(set(Exit), set(EXITS))
+        used = {verdict.reason for verdict in EXITS.values()}
+        self.assertEqual(set(Reason), used)
+
+    def test_names_tell_before_and_after_the_send(self) -> None:
+        """Never call not-run what left after the send, nor the reverse."""
+        for exit_, verdict in EXITS.items():
+            if exit_.value.endswith("before-send"):
+                self.assertEqual(Run.NOT_RUN, verdict.run, exit_)
+            if exit_.value.endswith("after-send"):
+                self.assertNotEqual(Run.NOT_RUN, verdict.run, exit_)
+
+    def test_verdicts_are_given_in_one_place(self) -> None:
+        """Find no other module that makes a refusal or names a verdict."""
+        found = set()
+        for path in SOURCE.rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if self._decides(node):
+                    found.add(path.relative_to(SOURCE).as_posix())
+        self.assertEqual({"delivery/verdicts.py"}, found)
+
+    def _decides(self, node: ast.AST) -> bool:
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name):
+            return node.func.id == "Refused"
+        if not isinstance(node, ast.Assign | ast.keyword | ast.Return):
+            return False
+        value = node.value
+        return (
+            isinstance(value, ast.Attribute)
+            and isinstance(value.value, ast.Name)
+            and value.value.id == "Run"
+        )
+
+    def test_policy_reasons_are_mapped(self) -> None:
+        """Know an exit for each refusal of the policy; none of them ran."""
+        for reason in RefusalReason:
+            refused = refuse_admission(Refusal("r", reason, 2.0))
+            self.assertEqual((Run.NOT_RUN, 2.0), (refused.run, refused.retry_after))
+
+    def test_history(self) -> None:
+        """Let an earlier attempt's run outlast a later refusal."""
+        unsent, sent, answered = RunHistory(), RunHistory(), RunHistory()
+        unsent.sending()
+        unsent.not_run()
+        sent.sending()
+        sent.sending()
+        sent.not_run()
+        answered.answered()
+        answered.sending()
+        for history, run in (
+            (unsent, Run.NOT_RUN),
+            (sent, Run.MAY_HAVE_RUN),
+            (answered, Run.RAN),
+        ):
+            self.assertEqual(run, history.apply(refuse(Exit.CONNECT_FAILED)).run)
+
+    def test_problem(self) -> None:
+        """Write what people, programs and the OpenAI client read."""
+        refused = refuse(
+            Exit.DAEMON_LEAVING,
+            retry_after=0.2,
+            alternatives=(Address("10.0.0.1", 80),),
+            peer="10.9.9.9:1",
+        )
+        problem = problems.render(refused, "r1")
+        body = json.loads(problem.body)
+        self.assertEqual(503, problem.status)
+        self.assertEqual("1", problem.headers_by_name["Retry-After"])
+        self.assertEqual(
+            ("leaving", "not-run", ["10.0.0.1:80"], "leaving"),
+            (
+                body["reason"],
+                body["run"],
+                body["alternatives"],
+                body["error"]["type"],
+            ),
+        )
+        self.assertNotIn(b"10.9.9.9", problem.body)
+        event = problems.render_event(refused)
+        self.assertEqual(2, event.count(b"\n") - 1)
