Check every event number of a batch

Cause: a fuzzed first event whose id line was spoilt passed, as only the count and the last number were looked at; found by hypothesis. Ruled out: parsing events one by one, which each token would pay for. Before: test_rubbish_is_never_counted failed with the rubbish 'id: '. After: it passes; the numbers of a batch are compared as one list.

--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -1,12 +1,15 @@
 """Cut an engine's event stream into whole events without parsing them."""
 
+import re
+
 from attrs import define, field, frozen
 
 from ..exceptions import UpstreamBroken
 
 EVENT_END = b"\n\n"
-ID_FIELD = b"id: "
+ID_LINE = re.compile(rb"^id: (\d{1,12})$", re.MULTILINE)
 TERMINAL_DATA = b"data: [DONE]"
+TERMINAL_TAIL_BYTES = 64
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -56,12 +59,12 @@
         self._pending = rest
 
     def _batch(self, raw: bytes) -> EventBatch | None:
+        numbers = [int(number) for number in ID_LINE.findall(raw)]
         count = raw.count(EVENT_END)
-        terminal = TERMINAL_DATA in raw[-64:]
-        last = _last_number(raw)
-        numbered = (b"\n" + raw).count(b"\n" + ID_FIELD)
-        if numbered != count or last != self.last_number + count:
+        last = self.last_number + count
+        if numbers != list(range(self.last_number + 1, last + 1)):
             return self._batch_each(raw)
+        terminal = TERMINAL_DATA in raw[-TERMINAL_TAIL_BYTES:]
         self.last_number = last
         self.terminal = self.terminal or terminal
         return EventBatch(raw, count, last, terminal)
@@ -96,17 +99,5 @@
 
 
 def _number(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD) and line[len(ID_FIELD) :].isdigit():
-            return int(line[len(ID_FIELD) :])
-    return None
-
-
-def _last_number(raw: bytes) -> int:
-    start = raw.rfind(b"\n" + ID_FIELD)
-    start = start + 1 if start >= 0 else 0
-    line = raw[start : raw.find(b"\n", start)]
-    digits = line[len(ID_FIELD) :]
-    if not line.startswith(ID_FIELD) or not digits.isdigit():
-        return -1
-    return int(digits)
+    found = ID_LINE.findall(event)
+    return int(found[0]) if len(found) == 1 else None
