--- a/packages/teaselpond/src/teaselpond/delivery/chats.py
+++ b/packages/teaselpond/src/teaselpond/delivery/chats.py
@@ -141,7 +141,8 @@
     if not isinstance(messages, list) or not 0 < len(messages) <= MAX_MESSAGES:
         raise refuse(Exit.INPUT_INVALID, f"messages: 1 to {MAX_MESSAGES} of them")
     for index, message in enumerate(messages):
-        if not isinstance(message, dict) or message.get("role") not in ROLES:
+        role = message.get("role") if isinstance(message, dict) else None
+        if not isinstance(role, str) or role not in ROLES:
             raise refuse(Exit.INPUT_INVALID, f"messages[{index}]: unknown role")
         if not isinstance(message.get("content"), str | list | None):
             raise refuse(Exit.INPUT_INVALID, f"messages[{index}]: content not text")
--- a/packages/teaselpond/src/teaselpond/delivery/poison.py
+++ b/packages/teaselpond/src/teaselpond/delivery/poison.py
@@ -180,9 +180,10 @@
         )
         await self._tell(changed)
 
-    def receive(self, suspicion: Suspicion) -> None:
-        """Take in what a peer or the table knows."""
-        self._learn(suspicion)
+    def receive(self, suspicion: Suspicion) -> bool:
+        """Take in what a peer knows; tell whether it is news to pass on."""
+        known = self._suspicions_by_fingerprint.get(suspicion.fingerprint)
+        return self._learn(suspicion) != known
 
     async def clear(self, fingerprint: str) -> None:
         """Drop a suspicion: the request ran to its end, or was lifted."""
@@ -192,9 +193,9 @@
         if self._peers is not None:
             await self._bounded(self._peers.tell_lifted(fingerprint))
 
-    def receive_lifted(self, fingerprint: str) -> None:
-        """Take in that a suspicion ended."""
-        self._suspicions_by_fingerprint.pop(fingerprint, None)
+    def receive_lifted(self, fingerprint: str) -> bool:
+        """Take in that a suspicion ended; tell whether it is news."""
+        return self._suspicions_by_fingerprint.pop(fingerprint, None) is not None
 
     async def refresh(self) -> None:
         """Take in what changed in the table; raise StoreUnavailable.
--- a/packages/teaselpond/tests/delivery/test_ledger.py
+++ b/packages/teaselpond/tests/delivery/test_ledger.py
@@ -6,8 +6,13 @@
 
 from attrs import evolve, frozen
 
+from teaselpond.delivery.expiry import SHARDS, LedgerSweeper
 from teaselpond.delivery.ledger import Ledger, LedgerSettings
-from teaselpond.delivery.records import ServiceCall
+from teaselpond.delivery.records import (
+    KEEP_SECONDS,
+    KEEP_UNSETTLED_SECONDS,
+    ServiceCall,
+)
 from teaselpond.exceptions import Refused
 from teaselpond.upstreams import UpstreamClient
 from teaselpond_model.platform import Platform
@@ -275,6 +280,24 @@
             second = await ledger.run(call)
             self.assertEqual((first.body, True), (second.body, second.repeated))
 
+    async def test_records_end_after_their_time(self) -> None:
+        """Remove old outcomes, and a call without one only much later."""
+        async with Bench() as bench:
+            await bench.place("a")
+            await bench.ledgers_by_daemon["a"].drain()
+            bench.service.add_fault(S.SILENCE)
+            call = evolve(bench.call(), key="silent")
+            ledger = bench.ledgers_by_daemon["a"]
+            await self.assert_refused(ledger.run(call))
+            sweeper = LedgerSweeper(bench.platform.table, bench.platform.objects)
+            removed = []
+            for later in (0.0, KEEP_SECONDS + 90.0, KEEP_UNSETTLED_SECONDS + 90.0):
+                now = time.time() + later
+                removed.append(
+                    sum([await sweeper.sweep(shard, now) for shard in range(SHARDS)])
+                )
+            self.assertEqual([0, 1, 1], removed)
+
     async def test_pause_after_the_dispatch_sends_nothing_late(self) -> None:
         """Refuse as not run when the deadline passed in a pause."""
         async with Bench() as bench:
--- a/packages/teaselpond/tests/delivery/test_poison.py
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -160,8 +160,10 @@
             async with one.turn(engine):
                 running.append(engine)
                 most.append(running.count(engine))
-                await asyncio.sleep(0.001)
-                running.remove(engine)
+                try:
+                    await asyncio.sleep(0.001)
+                finally:
+                    running.remove(engine)
 
         tasks = [asyncio.create_task(run(f"e{n % 2}")) for n in range(10)]
         await asyncio.sleep(0.0015)
