--- a/packages/teaselpond-standins/src/teaselpond_standins/commands/anti_entropy.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/anti_entropy.py
@@ -8,7 +8,7 @@
 
     name = "anti-entropy"
 
-    def handle(self, seed: int = 1) -> None:
+    def __call__(self, seed: int = 1) -> None:
         """Measure and print a table; a changed fact differs on both sides."""
         print("| facts | changed | way | bytes | ms | upkeep us | found |")
         print("| ---: | ---: | --- | ---: | ---: | ---: | ---: |")
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/control_node.py
@@ -0,0 +1,59 @@
+"""Run one measured node as a process."""
+
+import asyncio
+import json
+import sys
+
+from teaselpond.membership import Membership
+from teaselpond_model.platform import Platform
+
+from ..capacity.node import ControlNode, Load, sample_as_dict
+
+
+class ControlNodeCommand:
+    """Run a daemon's control parts and measure them on request.
+
+    Each line of standard input is the JSON of a Load; each answer is the
+    JSON of a Sample. An empty line, or the input's end, stops the node.
+    """
+
+    name = "control-node"
+
+    def __call__(self, platform: str, daemon_id: str, zone: str) -> None:
+        """Run until told to stop."""
+        asyncio.run(_run(platform, str(daemon_id), str(zone)))
+
+
+async def _run(platform_url: str, daemon_id: str, zone: str) -> None:
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    async with Platform.open(platform_url) as platform:
+        node = ControlNode(daemon_id, zone, platform)
+        await node.start()
+        try:
+            while line := (await reader.readline()).strip():
+                order = json.loads(line)
+                if "members" in order:
+                    await _wait_for_members(node, order["members"])
+                    _print({"members": order["members"]})
+                else:
+                    _print(sample_as_dict(await node.measure(Load(**order))))
+        finally:
+            await node.stop()
+
+
+async def _wait_for_members(node: ControlNode, count: int) -> None:
+    reached = asyncio.Event()
+
+    def look(membership: Membership) -> None:
+        if len(membership.usable_daemons()) >= count:
+            reached.set()
+
+    with node.membership.memberships.subscribe(look):
+        await reached.wait()
+
+
+def _print(answer: dict) -> None:
+    print(json.dumps(answer), flush=True)
--- a/packages/teaselpond/src/teaselpond/links/codec.py
+++ b/packages/teaselpond/src/teaselpond/links/codec.py
@@ -10,6 +10,7 @@
 from .messages import Flow, Frame, class_of, name_of
 
 FRAME_LIMIT_BYTES = 1 << 20
+PLAIN_CLASSES = (int, str, bytes, bool, float)
 
 
 def _strict(cls: type) -> Any:
@@ -42,16 +43,49 @@
         converter.register_structure_hook_func(_is_class(cls), _strict(cls))
     converter.register_structure_hook(float, _structure_float)
 
-    # cattrs would read a string as a row of one-letter fields.
-    def structure_fields(value: Any, cls: type) -> Any:
-        if not isinstance(value, list | tuple):
-            raise TypeError(f"{type(value).__name__} is not a row of fields")
-        return converter.structure_attrs_fromtuple(value, cls)
-
-    converter.register_structure_hook_func(attrs.has, structure_fields)
+    converter.register_unstructure_hook_factory(
+        attrs.has, lambda cls: _row_writer(cls, converter)
+    )
+    converter.register_structure_hook_factory(
+        attrs.has, lambda cls: _row_reader(cls, converter)
+    )
     return converter
 
 
+def _row_writer(cls: type, converter: cattrs.Converter) -> Any:
+    # The hooks of the fields are looked up once a class, not once a message.
+    hooks = [
+        (each.name, _unstructure_hook(each.type, converter))
+        for each in attrs.fields(attrs.resolve_types(cls))
+    ]
+
+    def write(value: Any) -> tuple:
+        return tuple(
+            getattr(value, name) if hook is None else hook(getattr(value, name))
+            for name, hook in hooks
+        )
+
+    return write
+
+
+def _unstructure_hook(cls: Any, converter: cattrs.Converter) -> Any:
+    return None if cls in PLAIN_CLASSES else converter.get_unstructure_hook(cls)
+
+
+def _row_reader(cls: type, converter: cattrs.Converter) -> Any:
+    types = [each.type for each in attrs.fields(attrs.resolve_types(cls))]
+    hooks = [(converter.get_structure_hook(each), each) for each in types]
+
+    def read(row: Any, _: type) -> Any:
+        # A string would pass for a row of one-letter fields.
+        if not isinstance(row, list | tuple):
+            raise TypeError(f"{type(row).__name__} is not a row of fields")
+        pairs = zip(hooks, row, strict=False)
+        return cls(*(hook(value, each) for (hook, each), value in pairs))
+
+    return read
+
+
 _converter = _make_converter()
 
 
--- a/packages/teaselpond/src/teaselpond/links/exchange.py
+++ b/packages/teaselpond/src/teaselpond/links/exchange.py
@@ -61,6 +61,7 @@
     _to_stop_by_id: dict[str, set[int]] = field(factory=dict)
     _source_by_name: dict[str, str] = field(factory=dict)
     _frequent_names: frozenset[str] = field(init=False)
+    _has_news: asyncio.Event = field(factory=asyncio.Event)
     _tasks: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -89,6 +90,7 @@
 
     def push(self) -> None:
         """Send each neighbour the new facts that it is not known to hold."""
+        self._has_news.clear()
         now = asyncio.get_running_loop().time()
         holders_by_name, self._holders_by_name = self._holders_by_name, {}
         for link in self.links.lasting_links():
@@ -151,6 +153,8 @@
 
     async def _push_forever(self) -> None:
         while True:
+            await self._has_news.wait()
+            # What comes meanwhile travels in the same batch.
             await asyncio.sleep(self.settings.push_seconds)
             self.push()
 
@@ -180,6 +184,7 @@
         name = change.fact.name
         self._holders_by_name[name] = {change.source_id} - {""}
         self._source_by_name[name] = change.source_id
+        self._has_news.set()
 
     def _note_link(self, event: object) -> None:
         if isinstance(event, LinkOpened) and event.lasting:
@@ -238,6 +243,7 @@
         if self._is_frequent(fact.name) and source_id != sender_id:
             stops = self._to_stop_by_id.setdefault(sender_id, set())
             stops.add(name_fingerprint(fact.name))
+            self._has_news.set()
 
     def _answer_root(self, root: FactRoot, sender: Identity) -> object:
         digest = self.store.digest
--- a/packages/teaselpond/src/teaselpond/links/manager.py
+++ b/packages/teaselpond/src/teaselpond/links/manager.py
@@ -157,11 +157,13 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
-        try:
-            async with asyncio.timeout(seconds):
-                link = await self._open(daemon_id)
-        except TimeoutError as error:
-            raise _unavailable("no link in time", daemon_id) from error
+        link = self._links.best(daemon_id)
+        if link is None or not self._is_trusted(link):
+            try:
+                async with asyncio.timeout(seconds):
+                    link = await self._open(daemon_id)
+            except TimeoutError as error:
+                raise _unavailable("no link in time", daemon_id) from error
         return await link.call(message, max(0.0, deadline - loop.time()))
 
     def meet_newer_run(self, incarnation: int) -> None:
@@ -185,9 +187,12 @@
         # cancel it for the others.
         return await asyncio.shield(dial)
 
-    async def _works(self, link: Link) -> bool:
+    def _is_trusted(self, link: Link) -> bool:
         now = asyncio.get_running_loop().time()
-        if link.lasting or link.quiet_seconds(now) < self.settings.silence_seconds:
+        return link.lasting or link.quiet_seconds(now) < self.settings.silence_seconds
+
+    async def _works(self, link: Link) -> bool:
+        if self._is_trusted(link):
             return True
         # An unused connection may have been forgotten on the way. Asking
         # first keeps the caller's own message from being lost on it.
--- a/packages/teaselpond/src/teaselpond/membership/service.py
+++ b/packages/teaselpond/src/teaselpond/membership/service.py
@@ -58,7 +58,7 @@
     """
 
     poll_seconds: float = 2.0
-    tick_seconds: float = 0.25
+    tick_seconds: float = 0.5
     restate_seconds: float = 600.0
     reunite_seconds: float = 5.0
     list_lag_seconds: float = 10.0
