Count crashes as the engine's stand-in now records them

Cause: the stand-in replaced its counter of crashes by their times, and a test of the quarantine still read the counter. Change: the test counts the times; its bound of two is unchanged.

--- a/packages/teaselpond/tests/delivery/test_poison.py
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -48,7 +48,7 @@
             await other.quarantine.refresh()
             for relay in (bench.relay, other, other, bench.relay):
                 seen.append(await bench.ask(make_call(POISON), relay=relay))
-            crashes = sum(each.records.crashes for each in bench.standins)
+            crashes = sum(len(each.records.crash_times) for each in bench.standins)
             self.assertEqual(2, crashes)
             self.assertEqual(["quarantined may-have-run"], seen[:1])
             self.assertEqual(["quarantined not-run"] * 4, seen[1:])
