Wire leases, orders, load sums and quarantine news into the daemon

Cause: leases, orders and the spread of sums and suspicions were built and did not run. Suspicions went to direct neighbours alone, which in a fleet of more than seven daemons is not every daemon. Change: the daemon keeps its lease and brings engines to the configuration's wish; sums and suspicions travel as facts, one fact a death, so that two daemons' news cannot overwrite each other; daemons taken out by operators own no engines and drop out of locate answers.

--- a/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
+++ b/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
@@ -24,6 +24,7 @@
         self._clock = clock
         self._in_force: ConfigurationInForce | None = None
         self._membership = Membership()
+        self._held_ids: set[str] = set()
 
     @property
     def membership(self) -> Membership:
@@ -42,24 +43,54 @@
         if in_force is None:
             return
         self._in_force = in_force
+        self._set_daemons()
         self._configure()
 
     def take_membership(self, membership: Membership) -> None:
         """Follow the daemons and upstreams in sight."""
         former = self._membership
         self._membership = membership
-        dispatcher = self._broker.dispatcher
-        daemons = [host_of_daemon(each) for each in membership.usable_daemons()]
-        self._broker.hand_over(dispatcher.set_daemons(daemons, self._clock()))
+        self._set_daemons()
         for daemon_id in former.daemons_by_id.keys() - membership.daemons_by_id.keys():
             self._broker.drop_origin(daemon_id)
         self._configure()
 
+    def hold(self, engine_id: str) -> None:
+        """Give an engine no new work."""
+        self._held_ids.add(engine_id)
+        self._configure()
+
+    def resume(self, engine_id: str) -> None:
+        """Let an engine take work again."""
+        self._held_ids.discard(engine_id)
+        self._configure()
+
+    def serving_daemons(self) -> Membership:
+        """Return the membership without daemons that operators took out."""
+        if self._in_force is None:
+            return self._membership
+        document = self._in_force.document
+        out_ids = {
+            daemon_id
+            for daemon_id, daemon in self._membership.daemons_by_id.items()
+            if document.zones_by_id and not document.is_host_in(daemon_id, daemon.zone)
+        }
+        return self._membership.without(out_ids)
+
+    def _set_daemons(self) -> None:
+        daemons = [
+            host_of_daemon(each) for each in self.serving_daemons().usable_daemons()
+        ]
+        dispatcher = self._broker.dispatcher
+        self._broker.hand_over(dispatcher.set_daemons(daemons, self._clock()))
+
     def _configure(self) -> None:
         if self._in_force is None:
             return
         document = self._in_force.document
-        profiles = tuple(build_profiles(document, self.upstream_hosts()))
+        profiles = tuple(
+            build_profiles(document, self.upstream_hosts(), self._held_ids)
+        )
         dispatcher = self._broker.dispatcher
         self._broker.hand_over(
             dispatcher.configure(
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/assembly/load_sums.py
@@ -0,0 +1,51 @@
+"""Tell the other owners this one's load, and learn theirs."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from ..links.facts import FactStore
+from ..links.loads import LoadPublisher, LoadSettings, follow_sums
+from ..policy import Dispatcher
+
+OFFER_SECONDS = 0.25
+# A small fleet can bear to be told of every change.
+SMALL_FLEET_DAEMONS = 14
+SMALL_FLEET_SETTINGS = LoadSettings(
+    level_step=0.001, shortest_seconds=0.25, longest_seconds=5.0
+)
+LARGE_FLEET_SETTINGS = LoadSettings()
+
+
+class LoadSums:
+    """Publish sums by facts, more often where the fleet is small."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        store: FactStore,
+        incarnation: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._publisher = LoadPublisher(
+            store, dispatcher.daemon_id, incarnation, SMALL_FLEET_SETTINGS
+        )
+        follow_sums(
+            store,
+            dispatcher.daemon_id,
+            lambda load_sum: dispatcher.observe_sum(load_sum, clock()),
+        )
+
+    async def run(self) -> None:
+        """Offer sums until cancelled."""
+        while True:
+            await asyncio.sleep(OFFER_SECONDS)
+            daemons = len(self._dispatcher.directory.daemons_by_id)
+            is_small = daemons <= SMALL_FLEET_DAEMONS
+            self._publisher.settings = (
+                SMALL_FLEET_SETTINGS if is_small else LARGE_FLEET_SETTINGS
+            )
+            now = self._clock()
+            self._publisher.offer(self._dispatcher.sums(now), now)
--- a/packages/teaselpond/src/teaselpond/assembly/locator.py
+++ b/packages/teaselpond/src/teaselpond/assembly/locator.py
@@ -1,7 +1,5 @@
 """Answer locate questions from the policy and the membership."""
 
-from teaselpond_model.configuration import Document
-
 from ..locate import LocateAnswer, LocateQuestion, LocateSettings, locate
 from ..policy import EngineDirectory
 from .fleet_follower import FleetFollower
@@ -19,17 +17,10 @@
         self._fleet = fleet
         self._settings = settings
 
-    def locate(
-        self, document: Document, question: LocateQuestion, model: str
-    ) -> LocateAnswer:
+    def locate(self, question: LocateQuestion, model: str) -> LocateAnswer:
         """Return the addresses for a chat, its owner's first."""
-        out_ids = {
-            daemon_id
-            for daemon_id, daemon in self._fleet.membership.daemons_by_id.items()
-            if not document.is_host_in(daemon_id, daemon.zone)
-        }
         return locate(
-            self._fleet.membership.without(out_ids),
+            self._fleet.serving_daemons(),
             question,
             self._owner_ids(question, model),
             {},
--- a/packages/teaselpond/src/teaselpond/assembly/parts.py
+++ b/packages/teaselpond/src/teaselpond/assembly/parts.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from teaselpond_model.configuration import Document
 from teaselpond_model.contracts import Address
 from teaselpond_model.platform import Platform
 
@@ -21,13 +22,19 @@
 from ..entry import Application
 from ..entry.context import EntryContext
 from ..entry.journal import RequestJournal
+from ..leases import LeaseKeeper, LeaseSettings
 from ..links import Identity, LinkKeys, LinkManager
 from ..links.exchange import FactExchange
 from ..links.facts import FactStore
+from ..links.loads import LOAD_TOPIC
 from ..locate import LocateSettings
 from ..membership import MembershipService
 from ..membership.records import HOST_TOPIC, MEMBER_TOPIC
 from ..metrics import Metrics
+from ..orders import EngineClaims, OrderKeeper
+from ..orders.change import ChangeContext
+from ..orders.places import RolloutPlaces
+from ..orders.settings import OrderSettings
 from ..owner import EnginePollers, SlotBroker
 from ..policy import Dispatcher
 from ..settings import Settings, parse_address
@@ -35,10 +42,17 @@
 from .configuration_links import LinkedConfiguration
 from .fleet_follower import FleetFollower
 from .liveness import MemberLiveness, holder_name
+from .load_sums import LoadSums
 from .locator import Locator
-from .quarantine_links import LinkedQuarantine
+from .order_fleet import OwnedFleet
+from .quarantine_links import (
+    LIFTED_TOPIC,
+    SUSPICION_TOPIC,
+    LinkedQuarantine,
+)
 
 KEY_ID_CHARACTERS = 8
+TOPICS = (MEMBER_TOPIC, HOST_TOPIC, LOAD_TOPIC, SUSPICION_TOPIC, LIFTED_TOPIC)
 
 
 @define(eq=False)
@@ -58,6 +72,9 @@
     broker: SlotBroker = field(init=False)
     pollers: EnginePollers = field(init=False)
     fleet: FleetFollower = field(init=False)
+    load_sums: LoadSums = field(init=False)
+    leases: LeaseKeeper = field(init=False)
+    orders: OrderKeeper = field(init=False)
     quarantine: Quarantine = field(init=False)
     relay: ChatRelay = field(init=False)
     ledger: Ledger = field(init=False)
@@ -71,6 +88,7 @@
         self._build_links()
         self._build_configuration()
         self._build_owner()
+        self._build_orders()
         self._build_delivery()
         await self._open_ports()
 
@@ -91,9 +109,7 @@
         )
         keys = LinkKeys(tuple(key.encode() for key in self.settings.link_keys))
         self.links = LinkManager(identity, keys)
-        self.exchange = FactExchange(
-            self.links, FactStore(), (MEMBER_TOPIC, HOST_TOPIC)
-        )
+        self.exchange = FactExchange(self.links, FactStore(), TOPICS)
 
     def _build_configuration(self) -> None:
         configuration_links = LinkedConfiguration(self.links)
@@ -112,10 +128,38 @@
             self.settings.poll_interval_seconds,
         )
         self.fleet = FleetFollower(self.broker, self.pollers)
+        self.load_sums = LoadSums(dispatcher, self.exchange.store, self.incarnation)
+
+    def _build_orders(self) -> None:
+        table = self.platform.table
+        name = holder_name(self.settings.daemon_id, self.incarnation)
+        lease_settings = LeaseSettings()
+        self.leases = LeaseKeeper(
+            table,
+            self.settings.daemon_id,
+            name,
+            settings=lease_settings,
+            count=self.metrics.incr,
+        )
+        context = ChangeContext(
+            leases=self.leases,
+            claims=EngineClaims(table, self.settings.daemon_id, name, lease_settings),
+            places=RolloutPlaces(table),
+            fleet=OwnedFleet(self.broker, self.fleet),
+            link=EngineClient(self.client, self.single_use_client),
+            weights=self.platform.weights,
+            settings=OrderSettings(),
+            count=self.metrics.incr,
+        )
+        self.orders = OrderKeeper(context, self._document)
+
+    def _document(self) -> Document | None:
+        in_force = self.keeper.in_force.value
+        return in_force.document if in_force else None
 
     def _build_delivery(self) -> None:
         holder = holder_name(self.settings.daemon_id, self.incarnation)
-        quarantine_links = LinkedQuarantine(self.links)
+        quarantine_links = LinkedQuarantine(self.exchange)
         self.quarantine = Quarantine(self.platform.table, quarantine_links)
         quarantine_links.attach(self.quarantine)
         retries = RetryPolicy(counters=self.metrics)
--- a/packages/teaselpond/src/teaselpond/assembly/quarantine_links.py
+++ b/packages/teaselpond/src/teaselpond/assembly/quarantine_links.py
@@ -1,52 +1,96 @@
-"""Tell other daemons of requests that engines died of."""
+"""Tell every daemon of requests that engines died of."""
 
-from attrs import frozen
+import time
+from collections.abc import Callable
 
-from ..delivery.poison import Quarantine, Suspicion
-from ..links import LinkManager, message
-from ..links.peers import Identity
+from attrs import evolve, frozen
 
+from ..delivery.poison import QUARANTINE_SECONDS, Quarantine, Suspicion
+from ..links import MalformedFrame
+from ..links.exchange import FactExchange
+from ..links.facts import FactChange, FactVersion, Topic, value_of
 
-@message("suspicions")
-@frozen
-class Suspicions:
-    """Tell which requests were running when engines died."""
-
-    suspicions: tuple[Suspicion, ...]
+MILLISECONDS = 1000
 
 
-@message("suspicion-lifted")
 @frozen
 class SuspicionLifted:
-    """Tell that a request may run again."""
+    """Tell that a request may run again; wall-clock seconds."""
 
-    fingerprint: str
+    lifted_at: float
 
 
-class LinkedQuarantine:
-    """Send suspicions to the neighbours, and pass on those that are news."""
+SUSPICION_TOPIC = Topic("suspicion", Suspicion, QUARANTINE_SECONDS)
+LIFTED_TOPIC = Topic("lifted", SuspicionLifted, QUARANTINE_SECONDS)
+
 
-    def __init__(self, links: LinkManager) -> None:
-        self._links = links
+class LinkedQuarantine:
+    """Spread suspicions as facts, one for each death, so that none is lost."""
+
+    def __init__(
+        self,
+        exchange: FactExchange,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._exchange = exchange
+        self._clock = clock
+        self._wall_clock = wall_clock
         self._quarantine: Quarantine | None = None
+        self._lifted_at_by_fingerprint: dict[str, float] = {}
 
     def attach(self, quarantine: Quarantine) -> None:
-        """Feed a quarantine with what peers tell."""
+        """Feed a quarantine with what other daemons tell."""
         self._quarantine = quarantine
-        self._links.handle(Suspicions, self._serve_suspicions)
-        self._links.handle(SuspicionLifted, self._serve_lifted)
+        store = self._exchange.store
+        store.observe(SUSPICION_TOPIC).subscribe(self._take_suspicion)
+        store.observe(LIFTED_TOPIC).subscribe(self._take_lifted)
 
     async def tell_suspicions(self, suspicions: tuple[Suspicion, ...]) -> None:
-        """Send suspicions to every peer."""
-        self._links.broadcast(Suspicions(suspicions))
+        """State suspicions and send them at once."""
+        for suspicion in suspicions:
+            for death_id in suspicion.death_ids:
+                self._exchange.store.publish(
+                    SUSPICION_TOPIC,
+                    f"{suspicion.fingerprint}/{death_id}",
+                    evolve(suspicion, death_ids=frozenset({death_id})),
+                    _version_at(suspicion.last_death_at),
+                    self._clock(),
+                )
+        self._exchange.push()
 
     async def tell_lifted(self, fingerprint: str) -> None:
-        """Send the end of a suspicion to every peer."""
-        self._links.broadcast(SuspicionLifted(fingerprint))
-
-    def _serve_suspicions(self, news: Suspicions, sender: Identity) -> None:
-        for suspicion in news.suspicions:
+        """State the end of a suspicion and send it at once."""
+        now = self._wall_clock()
+        self._exchange.store.publish(
+            LIFTED_TOPIC,
+            fingerprint,
+            SuspicionLifted(now),
+            _version_at(now),
+            self._clock(),
+        )
+        self._exchange.push()
+
+    def _take_suspicion(self, change: FactChange) -> None:
+        if not change.source_id:
+            return
+        try:
+            suspicion = value_of(change.fact, SUSPICION_TOPIC)
+        except MalformedFrame:
+            return
+        lifted_at = self._lifted_at_by_fingerprint.get(suspicion.fingerprint, 0.0)
+        if suspicion.last_death_at > lifted_at:
             self._quarantine.receive(suspicion)
 
-    def _serve_lifted(self, news: SuspicionLifted, sender: Identity) -> None:
-        self._quarantine.receive_lifted(news.fingerprint)
+    def _take_lifted(self, change: FactChange) -> None:
+        try:
+            lifted = value_of(change.fact, LIFTED_TOPIC)
+        except MalformedFrame:
+            return
+        self._lifted_at_by_fingerprint[change.fact.key] = lifted.lifted_at
+        if change.source_id:
+            self._quarantine.receive_lifted(change.fact.key)
+
+
+def _version_at(wall_time: float) -> FactVersion:
+    return FactVersion(0, int(wall_time * MILLISECONDS))
--- a/packages/teaselpond/src/teaselpond/daemon.py
+++ b/packages/teaselpond/src/teaselpond/daemon.py
@@ -85,6 +85,9 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(parts.keeper.run())
             group.create_task(parts.broker.run())
+            group.create_task(parts.load_sums.run())
+            group.create_task(parts.leases.run())
+            group.create_task(parts.orders.run())
             group.create_task(parts.jobs.run_forever())
             group.create_task(self._refresh_quarantine(parts))
 
--- a/packages/teaselpond/src/teaselpond/entry/locate.py
+++ b/packages/teaselpond/src/teaselpond/entry/locate.py
@@ -32,9 +32,7 @@
         question = LocateQuestion(
             workspace, chat, request.remote or "", request.query.get("zone", "")
         )
-        answer = self.context.locator.locate(
-            document, question, self._model(request, workspace)
-        )
+        answer = self.context.locator.locate(question, self._model(request, workspace))
         return web.json_response(
             {
                 "addresses": [str(address) for address in answer.addresses],
--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -20,7 +20,6 @@
     Handover,
     HeldGrants,
     Home,
-    LoadSum,
     Queued,
     Redirect,
     Refusal,
@@ -31,7 +30,6 @@
 from .messages import CancelSlot, SlotAsk
 
 ADVANCE_SECONDS = 0.05
-SUM_SECONDS = 1.0
 HELD_SECONDS = 5.0
 OWNER_RETRY_SECONDS = 0.2
 ASKS_LIMIT = 8
@@ -71,6 +69,7 @@
         self._links = links
         self._metrics = metrics
         self._clock = clock
+        self.reports_by_engine: dict[str, LoadReport] = {}
         self._held_by_grant: dict[str, HeldSlot] = {}
         self._waiters_by_request: dict[str, asyncio.Future] = {}
         self._asked_at_by_owner: dict[str, float] = {}
@@ -79,7 +78,6 @@
         links.handle(CancelSlot, self._serve_cancel)
         links.handle(Release, self._serve_release)
         links.handle(HeldGrants, self._serve_held)
-        links.handle(LoadSum, self._serve_sum)
         links.handle(Handover, self._serve_handover)
 
     @property
@@ -93,10 +91,9 @@
         return len(self._held_by_grant)
 
     async def run(self) -> None:
-        """Advance queues and publish sums and held grants until cancelled."""
+        """Advance queues and list held grants until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._advance_forever())
-            group.create_task(self._publish_sums())
             group.create_task(self._publish_held())
 
     # What requests of this daemon ask.
@@ -154,6 +151,7 @@
 
     def observe_load(self, engine_id: str, report: LoadReport) -> None:
         """Take an engine's load report."""
+        self.reports_by_engine[engine_id] = report
         self.dispatcher.observe_load(engine_id, report, self._clock())
 
     def observe_cache(self, engine_id: str, page: CacheEventPage) -> bool:
@@ -176,6 +174,13 @@
         profile = self.dispatcher.directory.engines_by_id.get(engine_id)
         return profile.host.zone if profile else ""
 
+    def requests_in_use(self, model: str) -> int:
+        """Return the fleet's running and queued requests of a model."""
+        pool = self.dispatcher.pools_by_model.get(model)
+        if pool is None:
+            return 0
+        return pool.fleet_load(self._clock()).in_flight + len(pool.queue)
+
     def hand_over(self, handovers: tuple[Handover, ...]) -> None:
         """Tell the new owners of engines what this one knew of them."""
         for handover in handovers:
@@ -208,9 +213,6 @@
         self.dispatcher.reconcile(named, self._clock())
         self._advance()
 
-    def _serve_sum(self, load_sum: LoadSum, sender: Identity) -> None:
-        self.dispatcher.observe_sum(load_sum, self._clock())
-
     def _serve_handover(self, handover: Handover, sender: Identity) -> None:
         self.dispatcher.accept(handover, self._clock())
         self._advance()
@@ -303,12 +305,6 @@
             await asyncio.sleep(ADVANCE_SECONDS)
             self._advance()
 
-    async def _publish_sums(self) -> None:
-        while True:
-            await asyncio.sleep(SUM_SECONDS)
-            for load_sum in self.dispatcher.sums(self._clock()):
-                self._links.broadcast(load_sum)
-
     async def _publish_held(self) -> None:
         while True:
             await asyncio.sleep(HELD_SECONDS)
--- a/packages/teaselpond/src/teaselpond/owner/fleet.py
+++ b/packages/teaselpond/src/teaselpond/owner/fleet.py
@@ -1,21 +1,27 @@
 """Turn the configuration in force and the membership into policy inputs."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set
 
 import attrs
 
 from teaselpond_model.configuration import Document, PolicyItem
 from teaselpond_model.contracts import Host
 
+from ..links.loads import LOAD_LIFETIME_SECONDS
 from ..policy import EngineProfile, PolicySettings
 
 SERVING_ROLE = "serve"
 
 
 def build_profiles(
-    document: Document, upstreams_by_id: Mapping[str, Host]
+    document: Document,
+    upstreams_by_id: Mapping[str, Host],
+    held_ids: Set[str] = frozenset(),
 ) -> Iterator[EngineProfile]:
-    """Yield the engines that the document names and the fleet shows."""
+    """Yield the engines that the document names and the fleet shows.
+
+    Engines in ``held_ids`` are being changed and get no new work.
+    """
     for pool in document.pools_by_id.values():
         if pool.role != SERVING_ROLE:
             continue
@@ -28,7 +34,8 @@
                 model=pool.model,
                 slots=pool.slots,
                 cold_limit=pool.cold_limit,
-                available=document.is_host_in(host_id, host.zone),
+                available=host_id not in held_ids
+                and document.is_host_in(host_id, host.zone),
             )
 
 
@@ -36,9 +43,11 @@
     """Return the policy's knobs, as far as the document sets them."""
     known = {field.name for field in attrs.fields(PolicySettings)}
     return PolicySettings(
+        # Sums are told again when they move, so that an old one still holds.
+        sum_stale_seconds=LOAD_LIFETIME_SECONDS,
         **{
             field.name: getattr(policy, field.name)
             for field in attrs.fields(PolicyItem)
             if field.name in known
-        }
+        },
     )
--- a/packages/teaselpond/src/teaselpond/owner/messages.py
+++ b/packages/teaselpond/src/teaselpond/owner/messages.py
@@ -7,7 +7,6 @@
     Grant,
     Handover,
     HeldGrants,
-    LoadSum,
     Redirect,
     Refusal,
     Release,
@@ -40,5 +39,4 @@
 register("slot-refusal", Refusal)
 register("slot-release", Release)
 register("slot-held", HeldGrants)
-register("slot-sum", LoadSum)
 register("slot-handover", Handover)
