--- a/packages/teaselpond-standins/src/teaselpond_standins/commands/drill.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/drill.py
@@ -12,10 +12,17 @@
     name = "drill"
 
     def __call__(
-        self, seed: int = 1, seconds: float = 60.0, mean_gap_seconds: float = 2.0
+        self,
+        seed: int = 1,
+        seconds: float = 60.0,
+        mean_gap_seconds: float = 2.0,
+        dump: str = "",
     ) -> None:
-        """Run a drill; exit 0 only when every promise held."""
-        drill = Drill(DrillPlan(seed, seconds, mean_gap_seconds))
+        """Run a drill; exit 0 only when every promise held.
+
+        ``dump`` names a file for all records and the daemons' logs.
+        """
+        drill = Drill(DrillPlan(seed, seconds, mean_gap_seconds, dump=dump))
         verdicts = asyncio.run(drill.run())
         held = all(verdict.held for verdict in verdicts)
         sys.exit(0 if held and not drill.records.failures else 1)
--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
@@ -1,13 +1,17 @@
 """Run a drill: a real fleet, callers, disturbances and then the verdicts."""
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 
 import aiohttp
 from attrs import define, field, frozen
 
+from teaselpond_model.platform import make_converter
+
 from ..fleet import Fleet, FleetPlan
 from ..fleet.document import WORKSPACES
 from .callers import Callers
@@ -36,6 +40,8 @@
     lookups: int = 1
     plans: int = 2
     fleet: FleetPlan = FleetPlan()
+    # A file that takes all records and logs as JSON, if it is named.
+    dump: str = ""
 
 
 @define(eq=False)
@@ -82,7 +88,10 @@
         ]
         try:
             await self._settle([*work, *strikes])
-            return await read_upstreams(fleet, session)
+            upstreams = await read_upstreams(fleet, session)
+            if plan.dump:
+                self._dump(upstreams, fleet)
+            return upstreams
         finally:
             await _cancel([watch, *work, *strikes])
 
@@ -127,6 +136,17 @@
         for task in pending:
             self.records.failures.append(f"never ended: {task.get_coro()!r}")
 
+    def _dump(self, upstreams: UpstreamReports, fleet: Fleet) -> None:
+        content = {
+            "records": make_converter().unstructure(self.records),
+            "upstreams": make_converter().unstructure(upstreams),
+            "logs": {
+                daemon_id: daemon.log_lines
+                for daemon_id, daemon in fleet.daemons_by_id.items()
+            },
+        }
+        Path(self.plan.dump).write_text(json.dumps(content))
+
     def _tell_outcome(self, verdicts: tuple[Verdict, ...]) -> None:
         for kind in WorkKind:
             work = [work for work in self.records.work if work.kind is kind]
