Take zones and hosts out while the table service is away

Weighed: refusing until the table is back (an operator can't act when it matters most); keeping the order in the daemons as a fact with a lifetime (it would end by itself, or come back); letting a later version undo it (a version accepted without knowing of the order would put the zone back in). Before: the table service was needed. After: an order that can only take out travels with notices and deltas, is carried out on top of the document in force, and is written down once, as a version under the order's own id, when the table is back. Only an entry of the document ends it: written, withdrawn by `zone in`, or void. Edits leave sections alone that the program doesn't know. Seen to fail first: without carrying it out on top, three tests fail; without looking for the order's id test_two_daemons_write_one_version; with orders taken again after they were settled, or edits that drop unknown sections, test_an_order_spreads_and_is_written_down_once. The entry gets POST /ops/outages, and status lists open orders.

--- a/packages/teaselpond-ctl/src/teaselpond_ctl/__main__.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/__main__.py
@@ -7,13 +7,17 @@
 import fire
 
 from teaselpond_model.configuration import ConfigurationConflict
-from teaselpond_model.exceptions import TeaselpondError
+from teaselpond_model.exceptions import StoreUnavailable, TeaselpondError
 
 from .exceptions import CommandUsage
 from .program import Program
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+STORE_HINT = (
+    "while the platform is away, zones and hosts can still be taken out: "
+    "give --by_links and --daemons=ip:port,..."
+)
 
 
 def run(arguments: Sequence[str] | None = None) -> int:
@@ -31,6 +35,9 @@
         for error in group.exceptions:
             print(error, file=sys.stderr)
         return EXIT_REFUSED
+    except StoreUnavailable as error:
+        print(f"{error}\n{STORE_HINT}", file=sys.stderr)
+        return EXIT_REFUSED
     except TeaselpondError as error:
         print(error, file=sys.stderr)
         return EXIT_REFUSED
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/base.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/base.py
@@ -4,7 +4,8 @@
 import uuid
 from typing import Any
 
-from teaselpond_model.configuration import CapacityInUse, render_changes
+from teaselpond_model.configuration import CapacityInUse, Outage, render_changes
+from teaselpond_model.configuration.outages import WITHDRAWN, settle_with
 from teaselpond_model.configuration.proposals import Proposal
 from teaselpond_model.configuration.replica import Replica
 from teaselpond_model.configuration.store import Author, Commit, Committed
@@ -35,10 +36,12 @@
         force: bool,
         wait_seconds: float,
         replica: Replica | None = None,
+        withdrawn: tuple[Outage, ...] = (),
     ) -> Committed:
         store = session.store
         replica = replica or await store.load()
         edit = await store.edit(proposal, replica)
+        edit = settle_with(edit, withdrawn, WITHDRAWN)
         commit = Commit(
             edit,
             Author(self._settings.author(), note),
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/host.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/host.py
@@ -3,14 +3,16 @@
 from fire import decorators
 
 from teaselpond_model.configuration import ServiceState
-from teaselpond_model.configuration.proposals import StateProposal
 
-from .base import FOLLOW_LIMIT_SECONDS, Command
+from .base import FOLLOW_LIMIT_SECONDS
+from .state import StateCommand, StateOptions
 
 
-class HostCommand(Command):
+class HostCommand(StateCommand):
     """Take hosts out of service and back in."""
 
+    section = "hosts"
+
     @decorators.SetParseFn(str, "host", "note")
     async def out(
         self,
@@ -18,9 +20,18 @@
         note: str = "",
         force: bool = False,
         wait_seconds: float = FOLLOW_LIMIT_SECONDS,
+        by_links: bool = False,
     ) -> None:
-        """Take an entry host or an upstream host out."""
-        await self._set(host, ServiceState.OUT, note, force, wait_seconds)
+        """Take an entry host or an upstream host out.
+
+        ``by_links`` tells the daemons at once, when the table service is
+        away; they write the order down when it is back.
+        """
+        options = StateOptions(note, force, wait_seconds)
+        if by_links:
+            await self._order_out(host, options)
+        else:
+            await self._set(host, ServiceState.OUT, options)
 
     @decorators.SetParseFn(str, "host", "note")
     async def in_(
@@ -31,24 +42,8 @@
         wait_seconds: float = FOLLOW_LIMIT_SECONDS,
     ) -> None:
         """Take a host back in."""
-        await self._set(host, ServiceState.IN, note, force, wait_seconds)
-
-    async def _set(
-        self,
-        host: str,
-        state: ServiceState,
-        note: str,
-        force: bool,
-        wait_seconds: float,
-    ) -> None:
-        async with self._session() as session:
-            await self._commit(
-                session,
-                StateProposal("hosts", host, state),
-                note=note or f"host {host} {state.value}",
-                force=force,
-                wait_seconds=wait_seconds,
-            )
+        options = StateOptions(note, force, wait_seconds)
+        await self._set(host, ServiceState.IN, options)
 
 
 # "in" is a keyword of the language, and the operators' word.
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/zone.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/zone.py
@@ -3,14 +3,16 @@
 from fire import decorators
 
 from teaselpond_model.configuration import ServiceState
-from teaselpond_model.configuration.proposals import StateProposal
 
-from .base import FOLLOW_LIMIT_SECONDS, Command
+from .base import FOLLOW_LIMIT_SECONDS
+from .state import StateCommand, StateOptions
 
 
-class ZoneCommand(Command):
+class ZoneCommand(StateCommand):
     """Take availability zones out of service and back in."""
 
+    section = "zones"
+
     @decorators.SetParseFn(str, "zone", "note")
     async def out(
         self,
@@ -18,9 +20,18 @@
         note: str = "",
         force: bool = False,
         wait_seconds: float = FOLLOW_LIMIT_SECONDS,
+        by_links: bool = False,
     ) -> None:
-        """Take a zone out: it gets no new work within seconds."""
-        await self._set(zone, ServiceState.OUT, note, force, wait_seconds)
+        """Take a zone out: it gets no new work within seconds.
+
+        ``by_links`` tells the daemons at once, when the table service is
+        away; they write the order down when it is back.
+        """
+        options = StateOptions(note, force, wait_seconds)
+        if by_links:
+            await self._order_out(zone, options)
+        else:
+            await self._set(zone, ServiceState.OUT, options)
 
     @decorators.SetParseFn(str, "zone", "note")
     async def in_(
@@ -31,7 +42,8 @@
         wait_seconds: float = FOLLOW_LIMIT_SECONDS,
     ) -> None:
         """Take a zone back in."""
-        await self._set(zone, ServiceState.IN, note, force, wait_seconds)
+        options = StateOptions(note, force, wait_seconds)
+        await self._set(zone, ServiceState.IN, options)
 
     async def status(self) -> None:
         """List the zones and what runs in each of them."""
@@ -55,23 +67,6 @@
         columns = ("zone", "region", "state", "engines", "in_flight", "daemons")
         self._output.table(rows, columns)
 
-    async def _set(
-        self,
-        zone: str,
-        state: ServiceState,
-        note: str,
-        force: bool,
-        wait_seconds: float,
-    ) -> None:
-        async with self._session() as session:
-            await self._commit(
-                session,
-                StateProposal("zones", zone, state),
-                note=note or f"zone {zone} {state.value}",
-                force=force,
-                wait_seconds=wait_seconds,
-            )
-
 
 # "in" is a keyword of the language, and the operators' word.
 setattr(ZoneCommand, "in", ZoneCommand.in_)
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/session.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/session.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from teaselpond_model.configuration import CapacityInUse
+from teaselpond_model.configuration import CapacityInUse, Outage
 from teaselpond_model.configuration.store import ConfigurationStore
 from teaselpond_model.contracts import Address, HostKind
 from teaselpond_model.exceptions import StoreUnavailable
@@ -97,6 +97,17 @@
             self.output.tell(f"the list of hosts wasn't read: {error}")
         return CapacityInUse(dict(requests), {}, zones_by_host)
 
+    async def pending_outages(self, section: str, item_id: str) -> tuple[Outage, ...]:
+        """Return the orders for an item that no version holds yet."""
+        outages_by_id = {}
+        for answer in await self.ask_all("/ops/status"):
+            values = answer.value.get("outages", ()) if answer.succeeded else ()
+            for value in values:
+                outage = Outage(**value)
+                if (outage.section, outage.item_id) == (section, item_id):
+                    outages_by_id[outage.outage_id] = outage
+        return tuple(outages_by_id.values())
+
     async def follow(self, version: int, limit_seconds: float) -> list[str]:
         """Wait until a version is in force, and return who lacks it."""
         started = time.monotonic()
--- a/packages/teaselpond-ctl/tests/commands/test_commands.py
+++ b/packages/teaselpond-ctl/tests/commands/test_commands.py
@@ -56,11 +56,13 @@
     daemon_id: str
     status: dict[str, Any] = field(factory=dict)
     lifted: list[str] = field(factory=list)
+    outages: list[dict] = field(factory=list)
 
     def app(self) -> web.Application:
         """Return the routes."""
         app = web.Application(middlewares=[self._authorize])
         app.router.add_get("/ops/status", self._status)
+        app.router.add_post("/ops/outages", self._order_out)
         app.router.add_get("/ops/counters", self._counters)
         app.router.add_get("/ops/why/{request_id}", self._why)
         app.router.add_get("/ops/quarantine", self._quarantine)
@@ -76,7 +78,16 @@
         return await handler(request)
 
     async def _status(self, request: web.Request) -> web.Response:
-        return web.json_response({**self.status, "daemon_id": self.daemon_id})
+        outages = [{k: v for k, v in o.items() if k != "force"} for o in self.outages]
+        own = {"daemon_id": self.daemon_id, "outages": outages}
+        return web.json_response({**self.status, **own})
+
+    async def _order_out(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if body["item_id"] == "ghost":
+            return web.json_response({"detail": "not declared"}, status=400)
+        self.outages.append(body)
+        return web.json_response({"outage_id": body["outage_id"]})
 
     async def _counters(self, request: web.Request) -> web.Response:
         return web.json_response({"refused.overload": 2, "retried": 1})
@@ -300,6 +311,33 @@
             forced = await self.ctl(*host_out, "--force", platform=platform)
             self.assertEqual(0, forced.code, forced)
 
+    async def test_an_order_out_by_links(self) -> None:
+        """Tell the daemons while the platform is away, and withdraw later."""
+        async with (
+            PlatformStandin() as platform,
+            self.daemon(platform, "d1", 9) as daemon,
+        ):
+            await self.ctl("config", "apply", self.write(), platform=platform)
+            host = (await platform.hosts.list_hosts())[0]
+            daemons = f"--daemons={host.address}"
+            platform.faults.add(PlatformFaultKind.REFUSE)
+            out = ("zone", "out", "lienz")
+            away = await self.ctl(*out, platform=platform)
+            self.assertEqual(1, away.code)
+            self.assertIn("--by_links", away.errors)
+            for item, code in (("lienz", 0), ("ghost", 1)):
+                ran = await self.ctl(
+                    *("zone", "out", item, "--by_links", daemons), platform=platform
+                )
+                self.assertEqual(code, ran.code, ran)
+            platform.faults.clear()
+            back = await self.ctl(
+                *("zone", "in", "lienz", "--wait_seconds=0", "--json"),
+                platform=platform,
+            )
+            key = f"config/entry/outages/{daemon.outages[0]['outage_id']}"
+            self.assertEqual([key], back.value["changes"])
+
     async def test_a_wrong_operator_key_is_told(self) -> None:
         """Show why a daemon didn't answer."""
         self.environment["TEASELPOND_OPERATOR_KEY"] = "wrong"
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/__init__.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/__init__.py
@@ -23,6 +23,7 @@
     DocumentInvalid,
     HistoryLost,
 )
+from .outages import Outage
 from .reading import ReadDocument, read_toml
 from .sections import (
     HostItem,
@@ -55,6 +56,7 @@
     "HostItem",
     "Item",
     "ModelItem",
+    "Outage",
     "PolicyItem",
     "PoolItem",
     "ReadDocument",
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/entries.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/entries.py
@@ -82,10 +82,10 @@
     before: Mapping[EntryKey, Any], after: Mapping[EntryKey, Any]
 ) -> tuple[Change, ...]:
     """Return what differs, in the order of the sections and ids."""
-    order = list(SECTIONS_BY_NAME)
+    order = {section: number for number, section in enumerate(SECTIONS_BY_NAME)}
     keys = sorted(
         before.keys() | after.keys(),
-        key=lambda key: (order.index(key.section), key.item_id),
+        key=lambda key: (order.get(key.section, len(order)), key.item_id),
     )
     return tuple(
         Change(key, before.get(key), after.get(key))
@@ -98,12 +98,16 @@
     """Return a diff that a person can read."""
     lines = []
     for change in changes:
-        header = SECTIONS_BY_NAME[change.key.section].header(change.key.item_id)
-        lines.append(f"[{header}]")
+        lines.append(f"[{_header(change.key)}]")
         lines.extend(_render_values(change.before or {}, change.after or {}))
     return "\n".join(lines)
 
 
+def _header(key: EntryKey) -> str:
+    section = SECTIONS_BY_NAME.get(key.section)
+    return section.header(key.item_id) if section else f"{key.section}.{key.item_id}"
+
+
 def _render_values(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[str]:
     lines = []
     for name in sorted(before.keys() | after.keys()):
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/replica.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/replica.py
@@ -7,7 +7,7 @@
 
 from ..contracts import TableEntry
 from .digests import add_entry_digest, entry_digest, remove_entry_digest
-from .document import Document
+from .document import SECTIONS_BY_NAME, Document
 from .entries import ENTRY_PREFIX, HEAD_KEY, EntryKey, apply_values
 from .exceptions import ReplicaBroken
 
@@ -62,11 +62,11 @@
     document: Document = Document()
 
     def values_by_key(self) -> dict[EntryKey, Any]:
-        """Return the values that are not deleted."""
+        """Return the values of the sections that this program knows."""
         return {
             key: entry.value
             for key, entry in self.entries_by_key.items()
-            if entry.value is not None
+            if entry.value is not None and key.section in SECTIONS_BY_NAME
         }
 
     def changed_after(self, table_version: int) -> tuple[TableEntry, ...]:
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/store.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/store.py
@@ -166,12 +166,9 @@
                 if not sent:
                     raise
             await self._pause(attempt)
-            if sent:
-                replica, settled = await self._settle(commit, replica)
-                if settled is not None:
-                    return settled
-            else:
-                replica = await self.load(replica)
+            replica, settled = await self._settle(commit, replica, sent)
+            if settled is not None:
+                return settled
         if sent:
             raise CommitUnsettled(commit.apply_id)
         raise StoreUnavailable("too many conflicts", step="commit the configuration")
@@ -198,16 +195,19 @@
         return Committed(head.version, changes)
 
     async def _settle(
-        self, commit: Commit, replica: Replica
+        self, commit: Commit, replica: Replica, sent: bool
     ) -> tuple[Replica, Committed | None]:
         # A write whose answer was lost may still be under way. The next
         # attempt checks the same head, so that only one of them takes
-        # effect, and the loser finds the winner here by its apply id.
+        # effect, and the loser finds the winner here by its apply id. So do
+        # daemons that write one order down at the same time.
         for attempt in range(COMMIT_ATTEMPTS):
             try:
                 newer = await self.load(replica)
                 records = await self.history(replica.head.version, newer.head.version)
             except StoreUnavailable:
+                if not sent:
+                    raise
                 await self._pause(attempt)
                 continue
             for record in records:
--- a/packages/teaselpond/src/teaselpond/configuration/__init__.py
+++ b/packages/teaselpond/src/teaselpond/configuration/__init__.py
@@ -4,6 +4,7 @@
 from .keeper import ConfigurationKeeper, KeeperSettings
 from .links import ConfigurationLinks, NoLinks
 from .messages import ConfigurationDelta, ConfigurationNotice, ConfigurationRequest
+from .outages import outage_from_value
 
 __all__ = [
     "ConfigurationDelta",
@@ -14,4 +15,5 @@
     "ConfigurationRequest",
     "KeeperSettings",
     "NoLinks",
+    "outage_from_value",
 ]
--- a/packages/teaselpond/src/teaselpond/configuration/in_force.py
+++ b/packages/teaselpond/src/teaselpond/configuration/in_force.py
@@ -4,27 +4,37 @@
 
 from attrs import frozen
 
-from teaselpond_model.configuration import Document
+from teaselpond_model.configuration import Document, Outage
 from teaselpond_model.configuration.digests import canonical_json
 from teaselpond_model.configuration.replica import Replica
 
+from .outages import PendingOutages
+
 DIGEST_BYTES = 8
 
 
 @frozen
 class ConfigurationInForce:
-    """Hold the document in force, its version and its digest."""
+    """Hold the document in force, its version and its digest.
+
+    ``outages`` are carried out in the document beyond what its version says.
+    """
 
     document: Document
     version: int
     digest: str
     table_version: int
+    outages: tuple[Outage, ...] = ()
 
 
-def in_force_from(replica: Replica) -> ConfigurationInForce:
-    """Return what a replica puts in force."""
+def in_force_from(replica: Replica, pending: PendingOutages) -> ConfigurationInForce:
+    """Return what a replica and the orders on top of it put in force."""
     text = canonical_json(replica.digests())
     digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
     return ConfigurationInForce(
-        replica.document, replica.head.version, digest, replica.table_version
+        pending.on_top_of(replica.document),
+        replica.head.version,
+        digest,
+        replica.table_version,
+        tuple(pending),
     )
--- a/packages/teaselpond/src/teaselpond/configuration/keeper.py
+++ b/packages/teaselpond/src/teaselpond/configuration/keeper.py
@@ -13,9 +13,12 @@
     CONFIGURATION_PREFIX,
     HEAD_KEY,
     DocumentInvalid,
+    Outage,
 )
 from teaselpond_model.configuration.exceptions import ReplicaBroken
+from teaselpond_model.configuration.outages import write_outage
 from teaselpond_model.configuration.replica import Replica
+from teaselpond_model.configuration.store import ConfigurationStore
 from teaselpond_model.contracts import Check, TableEntry, TableService
 from teaselpond_model.exceptions import (
     StoreUnavailable,
@@ -31,11 +34,13 @@
     ConfigurationNotice,
     ConfigurationRequest,
 )
+from .outages import PendingOutages, check_outage
 
 POLL_SECONDS = 2.0
 POLL_JITTER_RATIO = 0.25
 STORE_TIMEOUT_SECONDS = 2.0
 PULL_TIMEOUT_SECONDS = 1.0
+WRITE_TIMEOUT_SECONDS = 5.0
 STORE = "store"
 
 
@@ -65,11 +70,13 @@
         count: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.table = table
+        self.store = ConfigurationStore(table)
         self.links = links
         self.settings = settings or KeeperSettings()
         self.jitter = jitter
         self.count = count
         self.replica = Replica()
+        self.pending = PendingOutages()
         self.in_force: BehaviorSubject[ConfigurationInForce | None] = BehaviorSubject(
             None
         )
@@ -91,9 +98,11 @@
 
     async def _follow_store(self) -> None:
         while True:
-            await self.poll(time.monotonic())
+            answers = await self.poll(time.monotonic())
             if not self._confirmed:
                 await self.ask_peers()
+            if answers:
+                await self.write_outages(time.time())
             spread = 1 + POLL_JITTER_RATIO * (2 * self.jitter() - 1)
             await asyncio.sleep(self.settings.poll_seconds * spread)
 
@@ -103,8 +112,8 @@
             self._behind.clear()
             await self.catch_up()
 
-    async def poll(self, now: float) -> None:
-        """Take what changed from the table service, if it answers."""
+    async def poll(self, now: float) -> bool:
+        """Take what changed from the table service; tell if it answers."""
         try:
             async with asyncio.timeout(self.settings.store_timeout_seconds):
                 await self._read_store()
@@ -115,8 +124,9 @@
             logging.log_every_n_seconds(
                 logging.WARNING, "configuration isn't polled: %s", 10, error
             )
-            return
+            return False
         self.store_answered_at = now
+        return True
 
     async def _read_store(self) -> None:
         known = self.replica
@@ -159,6 +169,7 @@
         if advanced.table_version <= self.replica.table_version:
             return False
         self.replica = advanced
+        self.pending.drop_settled(advanced)
         if self._confirmed:
             self._publish()
         return True
@@ -169,22 +180,59 @@
         logging.info("configuration version %d is in force", head.version)
         self.links.announce(self.notice())
         try:
-            self.in_force.on_next(in_force_from(self.replica))
+            self.in_force.on_next(in_force_from(self.replica, self.pending))
         except Exception:
             # One listener's fault must not stop the daemon from following.
             self.count("configuration.listener_failed")
             logging.exception("a listener to the configuration failed")
 
+    def take_outages(self, outages: Iterable[Outage]) -> None:
+        """Carry out orders that are news, and pass them on."""
+        if not self.pending.add(outages, self.replica):
+            return
+        self.count("configuration.outage")
+        if self._confirmed:
+            self._publish()
+        else:
+            self.links.announce(self.notice())
+
+    def order_out(self, outage: Outage, force: bool = False) -> None:
+        """Carry out an operator's order that the table can't take now.
+
+        Raise DocumentInvalid or DocumentError when it is refused.
+        """
+        if not force:
+            check_outage(in_force_from(self.replica, self.pending).document, outage)
+        logging.warning("%s took out %s", outage.who, outage.item_id)
+        self.take_outages((outage,))
+
+    async def write_outages(self, now: float) -> None:
+        """Write the orders down that no version holds, as the store allows.
+
+        ``now`` is in seconds since the epoch.
+        """
+        for outage in self.pending:
+            try:
+                async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+                    replica = await self.store.load(self.replica)
+                    if not outage.is_settled(replica):
+                        await write_outage(self.store, outage, replica, now)
+            except (TeaselpondError, DocumentInvalid, TimeoutError) as error:
+                self.count("configuration.outage_unwritten")
+                logging.warning("an order isn't written down yet: %s", error)
+
     def notice(self) -> ConfigurationNotice:
         """Return what peers are told of this daemon's version."""
         if not self._confirmed:
-            return ConfigurationNotice(0, 0)
-        head = self.replica.head
-        return ConfigurationNotice(head.version, self.replica.table_version)
+            return ConfigurationNotice(0, 0, tuple(self.pending))
+        return ConfigurationNotice(
+            self.replica.head.version, self.replica.table_version, tuple(self.pending)
+        )
 
     def handle_notice(self, peer_id: str, notice: ConfigurationNotice) -> None:
         """Learn a peer's version; it is asked for a delta if it is newer."""
         self._table_versions_by_peer[peer_id] = notice.table_version
+        self.take_outages(notice.outages)
         if notice.table_version > self.replica.table_version:
             self._behind.set()
 
@@ -194,12 +242,12 @@
 
     def answer(self, request: ConfigurationRequest) -> ConfigurationDelta:
         """Return what a peer lacks; nothing until it is confirmed here."""
-        after = request.after_table_version
+        after, outages = request.after_table_version, tuple(self.pending)
         if not self._confirmed:
-            return ConfigurationDelta(after, 0)
+            return ConfigurationDelta(after, 0, (), outages)
         entries = self.replica.changed_after(after)
         changed = tuple(ChangedEntry(e.key, e.value, e.version) for e in entries)
-        return ConfigurationDelta(after, self.replica.table_version, changed)
+        return ConfigurationDelta(after, self.replica.table_version, changed, outages)
 
     async def catch_up(self) -> None:
         """Pull from peers that are ahead, until one delta brings it level."""
@@ -230,4 +278,5 @@
             return False
         entries = [TableEntry(e.key, e.value, e.version) for e in delta.entries]
         self.adopt(entries, known, peer_id)
+        self.take_outages(delta.outages)
         return delta.table_version > 0
--- a/packages/teaselpond/src/teaselpond/configuration/messages.py
+++ b/packages/teaselpond/src/teaselpond/configuration/messages.py
@@ -4,13 +4,19 @@
 
 from attrs import frozen
 
+from teaselpond_model.configuration import Outage
+
 
 @frozen
 class ConfigurationNotice:
-    """Tell a peer which version is in force here."""
+    """Tell a peer which version is in force here, and which orders.
+
+    ``outages`` are the orders that no version holds yet.
+    """
 
     version: int
     table_version: int
+    outages: tuple[Outage, ...] = ()
 
 
 @frozen
@@ -39,3 +45,4 @@
     after_table_version: int
     table_version: int
     entries: tuple[ChangedEntry, ...] = ()
+    outages: tuple[Outage, ...] = ()
--- a/packages/teaselpond/src/teaselpond/entry/operations.py
+++ b/packages/teaselpond/src/teaselpond/entry/operations.py
@@ -5,6 +5,9 @@
 import attrs
 from aiohttp import web
 
+from teaselpond_model.configuration import DocumentError, DocumentInvalid
+
+from ..configuration import outage_from_value
 from ..delivery.verdicts import Exit, refuse
 from .context import EntryContext
 
@@ -20,6 +23,7 @@
         return [
             web.get("/ops/status", self.status),
             web.get("/ops/counters", self.counters),
+            web.post("/ops/outages", self.order_out),
             web.get("/ops/why/{request_id}", self.why),
             web.get("/ops/quarantine", self.quarantine),
             web.delete("/ops/quarantine/{fingerprint}", self.lift),
@@ -38,6 +42,10 @@
                 "state": context.drain.phase(now).value,
                 "config_version": in_force.version if in_force else 0,
                 "config_digest": in_force.digest if in_force else "",
+                "outages": [
+                    attrs.asdict(outage)
+                    for outage in (in_force.outages if in_force else ())
+                ],
                 "incarnation": context.incarnation,
                 "requests": context.drain.active,
                 "slots_held": context.broker.held_count,
@@ -53,6 +61,20 @@
             dict(sorted(self.context.metrics.counts_by_name.items()))
         )
 
+    async def order_out(self, request: web.Request) -> web.Response:
+        """Take a zone or a host out while the table service is away."""
+        self._authorize(request)
+        try:
+            body = await request.json()
+            outage = outage_from_value(body)
+            self.context.keeper.order_out(outage, bool(body.get("force")))
+        except (ValueError, DocumentError) as error:
+            raise refuse(Exit.INPUT_INVALID, str(error)) from error
+        except DocumentInvalid as group:
+            reasons = "; ".join(str(error) for error in group.exceptions)
+            raise refuse(Exit.INPUT_INVALID, reasons) from group
+        return web.json_response({"outage_id": outage.outage_id})
+
     async def why(self, request: web.Request) -> web.Response:
         """Answer the steps of a recent request."""
         self._authorize(request)
--- /dev/null
+++ b/packages/teaselpond/tests/configuration/test_outages.py
@@ -0,0 +1,229 @@
+"""Prove that an order to take out holds while the table service is away."""
+
+import asyncio
+import random
+
+from teaselpond.configuration import ConfigurationKeeper, outage_from_value
+from teaselpond_model.configuration import (
+    DocumentError,
+    DocumentInvalid,
+    Outage,
+    ServiceState,
+    read_toml,
+)
+from teaselpond_model.configuration.outages import WITHDRAWN, settle_with, write_outage
+from teaselpond_model.configuration.proposals import DocumentProposal, StateProposal
+from teaselpond_model.configuration.store import Author, Commit, ConfigurationStore
+from teaselpond_standins.platform import MemoryTable, PlatformFaultKind
+
+from .fleets import DOCUMENT, Fleet, KeeperTestCase
+
+REFUSE, LOSE = PlatformFaultKind.REFUSE, PlatformFaultKind.LOSE_ANSWER
+OUTAGE = Outage("o1", "zones", "lienz", "operator", "flood")
+
+
+class OutageTests(KeeperTestCase):
+    """Check orders from their acceptance to the version that holds them."""
+
+    async def start_fleet(self, size: int = 3) -> Fleet:
+        """Return a fleet with the first version in force, and no store."""
+        await self.advance()
+        fleet = Fleet(self.table, size)
+        for keeper in fleet.keepers_by_id.values():
+            await keeper.poll(0.0)
+        self.table.faults.add(REFUSE)
+        return fleet
+
+    def zones_out(self, fleet: Fleet) -> list[bool]:
+        """Tell for each daemon whether the zone is out."""
+        return [
+            keeper.is_ready and not keeper.in_force.value.document.is_zone_in("lienz")
+            for keeper in fleet.keepers_by_id.values()
+        ]
+
+    async def heal(self, fleet: Fleet) -> None:
+        """Bring the store back, and let every daemon poll twice."""
+        self.table.faults.clear()
+        fleet.cut.clear()
+        for _ in range(2):
+            await asyncio.gather(
+                *(self.poll(keeper) for keeper in fleet.keepers_by_id.values())
+            )
+
+    async def poll(self, keeper: ConfigurationKeeper) -> None:
+        """Do what a daemon does at each interval."""
+        answered = await keeper.poll(0.0)
+        if not keeper.is_ready:
+            await keeper.ask_peers()
+        if answered:
+            await keeper.write_outages(0.0)
+        await keeper.catch_up()
+
+    async def test_an_order_spreads_and_is_written_down_once(self) -> None:
+        """Reach all daemons, and fresh ones, and become one version."""
+        fleet = await self.start_fleet()
+        fleet.cut = {frozenset(("d0", "d2"))}
+        fleet.keepers_by_id["d0"].order_out(OUTAGE)
+        self.assertEqual([True] * 3, self.zones_out(fleet))
+        self.assertEqual([1, 1, 1], fleet.versions())
+        await self.poll(fleet.start("d3"))
+        self.assertEqual([True] * 4, self.zones_out(fleet))
+        await self.heal(fleet)
+        self.assertEqual([2] * 4, fleet.versions())
+        self.assertEqual([True] * 4, self.zones_out(fleet))
+        record, _ = await ConfigurationStore(self.table).history(0, 2)
+        self.assertEqual(("operator", "flood"), (record.who, record.note))
+        for keeper in fleet.keepers_by_id.values():
+            self.assertEqual((), keeper.in_force.value.outages)
+        # The order may still travel, but it is over.
+        fleet.keepers_by_id["d1"].take_outages((OUTAGE,))
+        self.assertEqual((), fleet.keepers_by_id["d1"].in_force.value.outages)
+        await self.commit(StateProposal("zones", "lienz", ServiceState.IN))
+        await self.heal(fleet)
+        self.assertEqual([False] * 4, self.zones_out(fleet))
+        self.assertEqual([3] * 4, fleet.versions())
+        # A later document doesn't take away what settles the order.
+        other = DOCUMENT.replace('"tyrol"', '"north"')
+        await self.commit(DocumentProposal(read_toml(other).document, 3))
+        replica = await ConfigurationStore(self.table).load()
+        self.assertEqual("written", replica.entries_by_key[OUTAGE.key].value["result"])
+
+    async def test_two_daemons_write_one_version(self) -> None:
+        """Find the version that another daemon wrote at the same time."""
+        await self.advance()
+        store = ConfigurationStore(self.table)
+        seen = await store.load()
+        for _ in range(2):
+            written = await write_outage(store, OUTAGE, seen, 0.0)
+            self.assertEqual(2, written.version)
+        self.assertEqual(2, (await store.load()).head.version)
+
+    async def test_fault_table(self) -> None:
+        """Write down exactly one version whatever the store does."""
+        for faults in (
+            ((LOSE, "table.transact", 1),),
+            ((LOSE, "table.transact", 3),),
+            ((REFUSE, "table.transact", 2),),
+            ((PlatformFaultKind.DROP, "table.transact", 2),),
+            ((LOSE, "table.transact", 1), (REFUSE, "table.*", 5)),
+        ):
+            with self.subTest(faults=faults):
+                self.table, self.applied = MemoryTable(), 0
+                fleet = await self.start_fleet()
+                fleet.keepers_by_id["d0"].order_out(OUTAGE)
+                self.table.faults.clear()
+                for kind, operation, count in faults:
+                    self.table.faults.add(kind, operation, count=count)
+                for keeper in fleet.keepers_by_id.values():
+                    await self.poll(keeper)
+                await self.heal(fleet)
+                self.assertEqual([2] * 3, fleet.versions())
+                self.assertEqual([True] * 3, self.zones_out(fleet))
+
+    async def test_a_version_accepted_meanwhile_does_not_undo_it(self) -> None:
+        """Stay out under versions that don't know of the order."""
+        fleet = await self.start_fleet()
+        fleet.keepers_by_id["d0"].order_out(OUTAGE)
+        self.table.faults.clear()
+        await self.commit(StateProposal("zones", "innsbruck", ServiceState.IN))
+        await self.commit(StateProposal("zones", "lienz", ServiceState.IN))
+        other = DOCUMENT.replace('"tyrol"', '"north"')
+        await self.commit(DocumentProposal(read_toml(other).document, 1))
+        for keeper in fleet.keepers_by_id.values():
+            await keeper.poll(0.0)
+            self.assertEqual([True] * 3, self.zones_out(fleet))
+        await self.heal(fleet)
+        self.assertEqual([True] * 3, self.zones_out(fleet))
+        self.assertEqual([3] * 3, fleet.versions())
+
+    async def test_an_operator_withdraws_it(self) -> None:
+        """Take the zone back in by a version that settles the order."""
+        fleet = await self.start_fleet()
+        fleet.keepers_by_id["d0"].order_out(OUTAGE)
+        self.table.faults.clear()
+        store = ConfigurationStore(self.table)
+        replica = await store.load()
+        proposal = StateProposal("zones", "lienz", ServiceState.IN)
+        edit = await store.edit(proposal, replica)
+        edit = settle_with(edit, (OUTAGE,), WITHDRAWN)
+        await store.commit(Commit(edit, Author("operator"), "in", 0.0), replica)
+        await self.heal(fleet)
+        self.assertEqual([False] * 3, self.zones_out(fleet))
+        self.assertEqual([2] * 3, fleet.versions())
+
+    async def test_a_zone_that_is_gone_settles_the_order(self) -> None:
+        """Don't try for ever when the zone was removed."""
+        fleet = await self.start_fleet()
+        fleet.keepers_by_id["d0"].order_out(OUTAGE)
+        self.table.faults.clear()
+        fewer = DOCUMENT.replace('[zones.lienz]\nregion = "tyrol"\n', "")
+        await self.commit(DocumentProposal(read_toml(fewer).document, 1))
+        await self.heal(fleet)
+        self.assertEqual([3] * 3, fleet.versions())
+        for keeper in fleet.keepers_by_id.values():
+            self.assertEqual((), keeper.in_force.value.outages)
+
+    async def test_refusals(self) -> None:
+        """Refuse what is unknown, and the last zone unless it is forced."""
+        fleet = await self.start_fleet()
+        keeper = fleet.keepers_by_id["d0"]
+        ghost = Outage("o2", "zones", "ghost", "operator")
+        self.assertRaises(DocumentError, keeper.order_out, ghost)
+        keeper.order_out(OUTAGE)
+        last = Outage("o3", "zones", "innsbruck", "operator")
+        self.assertRaises(DocumentInvalid, keeper.order_out, last)
+        keeper.order_out(last, force=True)
+        keeper.order_out(Outage("o4", "hosts", "e1", "operator"))
+        document = fleet.keepers_by_id["d2"].in_force.value.document
+        self.assertFalse(document.is_zone_in("innsbruck"))
+        self.assertIn("e1", document.hosts_by_id)
+        for value in (None, [], {}, {"outage_id": "x"}, self._value(section="x")):
+            self.assertRaises(ValueError, outage_from_value, value)
+        self.assertEqual(OUTAGE, outage_from_value(self._value()))
+
+    def _value(self, **changes: str) -> dict[str, str]:
+        value = {
+            "outage_id": "o1",
+            "section": "zones",
+            "item_id": "lienz",
+            "who": "operator",
+            "note": "flood",
+        }
+        return {**value, **changes}
+
+    async def test_random_histories(self) -> None:
+        """Mix orders, cuts, faults and restarts; no daemon forgets."""
+        for seed in range(25):
+            with self.subTest(seed=seed):
+                self.table, self.applied = MemoryTable(), 0
+                await self._run_history(random.Random(seed))
+
+    async def _run_history(self, rng: random.Random) -> None:
+        fleet = await self.start_fleet(4)
+        ids = sorted(fleet.keepers_by_id)
+        known: set[str] = set()
+        for step in range(80):
+            daemon_id = rng.choice(ids)
+            keeper = fleet.keepers_by_id[daemon_id]
+            action = rng.randrange(6)
+            if action == 0:
+                fleet.cut ^= {frozenset((daemon_id, rng.choice(ids)))}
+            elif action == 1 and step > 20 and keeper.is_ready:
+                keeper.take_outages((OUTAGE,))
+            elif action == 2:
+                self.table.faults.clear()
+                kind = rng.choice((REFUSE, LOSE))
+                self.table.faults.add(kind, count=rng.randrange(1, 9))
+            elif action == 3 and daemon_id not in known:
+                fleet.start(daemon_id)
+            else:
+                await self.poll(keeper)
+            outs = dict(zip(ids, self.zones_out(fleet), strict=True))
+            for peer_id in known:
+                self.assertTrue(outs[peer_id], peer_id)
+            known |= {peer_id for peer_id, out in outs.items() if out}
+        await self.heal(fleet)
+        await self.heal(fleet)
+        if known:
+            self.assertEqual([True] * 4, self.zones_out(fleet))
+            self.assertEqual([2] * 4, fleet.versions())
