Prove orders with real daemons, measure rolling restarts and the relay

Before: no test struck a daemon's process at a step of an order; no figure for a rolling restart or the relay.

--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/rolling_restart.py
@@ -0,0 +1,22 @@
+"""Measure a rolling restart from the command line."""
+
+import asyncio
+import sys
+
+import attrs
+
+from ..delivery_bench import RollingRestart, RollingRestartPlan
+
+
+class RollingRestartCommand:
+    """Restart every daemon in turn under load, and count what was cut."""
+
+    name = "rolling_restart"
+
+    def __call__(self, requests: int = 2000, daemons: int = 4, callers: int = 24):
+        """Print the counts; exit 0 only when nothing was cut."""
+        plan = RollingRestartPlan(daemons=daemons, callers=callers, requests=requests)
+        tally = asyncio.run(RollingRestart(plan).run())
+        for field in attrs.fields(type(tally)):
+            print(f"{field.name:20} {getattr(tally, field.name)}")
+        sys.exit(0 if tally.held else 1)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/delivery_bench/relay_cost.py
@@ -0,0 +1,193 @@
+"""Measure what a daemon adds to a stream, in processor time and latency."""
+
+import asyncio
+import os
+import statistics
+import time
+from pathlib import Path
+
+import aiohttp
+from attrs import define, field, frozen
+
+from ..fleet import Fleet, FleetPlan, ManagedProcess
+from ..fleet.document import WORKSPACES
+
+EVENT_END = b"\n\n"
+TERMINAL_EVENT = b"data: [DONE]\n\n"
+IDLE_SECONDS = 3.0
+WARM_UP_REQUESTS = 40
+FAST_ENGINE = ("--time_scale=0.05", "--max_waiting=64")
+HEADERS = {"X-Workspace": WORKSPACES[0]}
+
+
+@frozen
+class RelayCostPlan:
+    """Size the measurement.
+
+    ``samples`` requests go directly and as many through the daemon, in turn;
+    then ``streams`` callers read ``rounds`` long answers each.
+    """
+
+    samples: int = 300
+    sample_words: int = 16
+    streams: int = 12
+    rounds: int = 4
+    stream_words: int = 400
+    engines: int = 3
+
+
+@frozen
+class Timing:
+    """Hold the seconds to the first and to the last event of an answer."""
+
+    first: float
+    last: float
+
+
+@define
+class RelayCostResult:
+    """Hold what was measured; times are in seconds."""
+
+    direct: list[Timing] = field(factory=list)
+    relayed: list[Timing] = field(factory=list)
+    events: int = 0
+    processor_seconds: float = 0.0
+    idle_share: float = 0.0
+
+    @property
+    def events_per_core(self) -> float:
+        """Return the events relayed in a second of one core."""
+        return self.events / self.processor_seconds
+
+    def lines(self) -> list[str]:
+        """Return the result as lines for a person."""
+        lines = [
+            f"events relayed          {self.events}",
+            f"daemon's processor      {self.processor_seconds:.2f} s",
+            f"idle daemon             {self.idle_share:.2%} of a core",
+            f"events/s a core         {self.events_per_core:,.0f}",
+        ]
+        for name in ("first", "last"):
+            for label, share in (("p50", 0.5), ("p99", 0.99)):
+                direct = _quantile([getattr(t, name) for t in self.direct], share)
+                relayed = _quantile([getattr(t, name) for t in self.relayed], share)
+                lines.append(
+                    f"{name} event {label:4} direct {direct * 1e3:7.2f} ms"
+                    f"   relayed {relayed * 1e3:7.2f} ms   ratio {relayed / direct:.2f}"
+                )
+        return lines
+
+
+class FastFleet(Fleet):
+    """Run a fleet whose engines answer faster than real ones."""
+
+    async def start_engine(self, engine_id: str) -> None:
+        """Start an engine stand-in on a fast clock."""
+        self.engines_by_id[engine_id] = await ManagedProcess.start(
+            engine_id,
+            [
+                "teaselpond_standins",
+                "engine",
+                f"--platform={self.platform.url}",
+                f"--host_id={engine_id}",
+                f"--zone={engine_id.split('-')[1]}",
+                f"--slots={self.plan.slots}",
+                f"--cold_limit={self.plan.cold_limit}",
+                *FAST_ENGINE,
+            ],
+        )
+
+
+class RelayCost:
+    """Compare a direct connection to an engine with one through a daemon."""
+
+    def __init__(self, plan: RelayCostPlan) -> None:
+        self.plan = plan
+        self.result = RelayCostResult()
+
+    async def run(self) -> RelayCostResult:
+        """Measure and return the result."""
+        fleet_plan = FleetPlan(
+            zones=("imst",),
+            engines_per_zone=self.plan.engines,
+            daemons=1,
+            slots=16,
+            cold_limit=16,
+        )
+        async with FastFleet(fleet_plan) as fleet, aiohttp.ClientSession() as session:
+            (daemon,) = fleet.daemons_by_id.values()
+            engine = next(iter(fleet.engines_by_id.values()))
+            await self._compare(session, engine.url, daemon.url)
+            await self._load(session, daemon)
+        return self.result
+
+    async def _compare(
+        self, session: aiohttp.ClientSession, engine: str, daemon: str
+    ) -> None:
+        for number in range(self.plan.samples + WARM_UP_REQUESTS):
+            prompt = f"sample {number} words:{self.plan.sample_words}"
+            direct = await self._time(session, engine, prompt)
+            relayed = await self._time(session, daemon, prompt)
+            if number >= WARM_UP_REQUESTS:
+                self.result.direct.append(direct)
+                self.result.relayed.append(relayed)
+
+    async def _load(
+        self, session: aiohttp.ClientSession, daemon: ManagedProcess
+    ) -> None:
+        before = _processor_seconds(daemon.pid)
+        await asyncio.sleep(IDLE_SECONDS)
+        idle = (_processor_seconds(daemon.pid) - before) / IDLE_SECONDS
+        started = time.monotonic()
+        before = _processor_seconds(daemon.pid)
+        await asyncio.gather(
+            *(
+                self._read_long(session, daemon.url, stream)
+                for stream in range(self.plan.streams)
+            )
+        )
+        spent = _processor_seconds(daemon.pid) - before
+        elapsed = time.monotonic() - started
+        self.result.idle_share = idle
+        self.result.processor_seconds = spent - idle * elapsed
+
+    async def _read_long(
+        self, session: aiohttp.ClientSession, daemon: str, stream: int
+    ) -> None:
+        for number in range(self.plan.rounds):
+            prompt = f"stream {stream} {number} words:{self.plan.stream_words}"
+            async with self._ask(session, daemon, prompt) as response:
+                content = await response.read()
+            assert content.endswith(TERMINAL_EVENT), content[-200:]
+            self.result.events += content.count(EVENT_END)
+
+    async def _time(
+        self, session: aiohttp.ClientSession, url: str, prompt: str
+    ) -> Timing:
+        started = time.monotonic()
+        async with self._ask(session, url, prompt) as response:
+            part = await response.content.readany()
+            first = time.monotonic() - started
+            while not part.endswith(TERMINAL_EVENT):
+                part = await response.content.readany()
+                assert part, "an answer was cut"
+            last = time.monotonic() - started
+            await response.read()
+        return Timing(first, last)
+
+    def _ask(self, session: aiohttp.ClientSession, url: str, prompt: str):
+        body = {
+            "model": "fitting",
+            "messages": [{"role": "user", "content": prompt}],
+            "stream": True,
+        }
+        return session.post(f"{url}/v1/chat/completions", json=body, headers=HEADERS)
+
+
+def _processor_seconds(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _quantile(values: list[float], share: float) -> float:
+    return statistics.quantiles(values, n=100)[round(share * 100) - 1]
--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_processes.py
@@ -0,0 +1,123 @@
+"""Kill, pause and stop real daemons between real upstreams."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+from attrs import frozen
+
+from teaselpond.delivery.records import ServiceCall, record_key
+from teaselpond_standins.fleet import Fleet, FleetPlan, ManagedProcess
+from teaselpond_standins.testing import AsyncTestCase
+
+WORKSPACE = "axams"
+HEADERS = {"X-Workspace": WORKSPACE}
+KILL, PAUSE = signal.SIGKILL, signal.SIGSTOP
+STRIKE_SECONDS = 0.4
+SLOW_SECONDS = 1.5
+NO_ANSWER = "no answer"
+
+
+@frozen
+class Row:
+    """Hold a strike at a daemon during one step of an order.
+
+    ``skip`` is the number of writes before the one during which it strikes,
+    -1 for the time at the upstream. ``repeat`` is what a repeat at another
+    daemon sees while the first is struck, ``runs`` the service's own count.
+    """
+
+    name: str
+    skip: int
+    number: signal.Signals
+    repeat: str
+    runs: int
+
+
+# A daemon that ends before it sends frees the key, unless it had written
+# that it would send: no one can know then, and the key stays blocked.
+UNKNOWN = "409 may-have-run"
+ROWS = [
+    Row("killed in the claim", 0, KILL, "200 ran", 1),
+    Row("killed in the dispatch", 1, KILL, UNKNOWN, 0),
+    Row("killed at the upstream", -1, KILL, UNKNOWN, 1),
+    Row("killed in the outcome", 2, KILL, "200 ran", 1),
+    Row("paused in the claim", 0, PAUSE, "200 ran", 1),
+    Row("paused in the dispatch", 1, PAUSE, UNKNOWN, 0),
+    Row("paused at the upstream", -1, PAUSE, UNKNOWN, 1),
+    Row("paused in the outcome", 2, PAUSE, "200 ran", 1),
+]
+
+
+async def call(
+    session: aiohttp.ClientSession, process: ManagedProcess, key: str, seconds: float
+) -> str:
+    """Place an order and return its status and what is known of its run."""
+    headers = HEADERS | {"Idempotency-Key": key, "X-Deadline-Seconds": str(seconds)}
+    url = f"{process.url}/v1/services/orders/place"
+    try:
+        async with session.post(url, headers=headers, json={"shell": key}) as response:
+            await response.read()
+            return f"{response.status} {response.headers.get('X-Run')}"
+    except (aiohttp.ClientError, TimeoutError):
+        return NO_ANSWER
+
+
+class OrderProcessTests(AsyncTestCase):
+    """Judge orders by the service's own count when daemons are struck."""
+
+    async def test_each_step(self) -> None:
+        """Strike a daemon at each step while the caller repeats elsewhere."""
+        plan = FleetPlan(zones=("imst",), engines_per_zone=1, daemons=len(ROWS) + 1)
+        self.fleet = await self.enter(Fleet(plan))
+        self.session = await self.enter(aiohttp.ClientSession())
+        *struck, self.observer = self.fleet.daemons_by_id.values()
+        seen = await asyncio.gather(
+            *(self._run(row, index, struck[index]) for index, row in enumerate(ROWS))
+        )
+        runs_by_key = (await self._get_runs())["by_key"]
+        wrong = {
+            row.name: (row, *found, runs_by_key.get(f"k{index}", 0))
+            for index, (row, found) in enumerate(zip(ROWS, seen, strict=True))
+            if (row.repeat, row.runs) != (found[1], runs_by_key.get(f"k{index}", 0))
+        }
+        self.assertEqual({}, wrong)
+
+    async def _run(self, row: Row, index: int, daemon: ManagedProcess) -> tuple:
+        key = f"k{index}"
+        await self._arm(row, key)
+        first = asyncio.create_task(call(self.session, daemon, key, 3.0))
+        await asyncio.sleep(STRIKE_SECONDS)
+        daemon.send_signal(row.number)
+        repeat = await call(self.session, self.observer, key, 5.0)
+        daemon.send_signal(signal.SIGCONT)
+        return await first, repeat
+
+    async def _arm(self, row: Row, key: str) -> None:
+        if row.skip < 0:
+            service = self.fleet.services_by_id["service-orders"]
+            fault = {"kind": "slow", "key": key, "seconds": SLOW_SECONDS}
+            await self._post(service, "/_faults", fault)
+            return
+        entry = record_key(
+            ServiceCall(WORKSPACE, "orders", "", "", "", (), 0.0, key=key)
+        )
+        fault = {
+            "kind": "slow",
+            "operation": "table.transact",
+            "key": entry,
+            "seconds": SLOW_SECONDS,
+            "count": 1,
+            "skip": row.skip,
+        }
+        await self._post(self.fleet.platform, "/_faults", fault)
+
+    async def _post(self, process: ManagedProcess, path: str, body: dict) -> None:
+        async with self.session.post(process.url + path, json=body) as response:
+            self.assertEqual(204, response.status)
+
+    async def _get_runs(self) -> dict:
+        service = self.fleet.services_by_id["service-orders"]
+        async with self.session.get(service.url + "/_ran") as response:
+            return json.loads(await response.read())
