Let locate answers place new chats

A caller that asks where to go with a new chat now gets the first candidate below the mean, and that engine as its hint, so that its owner decides alone. Dispatcher.locate is for the daemon's locator.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/fleet.py
@@ -26,7 +26,7 @@
 ENGINE_SECONDS = 0.001
 LOCATE_SECONDS = 60.0
 NUMBERS_PER_ATTEMPT = 10_000_000
-_CONVERTER = cattrs.Converter(prefer_attrib_converters=True)
+_CONVERTER = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
 
 
 @define
@@ -101,8 +101,10 @@
         ]
         asked = self.daemons.dispatchers_by_id[live[turn.number % len(live)]]
         hint = self._hints_by_chat.get(turn.chat, "")
-        home = asked.directory.home(turn.workspace, turn.chat, MODEL, hint)
+        home = asked.locate(turn.workspace, turn.chat, MODEL, hint, now)
         daemon_id = home.owner_id if home else asked.daemon_id
+        if home:
+            self._hints_by_chat[turn.chat] = home.engine_id
         self._located_by_chat[turn.chat] = Located(daemon_id, now + LOCATE_SECONDS)
         return daemon_id
 
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -9,7 +9,7 @@
     LoadReport,
 )
 
-from .directory import EngineDirectory
+from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .grants import GrantBook
 from .messages import (
@@ -120,7 +120,23 @@
             for load_sum in pool.sums_by_zone(self.daemon_id, self._sum_version, now)
         )
 
-    # What entry daemons ask.
+    # What callers and entry daemons ask.
+
+    def locate(
+        self, workspace: str, chat: str, model: str, hint_engine: str, now: float
+    ) -> Home | None:
+        """Return the engine, and its owner, that a chat should go to.
+
+        A chat without a hint gets the first of its candidates below the mean.
+        Its caller should then send that engine as its hint.
+        """
+        home = self.directory.home(workspace, chat, model, hint_engine)
+        if home is None or home.engine_id == hint_engine:
+            return home
+        pool = self._pool(model)
+        multiple = self.settings.new_chat_multiple
+        place = self._placement.below(pool, workspace, chat, multiple, now)
+        return place or home
 
     def request(self, request: SlotRequest, now: float) -> Decision:
         """Decide on a request; asking again gives the same answer."""
--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -103,6 +103,25 @@
                 return place
         return None
 
+    def below(
+        self, pool: ModelPool, workspace: str, chat: str, multiple: float, now: float
+    ) -> Home | None:
+        """Return a chat's first candidate whose owner is below a multiple."""
+        load = pool.fleet_load(now)
+        own = pool.own_load(now)
+        for engine_id in self.directory.candidates(workspace, chat, pool.model):
+            place = self.directory.home_at(engine_id)
+            if place is None:
+                continue
+            if engine_id in pool.engines_by_id:
+                mean = load.in_flight / max(1, load.slots)
+                free = multiple * mean * own.slots - own.in_flight
+            else:
+                free = self._free_slots(pool, place.owner_id, load, multiple, now)
+            if free >= 0.0:
+                return place
+        return None
+
     def _free_slots(
         self,
         pool: ModelPool,
