Decide without looking at every engine's whole state

The load is now kept from one decision to the next, and only the holders of the longest prefix, the home engine and the least loaded are priced.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -156,6 +156,10 @@
         delay = 0.0 if self.knows_zones_without_lag else ZONE_NOTICE_SECONDS / 2
         self.world.watchers.append(lambda: self.world.clock.after(delay, self._learn))
 
+    def leaked_slots(self) -> int:
+        """Return 0: a central run hands out no slots."""
+        return 0
+
     def _learn(self) -> None:
         self._known_out = frozenset(self.world.zones_out)
 
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -81,17 +81,22 @@
         engine = self.engines.by_id.get(handover.engine_id)
         if engine is not None:
             engine.accept(handover, now)
+            self._pool(engine.profile.model).invalidate()
 
     def observe_load(self, engine_id: str, report: LoadReport, now: float) -> None:
         """Take an engine's load report."""
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.observe_load(report, now)
+            self._pool(engine.profile.model).invalidate()
 
     def observe_cache(self, engine_id: str, page: CacheEventPage, now: float) -> bool:
         """Take cache events; return True when a snapshot is due."""
         engine = self.engines.get(engine_id)
-        return engine is not None and engine.observe_cache(page, now)
+        if engine is None:
+            return False
+        self._pool(engine.profile.model).invalidate()
+        return engine.observe_cache(page, now)
 
     def observe_snapshot(
         self,
@@ -105,6 +110,7 @@
         engine = self.engines.get(engine_id)
         if engine is not None:
             engine.observe_snapshot(incarnation, last_sequence, prefixes, now)
+            self._pool(engine.profile.model).invalidate()
 
     def observe_sum(self, load_sum: LoadSum, now: float) -> None:
         """Take another owner's sum."""
@@ -163,8 +169,14 @@
         engine = self.engines.get(use.engine_id)
         if engine is None:
             return
+        usable = engine.usable_slots()
+        may_eject = pool.may_eject(now)
         engine.slots.give_back(release.grant_id, now)
-        engine.finish(use, release, pool.may_eject(now), now)
+        engine.finish(use, release, may_eject, now)
+        if release.outcome is Outcome.COMPLETED and engine.usable_slots() == usable:
+            pool.give_back(engine)
+        else:
+            pool.invalidate()
         if release.outcome is Outcome.COMPLETED:
             pool.learn_service(now - use.granted_at)
         self.engines.forget_idle()
@@ -199,7 +211,8 @@
     def advance(self, now: float) -> tuple[Grant | Redirect | Refusal, ...]:
         """Grant, pass on or give up what is queued, as soon as it is due."""
         for engine in self.engines.by_id.values():
-            engine.advance(now)
+            if engine.advance(now):
+                self._pool(engine.profile.model).invalidate()
         decisions: list[Grant | Redirect | Refusal] = list(self._shed)
         self._shed.clear()
         for pool in self.pools_by_model.values():
@@ -243,7 +256,7 @@
     ) -> Redirect | None:
         """Send a new chat to an owner below the mean, when this one is not."""
         multiple = self.settings.new_chat_multiple
-        if pool.roomy(request, multiple, now):
+        if pool.roomy(request, multiple, now).engines:
             return None
         return self._redirect(pool, request, multiple, now)
 
@@ -262,14 +275,14 @@
     def _engine_for(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> OwnedEngine | None:
-        roomy = pool.roomy(request, self.settings.load_multiple, now)
-        engine = self._placement.choose(request, roomy, now)
+        room = pool.roomy(request, self.settings.load_multiple, now)
+        engine = self._placement.choose(request, room, now)
         if engine is None or not self._over_share(pool, request, now):
             return engine
         return None
 
     def _over_share(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        free = pool.capacity(now) - pool.in_use()
+        free = pool.free_slots(now)
         factor = self.settings.share_factor
         return not pool.shares.may_take(request.workspace, free, factor)
 
@@ -304,13 +317,14 @@
             now,
         )
         engine.slots.take(use, now)
+        pool.take()
         pool.shares.take(request.workspace)
         return grant
 
     def _enqueue(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> Queued | Refusal:
-        if not any(True for _ in pool.able(now)):
+        if not pool.able(now):
             return self._refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
         ahead = pool.queue.ahead_of(request)
         if not self._make_room(pool, request, now):
@@ -323,7 +337,7 @@
         return Queued(request.request_id, ahead + 1)
 
     def _make_room(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        room = max(1, int(self.settings.queue_per_slot * pool.capacity(now)))
+        room = max(1, int(self.settings.queue_per_slot * pool.own_load(now).slots))
         if len(pool.queue) < room:
             return True
         last = pool.queue.least_urgent()
@@ -387,7 +401,7 @@
     ) -> RefusalReason | None:
         if not pool.engines_by_id:
             return RefusalReason.NOT_OWNER
-        if not any(True for _ in pool.able(now)):
+        if not pool.able(now):
             return RefusalReason.ENGINES_UNAVAILABLE
         if waiting.request.deadline <= now:
             return RefusalReason.DEADLINE_PASSED
@@ -414,7 +428,5 @@
         for engine_id, engine in self.engines.by_id.items():
             members.setdefault(engine.profile.model, {})[engine_id] = engine
         for model in self.pools_by_model.keys() | members.keys():
-            pool = self._pool(model)
-            pool.settings = self.settings
-            pool.engines_by_id = members.get(model, {})
+            self._pool(model).configure(self.settings, members.get(model, {}))
         return handovers
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -7,7 +7,6 @@
 
 from teaselpond_model.contracts import CacheEvent, CacheEventPage, LoadReport
 
-from .cap import FleetLoad, load_cap
 from .claims import Claim, ClaimState
 from .messages import Handover, Outcome, Release, RequestClass
 from .outliers import OutlierDetector
@@ -92,23 +91,29 @@
         self.prefill_free_at = max(self.prefill_free_at, now) + seconds
         return self.prefill_free_at - now
 
-    def has_room(self, load: FleetLoad, multiple: float) -> bool:
-        """Tell whether one more request keeps the engine within its bounds.
+    def may_claim(self, cap: int) -> bool:
+        """Tell whether this claimant's part of the cap has room."""
+        claim = self.claim
+        if claim.state is ClaimState.CONFIRMED:
+            return True
+        return len(self.slots.uses_by_grant) < claim.limit(cap)
 
-        The multiple of the mean is the cap's, or a lower one.
+    def advance(self, now: float) -> bool:
+        """Let time pass; return True when it changed the engine's limits.
+
+        Claims ripen, a quiet engine counts as cold, an ejection ends.
         """
-        limit = self.usable_slots()
-        cap = load_cap(load, limit, multiple, self.settings.load_floor)
-        limit = min(limit, cap)
-        own = len(self.slots.uses_by_grant)
-        return self.slots.in_flight < limit and own < self.claim.limit(limit)
-
-    def advance(self, now: float) -> None:
-        """Let time pass: claims ripen, and a quiet engine counts as cold."""
-        self.claim.advance(self.slots.reported_at, now)
+        changed = False
+        if self.claim.state is not ClaimState.CONFIRMED:
+            self.claim.advance(self.slots.reported_at, now)
+            changed = True
         quiet = now - self.heard_at > self.settings.quiet_seconds
         if quiet and self.warmup.reason is not ColdReason.QUIET:
             self.warmup.start(ColdReason.QUIET, now)
+            changed = True
+        if self.outliers.end_ejection(now):
+            changed = True
+        return changed
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Take a load report, unless it is older than one known."""
--- a/packages/teaselpond/src/teaselpond/policy/outliers.py
+++ b/packages/teaselpond/src/teaselpond/policy/outliers.py
@@ -19,6 +19,13 @@
         """Tell whether the engine is out at the moment."""
         return now < self.ejected_until
 
+    def end_ejection(self, now: float) -> bool:
+        """Return True once an ejection has run out."""
+        if self.ejected_until == NEVER or now < self.ejected_until:
+            return False
+        self.ejected_until = NEVER
+        return True
+
     def succeed(self) -> None:
         """Count a completed answer."""
         self.failures = 0
--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -9,7 +9,7 @@
 from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .messages import SlotRequest
-from .pools import ModelPool
+from .pools import ModelPool, Room
 from .settings import PolicySettings
 
 # A load difference of a whole engine counts as much as this wait.
@@ -47,24 +47,33 @@
     settings: PolicySettings
 
     def choose(
-        self, request: SlotRequest, roomy: Sequence[OwnedEngine], now: float
+        self, request: SlotRequest, room: Room, now: float
     ) -> OwnedEngine | None:
-        """Return the cheapest engine that has room, None without one."""
-        if not roomy:
+        """Return the cheapest engine that has room, None without one.
+
+        Of the engines that hold less of the prompt than another, only the
+        home engine and the least loaded are weighed.
+        """
+        if room.least_loaded is None:
             return None
         prefixes = [int(prefix, 16) for prefix in reversed(request.prefixes)]
-        ranking = list(
-            self.directory.candidates(request.workspace, request.chat, request.model)
-        )
-        home = ranking[0] if ranking else ""
+        home = self._home_engine(request)
+        options = holders_of_longest(prefixes, room.engines)
+        options.append(room.least_loaded)
+        options.extend(e for e in room.engines if e.profile.host.host_id == home)
         return min(
-            roomy,
-            key=lambda engine: (
-                self._cost(request, engine, prefixes, home, now),
-                engine.engine_id,
-            ),
+            options,
+            key=lambda engine: self._cost(request, engine, prefixes, home, now),
         )
 
+    def _home_engine(self, request: SlotRequest) -> str:
+        if request.hint_engine:
+            return request.hint_engine
+        candidates = self.directory.candidates(
+            request.workspace, request.chat, request.model
+        )
+        return next(candidates, "")
+
     def cached_tokens(self, request: SlotRequest, engine: OwnedEngine) -> int:
         """Return how much of the prompt an engine is believed to hold."""
         prefixes = (int(prefix, 16) for prefix in reversed(request.prefixes))
@@ -153,6 +162,17 @@
             * engine.slots.in_flight
             / max(1, engine.usable_slots())
         )
-        if engine.engine_id not in (home, request.hint_engine):
+        if engine.engine_id != home:
             seconds += DISPLACEMENT_SECONDS
         return seconds
+
+
+def holders_of_longest(
+    prefixes: Sequence[int], engines: Sequence[OwnedEngine]
+) -> list[OwnedEngine]:
+    """Return the engines that hold the longest prefix that any holds."""
+    for prefix in prefixes:
+        holders = [e for e in engines if prefix in e.prefixes.tokens_by_prefix]
+        if holders:
+            return holders
+    return []
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -1,91 +1,152 @@
 """Hold one model's engines, queue and load as their owner sees them."""
 
-from collections.abc import Iterator
-
 from attrs import define, field
 
-from .cap import FleetLoad, SumTable
+from .cap import FleetLoad, SumTable, load_cap
 from .engines import OwnedEngine
 from .messages import LoadSum, SlotRequest
 from .outliers import ejections_allowed
 from .queue import RequestQueue
 from .settings import PolicySettings
 from .shares import WorkspaceShares
+from .slots import EngineSlots
 
 SERVICE_SECONDS_AT_START = 5.0
 SERVICE_SMOOTHING = 0.1
 
 
+@define
+class AbleEngine:
+    """Hold an engine that may take work and the slots that it can bear."""
+
+    engine: OwnedEngine
+    slots: EngineSlots
+    usable: int
+
+
+@define
+class Room:
+    """Hold the engines that have room, and the least loaded of them."""
+
+    engines: list[OwnedEngine] = field(factory=list)
+    least_loaded: OwnedEngine | None = None
+
+
 @define
 class ModelPool:
-    """Decide which of an owner's engines of one model has room."""
+    """Decide which of an owner's engines of one model has room.
+
+    The engines that may take work, and their load, are kept from one decision
+    to the next; ``invalidate`` tells that something else than a slot changed.
+    """
 
     model: str
     settings: PolicySettings
     queue: RequestQueue
-    shares: WorkspaceShares
     sums: SumTable
+    shares: WorkspaceShares = field(factory=WorkspaceShares)
     engines_by_id: dict[str, OwnedEngine] = field(factory=dict)
     service_seconds: float = SERVICE_SECONDS_AT_START
+    _able: list[AbleEngine] | None = None
+    _in_flight: int = 0
+    _slots: int = 0
+    _ejected: int = 0
 
     @classmethod
     def create(cls, model: str, settings: PolicySettings) -> "ModelPool":
         """Make an empty pool."""
-        return cls(
-            model,
-            settings,
-            RequestQueue(settings.ageing_seconds),
-            WorkspaceShares(),
-            SumTable(settings.sum_stale_seconds),
-        )
+        queue = RequestQueue(settings.ageing_seconds)
+        return cls(model, settings, queue, SumTable(settings.sum_stale_seconds))
+
+    def configure(
+        self, settings: PolicySettings, engines_by_id: dict[str, OwnedEngine]
+    ) -> None:
+        """Take the settings and the engines that this owner has now."""
+        self.settings = settings
+        self.engines_by_id = engines_by_id
+        self.queue.ageing_seconds = settings.ageing_seconds
+        self.sums.stale_seconds = settings.sum_stale_seconds
+        self.invalidate()
+
+    def invalidate(self) -> None:
+        """Forget what was worked out from the engines' state."""
+        self._able = None
+
+    def able(self, now: float) -> list[AbleEngine]:
+        """Return the engines that count in the mean."""
+        if self._able is None:
+            self._able = [
+                AbleEngine(engine, engine.slots, engine.usable_slots())
+                for engine in self.engines_by_id.values()
+                if engine.takes_work(now)
+            ]
+            self._in_flight = sum(e.engine.slots.in_flight for e in self._able)
+            self._slots = sum(each.usable for each in self._able)
+            self._ejected = sum(
+                engine.outliers.is_ejected(now)
+                for engine in self.engines_by_id.values()
+            )
+        return self._able
 
-    def able(self, now: float) -> Iterator[OwnedEngine]:
-        """Yield the engines that count in the mean."""
-        for engine in self.engines_by_id.values():
-            if engine.takes_work(now):
-                yield engine
+    def take(self) -> None:
+        """Count a slot that was granted on an able engine."""
+        self._in_flight += 1
+
+    def give_back(self, engine: OwnedEngine) -> None:
+        """Count a slot of an engine that was released."""
+        if engine.engine_id not in self.engines_by_id or not engine.profile.takes_work:
+            self.invalidate()
+        else:
+            self._in_flight -= 1
 
     def own_load(self, now: float) -> FleetLoad:
         """Return the load of the owner's engines that may take work."""
-        in_flight = slots = engines = 0
-        for engine in self.able(now):
-            in_flight += engine.slots.in_flight
-            slots += engine.usable_slots()
-            engines += 1
-        return FleetLoad(in_flight, slots, engines, self._count_ejected(now))
+        engines = len(self.able(now))
+        return FleetLoad(self._in_flight, self._slots, engines, self._ejected)
 
     def fleet_load(self, now: float) -> FleetLoad:
-        """Return the model's load over all owners, as far as it is known."""
+        """Return the model's load over all owners, as far as it is known.
+
+        A part of the others' work is not counted, as it may have ended since.
+        """
         own = self.own_load(now)
         others = self.sums.total(now)
+        heard = int(others.in_flight * (1 - self.settings.sum_discount))
         return FleetLoad(
-            own.in_flight + int(others.in_flight * (1 - self.settings.sum_discount)),
+            own.in_flight + heard,
             own.slots + others.slots,
             own.engines + others.engines,
             own.ejected + others.ejected,
         )
 
-    def roomy(
-        self, request: SlotRequest, multiple: float, now: float
-    ) -> list[OwnedEngine]:
+    def roomy(self, request: SlotRequest, multiple: float, now: float) -> Room:
         """Return the engines that have room for a request below a multiple."""
         load = self.fleet_load(now)
-        return [
-            engine
-            for engine in self.able(now)
-            if engine.has_room(load, multiple)
-            and engine.engine_id not in request.excluded
-        ]
-
-    def capacity(self, now: float) -> int:
-        """Return how many requests all engines could bear together."""
-        return sum(engine.usable_slots() for engine in self.able(now))
-
-    def in_use(self) -> int:
-        """Return the slots that are granted and not released."""
-        return sum(
-            len(engine.slots.uses_by_grant) for engine in self.engines_by_id.values()
-        )
+        floor = self.settings.load_floor
+        caps_by_slots: dict[int, int] = {}
+        room = Room()
+        least = float("inf")
+        for each in self.able(now):
+            usable = each.usable
+            cap = caps_by_slots.get(usable)
+            if cap is None:
+                cap = caps_by_slots[usable] = load_cap(load, usable, multiple, floor)
+            slots = each.slots
+            in_flight = len(slots.uses_by_grant) + slots.foreign
+            if in_flight >= cap or not each.engine.may_claim(cap):
+                continue
+            if request.excluded and each.engine.engine_id in request.excluded:
+                continue
+            room.engines.append(each.engine)
+            if in_flight < least * usable:
+                least = in_flight / usable
+                room.least_loaded = each.engine
+        return room
+
+    def free_slots(self, now: float) -> int:
+        """Return the slots that are free on all engines together."""
+        load = self.own_load(now)
+        return load.slots - load.in_flight
 
     def learn_service(self, seconds: float) -> None:
         """Take the time that one request held its slot."""
@@ -93,7 +154,7 @@
 
     def wait_seconds(self, ahead: int, now: float) -> float:
         """Estimate how long a request waits behind so many others."""
-        capacity = self.capacity(now)
+        capacity = self.own_load(now).slots
         if capacity == 0:
             return float("inf")
         return (ahead + 1) * self.service_seconds / capacity
@@ -112,17 +173,17 @@
     def _sum(self, zone: str, owner_id: str, version: int, now: float) -> LoadSum:
         # An engine that two daemons claim would count twice.
         able = [
-            engine
-            for engine in self.able(now)
-            if engine.profile.host.zone == zone and engine.is_confirmed
+            each
+            for each in self.able(now)
+            if each.engine.profile.host.zone == zone and each.engine.is_confirmed
         ]
         return LoadSum(
             model=self.model,
             zone=zone,
             owner_id=owner_id,
-            in_flight=sum(engine.slots.in_flight for engine in able),
+            in_flight=sum(each.engine.slots.in_flight for each in able),
             queued=len(self.queue),
-            slots=sum(engine.usable_slots() for engine in able),
+            slots=sum(each.usable for each in able),
             engines=len(able),
             version=version,
             ejected=sum(
@@ -130,6 +191,3 @@
                 for engine in self.engines_by_id.values()
             ),
         )
-
-    def _count_ejected(self, now: float) -> int:
-        return sum(e.outliers.is_ejected(now) for e in self.engines_by_id.values())
--- a/packages/teaselpond/src/teaselpond/policy/prefixes.py
+++ b/packages/teaselpond/src/teaselpond/policy/prefixes.py
@@ -37,14 +37,14 @@
     incarnation: str = ""
     last_sequence: int = 0
     has_gap: bool = False
-    _tokens_by_prefix: dict[int, int] = field(factory=dict)
+    tokens_by_prefix: dict[int, int] = field(factory=dict)
 
     def __len__(self) -> int:
-        return len(self._tokens_by_prefix)
+        return len(self.tokens_by_prefix)
 
     def clear(self) -> None:
         """Forget every prefix."""
-        self._tokens_by_prefix.clear()
+        self.tokens_by_prefix.clear()
 
     def restart(self, incarnation: str) -> None:
         """Begin anew with an engine that has started again."""
@@ -58,19 +58,19 @@
         if tokens % self.block_tokens or not is_milestone(tokens // self.block_tokens):
             return
         key = int(prefix, 16)
-        self._tokens_by_prefix.pop(key, None)
-        self._tokens_by_prefix[key] = tokens
-        if len(self._tokens_by_prefix) > self.capacity:
-            del self._tokens_by_prefix[next(iter(self._tokens_by_prefix))]
+        self.tokens_by_prefix.pop(key, None)
+        self.tokens_by_prefix[key] = tokens
+        if len(self.tokens_by_prefix) > self.capacity:
+            del self.tokens_by_prefix[next(iter(self.tokens_by_prefix))]
 
     def discard(self, prefix: str) -> None:
         """Forget one prefix."""
-        self._tokens_by_prefix.pop(int(prefix, 16), None)
+        self.tokens_by_prefix.pop(int(prefix, 16), None)
 
     def cached_tokens(self, prefixes: Iterable[int]) -> int:
         """Return the length of the first of these prefixes that is held."""
         for prefix in prefixes:
-            tokens = self._tokens_by_prefix.get(prefix)
+            tokens = self.tokens_by_prefix.get(prefix)
             if tokens is not None:
                 return tokens
         return 0
