--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -180,7 +180,6 @@
 
     def finish(self, use: SlotUse, release: Release, may_eject: bool, now: float):
         """Learn from the end of a request."""
-        self.see_incarnation(release.incarnation, now)
         if release.outcome is Outcome.COMPLETED:
             self.outliers.succeed()
             self.warmup.complete(use.granted_at)
@@ -189,6 +188,8 @@
             self.outliers.fail(may_eject, self.settings, now)
         elif release.outcome is Outcome.REFUSED_BY_ENGINE:
             self.claim.contest(self.settings.claim_seconds, now)
+        # After the count: an answer that shows a cold start doesn't warm.
+        self.see_incarnation(release.incarnation, now)
         if use.request.request_class not in PATIENT_CLASSES:
             self._judge_first_token(use, release, now)
 
--- a/packages/teaselpond/src/teaselpond/policy/grants.py
+++ b/packages/teaselpond/src/teaselpond/policy/grants.py
@@ -54,6 +54,10 @@
             del self._grants_by_origin[use.request.origin_daemon]
         return use
 
+    def open_ids(self) -> tuple[str, ...]:
+        """Return the ids of all open grants."""
+        return tuple(self._uses_by_grant)
+
     def by_request(self, request_id: str) -> Grant | None:
         """Return the open grant of a request."""
         return self._grants_by_request.get(request_id)
--- a/packages/teaselpond/tests/policy/test_dispatcher.py
+++ b/packages/teaselpond/tests/policy/test_dispatcher.py
@@ -7,82 +7,48 @@
 
 from teaselpond.policy import (
     Dispatcher,
-    EngineProfile,
     Grant,
     Outcome,
-    PolicySettings,
     Queued,
     Redirect,
     Refusal,
     RefusalReason,
     Release,
-    RequestClass,
-    SlotRequest,
 )
-from teaselpond_model.contracts import Address, Host, HostKind, LoadReport
-
-SETTINGS = PolicySettings(
-    claim_wait_seconds=0.0, claim_seconds=0.0, claim_report_seconds=0.0
+from teaselpond_model.contracts import LoadReport
+from teaselpond_standins.testing.policy import (
+    SOLE_OWNER,
+    make_dispatcher,
+    make_host,
+    make_profile,
+    make_request,
 )
 
 
-def host(host_id: str, zone: str = "a", kind: HostKind = HostKind.ENTRY) -> Host:
-    return Host(host_id, Address("127.0.0.1", 1), zone, kind)
-
-
-def profile(name: str, zone: str = "a", **changes) -> EngineProfile:
-    defaults = {"model": "fit", "slots": 4, "cold_limit": 4}
-    engine = host(name, zone, HostKind.ENGINE)
-    return EngineProfile(engine, **{**defaults, **changes})
-
-
-def ask(number: int, **changes) -> SlotRequest:
-    request = SlotRequest(
-        request_id=f"r{number}",
-        workspace="w",
-        chat=f"c{number}",
-        model="fit",
-        request_class=RequestClass.INTERACTIVE,
-        prompt_tokens=100,
-        prefixes=(),
-        deadline=1000.0,
-        origin_daemon="d1",
-    )
-    return evolve(request, **changes)
-
-
-def dispatcher(*engines: EngineProfile, settings=SETTINGS) -> Dispatcher:
-    made = Dispatcher("d1", "i1")
-    made.configure(settings, engines, now=0.0)
-    made.set_daemons([host("d1")], now=0.0)
-    made.advance(now=0.0)
-    return made
-
-
 class DispatcherTests(testtools.TestCase):
     def test_grants_up_to_the_slots_then_queues_then_grants_on_release(self):
-        owner = dispatcher(profile("e1"))
-        granted = [owner.request(ask(n), 1.0) for n in range(4)]
+        owner = make_dispatcher(make_profile("e1"))
+        granted = [owner.request(make_request(n), 1.0) for n in range(4)]
         self.assertEqual({Grant}, {type(grant) for grant in granted})
-        self.assertEqual(Queued("r4", 1), owner.request(ask(4), 1.0))
+        self.assertEqual(Queued("r4", 1), owner.request(make_request(4), 1.0))
         self.assertEqual((), owner.advance(1.0))
         owner.release(Release(granted[0].grant_id, Outcome.COMPLETED), 2.0)
         (later,) = owner.advance(2.0)
         self.assertEqual("r4", later.request_id)
 
     def test_asking_and_releasing_twice_changes_nothing(self):
-        owner = dispatcher(profile("e1"))
-        grant = owner.request(ask(1), 1.0)
-        self.assertEqual(grant, owner.request(ask(1), 1.0))
+        owner = make_dispatcher(make_profile("e1"))
+        grant = owner.request(make_request(1), 1.0)
+        self.assertEqual(grant, owner.request(make_request(1), 1.0))
         for _ in range(2):
             owner.release(Release(grant.grant_id, Outcome.COMPLETED), 2.0)
         self.assertEqual(0, owner.sums(2.0)[0].in_flight)
 
     def test_refuses_for_a_reason(self):
-        owner = dispatcher(profile("e1"))
+        owner = make_dispatcher(make_profile("e1"))
         cases = {
-            RefusalReason.DEADLINE_PASSED: ask(1, deadline=0.5),
-            RefusalReason.NO_ENGINE: ask(2, model="other"),
+            RefusalReason.DEADLINE_PASSED: make_request(1, deadline=0.5),
+            RefusalReason.NO_ENGINE: make_request(2, model="other"),
         }
         for reason, request in cases.items():
             refusal = owner.request(request, 1.0)
@@ -90,52 +56,54 @@
             self.assertEqual(reason, refusal.reason)
 
     def test_an_engine_out_of_service_gets_nothing_even_from_the_queue(self):
-        owner = dispatcher(profile("e1"))
-        grants = [owner.request(ask(n), 1.0) for n in range(4)]
-        owner.request(ask(4), 1.0)
-        owner.configure(SETTINGS, [profile("e1", available=False)], 2.0)
+        owner = make_dispatcher(make_profile("e1"))
+        grants = [owner.request(make_request(n), 1.0) for n in range(4)]
+        owner.request(make_request(4), 1.0)
+        owner.configure(SOLE_OWNER, [make_profile("e1", available=False)], 2.0)
         owner.release(Release(grants[0].grant_id, Outcome.COMPLETED), 2.0)
         (refusal,) = owner.advance(2.0)
         self.assertEqual(RefusalReason.ENGINES_UNAVAILABLE, refusal.reason)
 
     def test_a_daemon_that_is_gone_frees_its_slots_and_its_queue(self):
-        owner = dispatcher(profile("e1"))
+        owner = make_dispatcher(make_profile("e1"))
         for number in range(6):
-            owner.request(ask(number, origin_daemon="d2"), 1.0)
+            owner.request(make_request(number, origin_daemon="d2"), 1.0)
         owner.drop_origin("d2", 2.0)
         self.assertEqual(0, len(owner.grants))
         self.assertEqual((), owner.advance(2.0))
         self.assertEqual(0, owner.sums(2.0)[0].queued)
 
     def test_redirects_to_an_owner_with_room(self):
-        engines = [profile(name, zone) for name, zone in (("e1", "a"), ("e2", "b"))]
-        daemons = [host("d1", "a"), host("d2", "b")]
+        engines = [
+            make_profile(name, zone) for name, zone in (("e1", "a"), ("e2", "b"))
+        ]
+        daemons = [make_host("d1", "a"), make_host("d2", "b")]
         first, second = Dispatcher("d1", "i"), Dispatcher("d2", "i")
         for each in (first, second):
-            each.configure(SETTINGS, engines, 0.0)
+            each.configure(SOLE_OWNER, engines, 0.0)
             each.set_daemons(daemons, 0.0)
             each.advance(0.0)
         for load_sum in second.sums(0.0):
             first.observe_sum(load_sum, 0.0)
-        answers = [first.request(ask(number), 0.0) for number in range(5)]
+        answers = [first.request(make_request(number), 0.0) for number in range(5)]
         redirect = next(a for a in answers if isinstance(a, Redirect))
         self.assertEqual(("d2", "e2"), (redirect.owner_id, redirect.engine_id))
 
     def test_a_new_incarnation_cuts_the_limit_at_once(self):
-        owner = dispatcher(profile("e1", cold_limit=1))
+        owner = make_dispatcher(make_profile("e1", cold_limit=1))
         report = LoadReport("i1", 1, 4, 0, 0, "fit", "1")
         owner.observe_load("e1", report, 0.0)
         owner.observe_load("e1", evolve(report, sequence=2, running=0), 1.0)
         owner.advance(2.0)
         self.assertEqual(4, owner.sums(2.0)[0].slots)
-        grant = owner.request(ask(1), 1.0)
+        grant = owner.request(make_request(1), 1.0)
         end = Release(grant.grant_id, Outcome.COMPLETED, 0.1, incarnation="i2")
         owner.release(end, 2.0)
         self.assertEqual(1, owner.sums(2.0)[0].slots)
 
     def test_messages_travel_by_cbor(self):
         converter = cattrs.Converter(prefer_attrib_converters=True)
-        for message in (ask(1), Release("g", Outcome.FAILED), Queued("r", 1)):
+        for message in (make_request(1), Release("g", Outcome.FAILED), Queued("r", 1)):
             data = cbor2.dumps(converter.unstructure(message))
             self.assertEqual(
                 message, converter.structure(cbor2.loads(data), type(message))
