Count only nine tenths of the others' work in the mean

Also: admission has a module of its own; what waits is refused once its own workspace's slots cannot serve it in time, not near its deadline; in the bench, an engine that never stopped does not come back cold.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/report.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/report.py
@@ -179,6 +179,7 @@
         "decisions": [asdict(cost) for cost in costs],
         "targets": [asdict(target) for target in met],
     }
+    path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(json.dumps(content, indent=1) + "\n")
 
 
--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -87,10 +87,11 @@
         self.clock.after(DRAIN_CHECK_SECONDS, lambda: self.stop_zone(zone))
 
     def bring_back(self, zone: str) -> None:
-        """Bring a zone back; its engines are cold."""
+        """Bring a zone back; the engines that had stopped are cold."""
         del self.zones_out[zone]
         for engine in self.of_zone(zone):
-            engine.restart()
+            if engine.is_down:
+                engine.restart()
         self.tell()
 
     def replace_some(self) -> None:
--- a/packages/teaselpond-standins/src/teaselpond_standins/commands/bench.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/bench.py
@@ -12,7 +12,9 @@
 
     name = "bench"
 
-    def __call__(self, json_path: str = "bench.json", plot_path: str = "") -> None:
+    def __call__(
+        self, json_path: str = "build/bench.json", plot_path: str = ""
+    ) -> None:
         """Print the table and the targets; write JSON, and a plot if asked."""
         costs = measure_decisions()
         outcomes = run_suite(plan_jobs())
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/policy/admission.py
@@ -0,0 +1,285 @@
+"""Admit requests to an owner's engines, queue them or refuse them."""
+
+from collections import Counter
+
+from attrs import define, field
+
+from .directory import EngineDirectory, Home
+from .engines import OwnedEngine
+from .grants import GrantBook
+from .messages import (
+    Decision,
+    Grant,
+    Queued,
+    Redirect,
+    Refusal,
+    SlotRequest,
+)
+from .placement import DisplacedChats, Placement
+from .pools import ModelPool
+from .queue import URGENCY_BY_CLASS, Waiting
+from .reasons import RefusalReason
+from .settings import PolicySettings
+from .takeover import OwnedEngines
+
+RETRY_AFTER_SECONDS = 1.0
+RETRY_AFTER_LIMIT_SECONDS = 60.0
+QUEUE_CHECK_SECONDS = 0.25
+
+
+def refuse(
+    request: SlotRequest,
+    reason: RefusalReason,
+    retry_after: float = RETRY_AFTER_SECONDS,
+) -> Refusal:
+    """Return a refusal that says in how many seconds to come back."""
+    retry_after = min(retry_after, RETRY_AFTER_LIMIT_SECONDS)
+    return Refusal(request.request_id, reason, retry_after)
+
+
+@define
+class Admission:
+    """Decide on requests by the state of the owner's pools."""
+
+    daemon_id: str
+    directory: EngineDirectory
+    engines: OwnedEngines
+    grants: GrantBook
+    settings: PolicySettings
+    placement: Placement
+    _displaced: DisplacedChats
+    _shed: list[Refusal] = field(factory=list)
+
+    @classmethod
+    def create(
+        cls,
+        daemon_id: str,
+        directory: EngineDirectory,
+        engines: OwnedEngines,
+        grants: GrantBook,
+    ) -> "Admission":
+        """Make an admission with the knobs as they are by default."""
+        settings = PolicySettings()
+        placement = Placement(directory, settings)
+        displaced = DisplacedChats(settings.displaced_chats)
+        return cls(
+            daemon_id, directory, engines, grants, settings, placement, displaced
+        )
+
+    def configure(self, settings: PolicySettings) -> None:
+        """Take the knobs."""
+        self.settings = settings
+        self.placement.settings = settings
+        self._displaced.capacity = settings.displaced_chats
+
+    @property
+    def has_news(self) -> bool:
+        """Tell whether a queued request was shed and not yet told so."""
+        return bool(self._shed)
+
+    def take_shed(self) -> list[Refusal]:
+        """Return, once, the refusals of what was shed."""
+        shed, self._shed = self._shed, []
+        return shed
+
+    def advance(self, pool: ModelPool, now: float) -> list[Grant | Redirect | Refusal]:
+        """Grant what is queued while there is room, and review the rest."""
+        decisions: list[Grant | Redirect | Refusal] = list(self._drain(pool, now))
+        if len(pool.queue) and now >= pool.reviewed_at + QUEUE_CHECK_SECONDS:
+            pool.reviewed_at = now
+            decisions.extend(self._review(pool, now))
+        return decisions
+
+    def decide(self, pool: ModelPool, request: SlotRequest, now: float) -> Decision:
+        """Grant, redirect, queue or refuse a new request."""
+        is_first = request.attempt == 1
+        if is_first and (place := self._known_place(request)) is not None:
+            return Redirect(request.request_id, place.owner_id, place.engine_id)
+        if is_first and self.placement.is_new(request, pool):
+            decision = self._spread(pool, request, now)
+            if decision is not None:
+                return decision
+        engine = self._engine_for(pool, request, now)
+        if engine is not None and not pool.queue.has_line(request):
+            return self._grant(pool, request, engine, now)
+        if engine is None and request.attempt < self.settings.attempts_per_request:
+            redirect = self._redirect(pool, request, self.settings.load_multiple, now)
+            if redirect is not None:
+                return redirect
+        return self._enqueue(pool, request, now)
+
+    def _spread(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Redirect | None:
+        """Send a new chat to an owner below the mean, when this one is not."""
+        multiple = self.settings.new_chat_multiple
+        if pool.roomy(request, multiple, now).engines:
+            return None
+        return self._redirect(pool, request, multiple, now)
+
+    def _known_place(self, request: SlotRequest) -> Home | None:
+        engine_id = self._displaced.place(request.workspace, request.chat)
+        profile = self.directory.engines_by_id.get(engine_id)
+        if request.hint_engine or profile is None:
+            return None
+        if not profile.takes_work or engine_id in request.excluded:
+            return None
+        home = self.directory.home_at(engine_id)
+        if home is None or home.owner_id == self.daemon_id:
+            return None
+        return home
+
+    def _engine_for(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> OwnedEngine | None:
+        room = pool.roomy(request, self.settings.load_multiple, now)
+        engine = self.placement.choose(request, room, now)
+        if engine is None or not self._over_share(pool, request, now):
+            return engine
+        return None
+
+    def _over_share(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
+        free = pool.free_slots(now)
+        factor = self.settings.share_factor
+        return not pool.shares.may_take(request.workspace, free, factor)
+
+    def _redirect(
+        self, pool: ModelPool, request: SlotRequest, multiple: float, now: float
+    ) -> Redirect | None:
+        place = self.placement.elsewhere(request, pool, self.daemon_id, multiple, now)
+        if place is None:
+            place = self._waiting_place(pool)
+        if place is None:
+            return None
+        self._displaced.remember(request.workspace, request.chat, place.engine_id)
+        return Redirect(request.request_id, place.owner_id, place.engine_id)
+
+    def _waiting_place(self, pool: ModelPool) -> Home | None:
+        for engine in pool.engines_by_id.values():
+            place = self.engines.former_owner(engine)
+            if place is not None:
+                return place
+        return None
+
+    def _grant(
+        self, pool: ModelPool, request: SlotRequest, engine: OwnedEngine, now: float
+    ) -> Grant:
+        cached = self.placement.cached_tokens(request, engine)
+        grant, use = self.grants.issue(
+            request,
+            engine.engine_id,
+            URGENCY_BY_CLASS[request.request_class],
+            cached,
+            engine.add_prefill(request.prompt_tokens - cached, now),
+            now,
+        )
+        engine.slots.take(use, now)
+        pool.take()
+        pool.shares.take(request.workspace)
+        return grant
+
+    def _enqueue(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Queued | Refusal:
+        if not pool.able(now):
+            return refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
+        ahead = pool.queue.ahead_of(request)
+        wait = self._wait(pool, request, ahead, pool.queue.line_length(request), now)
+        if now + wait > request.deadline:
+            return refuse(request, RefusalReason.DEADLINE_OUT_OF_REACH, wait)
+        if not self._make_room(pool, request, now):
+            return refuse(request, RefusalReason.QUEUE_FULL, wait)
+        pool.queue.push(request, now)
+        return Queued(request.request_id, ahead + 1)
+
+    def _wait(
+        self,
+        pool: ModelPool,
+        request: SlotRequest,
+        ahead: int,
+        ahead_in_line: int,
+        now: float,
+    ) -> float:
+        """Estimate a wait; a workspace held back waits for its own slots."""
+        wait = pool.wait_seconds(ahead, now)
+        if self._over_share(pool, request, now):
+            wait = max(wait, pool.line_wait_seconds(request.workspace, ahead_in_line))
+        return wait
+
+    def _make_room(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
+        room = max(1, int(self.settings.queue_per_slot * pool.own_load(now).slots))
+        if len(pool.queue) < room:
+            return True
+        last = pool.queue.least_urgent()
+        if last is None or not self._goes_before(pool, request, last):
+            return False
+        pool.queue.remove(last.request.request_id)
+        wait = pool.wait_seconds(len(pool.queue), now)
+        self._shed.append(refuse(last.request, RefusalReason.SHED, wait))
+        return True
+
+    def _goes_before(
+        self, pool: ModelPool, request: SlotRequest, last: Waiting
+    ) -> bool:
+        urgency = URGENCY_BY_CLASS[request.request_class]
+        if urgency != last.urgency:
+            return urgency < last.urgency
+        length = pool.queue.line_length(request)
+        return length + 1 < pool.queue.line_length(last.request)
+
+    def _drain(self, pool: ModelPool, now: float) -> list[Grant]:
+        grants: list[Grant] = []
+        granted = True
+        while granted and len(pool.queue):
+            granted = False
+            for waiting in pool.queue.in_order(pool.shares.in_use_by_workspace, now):
+                engine = self._engine_for(pool, waiting.request, now)
+                if engine is not None:
+                    pool.queue.remove(waiting.request.request_id)
+                    grants.append(self._grant(pool, waiting.request, engine, now))
+                    granted = True
+                    break
+        return grants
+
+    def _review(self, pool: ModelPool, now: float) -> list[Redirect | Refusal]:
+        """Pass on or give up what waits in vain."""
+        decisions: list[Redirect | Refusal] = []
+        ahead_by_urgency: Counter[int] = Counter()
+        ahead_by_line: Counter[tuple[int, str]] = Counter()
+        for waiting in pool.queue:
+            urgency, request = waiting.urgency, waiting.request
+            ahead = sum(n for other, n in ahead_by_urgency.items() if other <= urgency)
+            line = (urgency, request.workspace)
+            wait = self._wait(pool, request, ahead, ahead_by_line[line], now)
+            decision = self._pass_on(pool, request, now)
+            if decision is None:
+                decision = self._give_up(pool, request, wait, now)
+            if decision is not None:
+                pool.queue.remove(request.request_id)
+                decisions.append(decision)
+                continue
+            ahead_by_urgency[urgency] += 1
+            ahead_by_line[line] += 1
+        return decisions
+
+    def _pass_on(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Redirect | None:
+        """Send a queued request to an owner that has room by now."""
+        if request.attempt >= self.settings.attempts_per_request:
+            return None
+        return self._redirect(pool, request, self.settings.load_multiple, now)
+
+    def _give_up(
+        self, pool: ModelPool, request: SlotRequest, wait: float, now: float
+    ) -> Refusal | None:
+        """Refuse a queued request as soon as it cannot be served in time."""
+        if not pool.engines_by_id:
+            return refuse(request, RefusalReason.NOT_OWNER)
+        if not pool.able(now):
+            return refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
+        if request.deadline <= now:
+            return refuse(request, RefusalReason.DEADLINE_PASSED, wait)
+        if now + wait > request.deadline:
+            return refuse(request, RefusalReason.DEADLINE_OUT_OF_REACH, wait)
+        return None
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -9,6 +9,7 @@
     LoadReport,
 )
 
+from .admission import QUEUE_CHECK_SECONDS, Admission, refuse
 from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .grants import GrantBook
@@ -25,16 +26,12 @@
     Release,
     SlotRequest,
 )
-from .placement import DisplacedChats, Placement
 from .pools import ModelPool
 from .profiles import EngineProfile
-from .queue import URGENCY_BY_CLASS, Waiting
 from .reasons import RefusalReason
 from .settings import PolicySettings
 from .takeover import OwnedEngines
 
-RETRY_AFTER_SECONDS = 1.0
-QUEUE_CHECK_SECONDS = 0.25
 HELD_GRACE_SECONDS = 2.0
 
 
@@ -48,9 +45,9 @@
         self.pools_by_model: dict[str, ModelPool] = {}
         self.engines = OwnedEngines(daemon_id, self.directory)
         self.grants = GrantBook(f"{daemon_id}.{incarnation}")
-        self._placement = Placement(self.directory, self.settings)
-        self._displaced = DisplacedChats(self.settings.displaced_chats)
-        self._shed: list[Refusal] = []
+        self._admission = Admission.create(
+            daemon_id, self.directory, self.engines, self.grants
+        )
         self._sum_version = 0
 
     # What the daemon learns of the fleet.
@@ -61,8 +58,7 @@
         """Take the configuration in force; return engines handed over."""
         self.settings = settings
         self.directory.set_engines(engines)
-        self._placement = Placement(self.directory, settings)
-        self._displaced.capacity = settings.displaced_chats
+        self._admission.configure(settings)
         return self._follow_ownership(now)
 
     def set_daemons(self, daemons: Iterable[Host], now: float) -> tuple[Handover, ...]:
@@ -141,7 +137,7 @@
             return home
         pool = self._pool(model)
         multiple = self.settings.new_chat_multiple
-        place = self._placement.below(pool, workspace, chat, multiple, now)
+        place = self._admission.placement.below(pool, workspace, chat, multiple, now)
         return place or home
 
     def request(self, request: SlotRequest, now: float) -> Decision:
@@ -153,11 +149,11 @@
         if request.request_id in pool.queue:
             return Queued(request.request_id, pool.queue.ahead_of(request))
         if request.deadline <= now:
-            return self._refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)
+            return refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)
         if not self.directory.has_model(request.model):
-            return self._refuse(request, RefusalReason.NO_ENGINE)
+            return refuse(request, RefusalReason.NO_ENGINE)
         pool.shares.see(request.workspace, now)
-        return self._decide(pool, request, now)
+        return self._admission.decide(pool, request, now)
 
     def release(self, release: Release, now: float) -> None:
         """Take back a slot; a second release of it changes nothing."""
@@ -213,16 +209,15 @@
         for engine in self.engines.by_id.values():
             if engine.advance(now):
                 self._pool(engine.profile.model).invalidate()
-        decisions: list[Grant | Redirect | Refusal] = list(self._shed)
-        self._shed.clear()
+        decisions: list[Grant | Redirect | Refusal] = []
+        decisions.extend(self._admission.take_shed())
         for pool in self.pools_by_model.values():
-            decisions.extend(self._drain(pool, now))
-            decisions.extend(self._give_up(pool, now))
+            decisions.extend(self._admission.advance(pool, now))
         return tuple(decisions)
 
     def next_deadline(self, now: float) -> float:
         """Return when ``advance`` is due at the latest."""
-        if self._shed:
+        if self._admission.has_news:
             return now
         due = min(
             (engine.claim.next_change() for engine in self.engines.by_id.values()),
@@ -232,191 +227,6 @@
             due = min(due, now + QUEUE_CHECK_SECONDS)
         return due
 
-    # How it decides.
-
-    def _decide(self, pool: ModelPool, request: SlotRequest, now: float) -> Decision:
-        is_first = request.attempt == 1
-        if is_first and (place := self._known_place(request)) is not None:
-            return Redirect(request.request_id, place.owner_id, place.engine_id)
-        if is_first and self._placement.is_new(request, pool):
-            decision = self._spread(pool, request, now)
-            if decision is not None:
-                return decision
-        engine = self._engine_for(pool, request, now)
-        if engine is not None and not pool.queue.has_line(request):
-            return self._grant(pool, request, engine, now)
-        if engine is None and request.attempt < self.settings.attempts_per_request:
-            redirect = self._redirect(pool, request, self.settings.load_multiple, now)
-            if redirect is not None:
-                return redirect
-        return self._enqueue(pool, request, now)
-
-    def _spread(
-        self, pool: ModelPool, request: SlotRequest, now: float
-    ) -> Redirect | None:
-        """Send a new chat to an owner below the mean, when this one is not."""
-        multiple = self.settings.new_chat_multiple
-        if pool.roomy(request, multiple, now).engines:
-            return None
-        return self._redirect(pool, request, multiple, now)
-
-    def _known_place(self, request: SlotRequest):
-        engine_id = self._displaced.place(request.workspace, request.chat)
-        profile = self.directory.engines_by_id.get(engine_id)
-        if request.hint_engine or profile is None:
-            return None
-        if not profile.takes_work or engine_id in request.excluded:
-            return None
-        home = self.directory.home_at(engine_id)
-        if home is None or home.owner_id == self.daemon_id:
-            return None
-        return home
-
-    def _engine_for(
-        self, pool: ModelPool, request: SlotRequest, now: float
-    ) -> OwnedEngine | None:
-        room = pool.roomy(request, self.settings.load_multiple, now)
-        engine = self._placement.choose(request, room, now)
-        if engine is None or not self._over_share(pool, request, now):
-            return engine
-        return None
-
-    def _over_share(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        free = pool.free_slots(now)
-        factor = self.settings.share_factor
-        return not pool.shares.may_take(request.workspace, free, factor)
-
-    def _redirect(
-        self, pool: ModelPool, request: SlotRequest, multiple: float, now: float
-    ) -> Redirect | None:
-        place = self._placement.elsewhere(request, pool, self.daemon_id, multiple, now)
-        if place is None:
-            place = self._waiting_place(pool)
-        if place is None:
-            return None
-        self._displaced.remember(request.workspace, request.chat, place.engine_id)
-        return Redirect(request.request_id, place.owner_id, place.engine_id)
-
-    def _waiting_place(self, pool: ModelPool):
-        for engine in pool.engines_by_id.values():
-            place = self.engines.former_owner(engine)
-            if place is not None:
-                return place
-        return None
-
-    def _grant(
-        self, pool: ModelPool, request: SlotRequest, engine: OwnedEngine, now: float
-    ) -> Grant:
-        cached = self._placement.cached_tokens(request, engine)
-        grant, use = self.grants.issue(
-            request,
-            engine.engine_id,
-            URGENCY_BY_CLASS[request.request_class],
-            cached,
-            engine.add_prefill(request.prompt_tokens - cached, now),
-            now,
-        )
-        engine.slots.take(use, now)
-        pool.take()
-        pool.shares.take(request.workspace)
-        return grant
-
-    def _enqueue(
-        self, pool: ModelPool, request: SlotRequest, now: float
-    ) -> Queued | Refusal:
-        if not pool.able(now):
-            return self._refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
-        ahead = pool.queue.ahead_of(request)
-        if not self._make_room(pool, request, now):
-            wait = pool.wait_seconds(ahead, now)
-            return self._refuse(request, RefusalReason.QUEUE_FULL, wait)
-        wait = pool.wait_seconds(ahead, now)
-        if now + wait > request.deadline:
-            return self._refuse(request, RefusalReason.DEADLINE_OUT_OF_REACH, wait)
-        pool.queue.push(request, now)
-        return Queued(request.request_id, ahead + 1)
-
-    def _make_room(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        room = max(1, int(self.settings.queue_per_slot * pool.own_load(now).slots))
-        if len(pool.queue) < room:
-            return True
-        last = pool.queue.least_urgent()
-        if last is None or not self._goes_before(pool, request, last):
-            return False
-        pool.queue.remove(last.request.request_id)
-        wait = pool.wait_seconds(len(pool.queue), now)
-        self._shed.append(self._refuse(last.request, RefusalReason.SHED, wait))
-        return True
-
-    def _goes_before(
-        self, pool: ModelPool, request: SlotRequest, last: Waiting
-    ) -> bool:
-        urgency = URGENCY_BY_CLASS[request.request_class]
-        if urgency != last.urgency:
-            return urgency < last.urgency
-        length = pool.queue.line_length(request)
-        return length + 1 < pool.queue.line_length(last.request)
-
-    def _drain(self, pool: ModelPool, now: float) -> list[Grant]:
-        grants: list[Grant] = []
-        granted = True
-        while granted and len(pool.queue):
-            granted = False
-            for waiting in pool.queue.in_order(pool.shares.in_use_by_workspace, now):
-                engine = self._engine_for(pool, waiting.request, now)
-                if engine is not None:
-                    pool.queue.remove(waiting.request.request_id)
-                    grants.append(self._grant(pool, waiting.request, engine, now))
-                    granted = True
-                    break
-        return grants
-
-    def _give_up(self, pool: ModelPool, now: float) -> list[Redirect | Refusal]:
-        refusals: list[Redirect | Refusal] = []
-        for waiting in pool.queue:
-            redirect = self._pass_on(pool, waiting.request, now)
-            if redirect is not None:
-                refusals.append(redirect)
-                continue
-            reason = self._reason_to_give_up(pool, waiting, now)
-            if reason is not None:
-                pool.queue.remove(waiting.request.request_id)
-                wait = min(pool.wait_seconds(len(pool.queue), now), 60.0)
-                refusals.append(self._refuse(waiting.request, reason, wait))
-        return refusals
-
-    def _pass_on(
-        self, pool: ModelPool, request: SlotRequest, now: float
-    ) -> Redirect | None:
-        """Send a queued request to an owner that has room by now."""
-        if request.attempt >= self.settings.attempts_per_request:
-            return None
-        redirect = self._redirect(pool, request, self.settings.load_multiple, now)
-        if redirect is not None:
-            pool.queue.remove(request.request_id)
-        return redirect
-
-    def _reason_to_give_up(
-        self, pool: ModelPool, waiting: Waiting, now: float
-    ) -> RefusalReason | None:
-        if not pool.engines_by_id:
-            return RefusalReason.NOT_OWNER
-        if not pool.able(now):
-            return RefusalReason.ENGINES_UNAVAILABLE
-        if waiting.request.deadline <= now:
-            return RefusalReason.DEADLINE_PASSED
-        if now + pool.wait_seconds(0, now) > waiting.request.deadline:
-            return RefusalReason.DEADLINE_OUT_OF_REACH
-        return None
-
-    def _refuse(
-        self,
-        request: SlotRequest,
-        reason: RefusalReason,
-        retry_after: float = RETRY_AFTER_SECONDS,
-    ) -> Refusal:
-        return Refusal(request.request_id, reason, min(retry_after, 60.0))
-
     def _pool(self, model: str) -> ModelPool:
         if model not in self.pools_by_model:
             self.pools_by_model[model] = ModelPool.create(model, self.settings)
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -47,6 +47,7 @@
     shares: WorkspaceShares = field(factory=WorkspaceShares)
     engines_by_id: dict[str, OwnedEngine] = field(factory=dict)
     service_seconds: float = SERVICE_SECONDS_AT_START
+    reviewed_at: float = float("-inf")
     _able: list[AbleEngine] | None = None
     _in_flight: int = 0
     _slots: int = 0
@@ -66,6 +67,8 @@
         self.engines_by_id = engines_by_id
         self.queue.ageing_seconds = settings.ageing_seconds
         self.sums.stale_seconds = settings.sum_stale_seconds
+        # What waits for an engine that is out is reviewed at once.
+        self.reviewed_at = float("-inf")
         self.invalidate()
 
     def invalidate(self) -> None:
@@ -159,6 +162,11 @@
             return float("inf")
         return (ahead + 1) * self.service_seconds / capacity
 
+    def line_wait_seconds(self, workspace: str, ahead: int) -> float:
+        """Estimate the wait for slots that a workspace itself gives back."""
+        in_use = self.shares.in_use_by_workspace[workspace]
+        return (ahead + 1) * self.service_seconds / max(1, in_use)
+
     def may_eject(self, now: float) -> bool:
         """Tell whether one more of the model's engines may be ejected."""
         load = self.fleet_load(now)
--- a/packages/teaselpond/src/teaselpond/policy/settings.py
+++ b/packages/teaselpond/src/teaselpond/policy/settings.py
@@ -14,7 +14,7 @@
     load_multiple: float = 1.25
     load_floor: int = 2
     sum_stale_seconds: float = 5.0
-    sum_discount: float = 0.03
+    sum_discount: float = 0.1
     # Change of owner
     claim_wait_seconds: float = 2.0
     claim_seconds: float = 10.0
