--- a/packages/teaselpond/src/teaselpond/assembly/parts.py
+++ b/packages/teaselpond/src/teaselpond/assembly/parts.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+import time
 
 from attrs import define, field
 
@@ -9,7 +10,7 @@
 from teaselpond_model.contracts import Address
 from teaselpond_model.platform import Platform
 
-from ..configuration import ConfigurationKeeper
+from ..configuration import ConfigurationInForce, ConfigurationKeeper
 from ..delivery.drain import Drain
 from ..delivery.jobs import Jobs
 from ..delivery.ledger import Ledger
@@ -27,7 +28,7 @@
 from ..links.exchange import FactExchange
 from ..links.facts import FactStore
 from ..links.loads import LOAD_TOPIC
-from ..locate import LocateSettings
+from ..locate import LocateSettings, longest_answer_seconds
 from ..membership import MembershipService
 from ..membership.records import HOST_TOPIC, MEMBER_TOPIC
 from ..metrics import Metrics
@@ -67,7 +68,7 @@
     single_use_client: UpstreamClient
     links: LinkManager = field(init=False)
     exchange: FactExchange = field(init=False)
-    membership: MembershipService = field(init=False)
+    membership: MembershipService | None = field(init=False, default=None)
     keeper: ConfigurationKeeper = field(init=False)
     broker: SlotBroker = field(init=False)
     pollers: EnginePollers = field(init=False)
@@ -96,7 +97,8 @@
         """Close the ports and end the parts."""
         await self.application.stop()
         await self.pollers.stop()
-        await self.membership.stop()
+        if self.membership is not None:
+            await self.membership.stop()
         await self.exchange.stop()
         await self.links.stop()
 
@@ -189,7 +191,7 @@
             counters=self.metrics,
         )
         self.drain = Drain(
-            ttl_seconds=self.settings.locate_ttl_seconds,
+            ttl_seconds=longest_answer_seconds(self.settings.locate_ttl_seconds),
             finish_seconds=self.settings.stop_timeout_seconds,
             alternatives=self._alternatives,
         )
@@ -229,10 +231,19 @@
             self.links, self.exchange, self.platform.hosts, self.caller_address
         )
         self.keeper.in_force.subscribe(self.fleet.take_configuration)
+        self.keeper.in_force.subscribe(self._follow_own_state)
         self.membership.memberships.subscribe(self.fleet.take_membership)
         self.exchange.start()
         self.membership.start()
 
+    def _follow_own_state(self, in_force: ConfigurationInForce | None) -> None:
+        if in_force is None:
+            return
+        if in_force.document.is_host_in(self.settings.daemon_id, self.settings.zone):
+            self.drain.resume()
+        else:
+            self.drain.start(time.monotonic())
+
     def _signing_keys(self) -> list[SigningKey]:
         return [
             SigningKey(
--- a/packages/teaselpond/src/teaselpond/daemon.py
+++ b/packages/teaselpond/src/teaselpond/daemon.py
@@ -30,48 +30,61 @@
         self.metrics = Metrics(
             parse_address(settings, "statsd") if settings.statsd else None
         )
+        self.started = asyncio.Event()
+        self.parts: DaemonParts | None = None
         self._stop_requested = asyncio.Event()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop without cutting a request."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
+            loop.add_signal_handler(number, self.request_stop)
+        finished = await self.serve()
+        if not finished:
+            sys.exit(OVERDUE_EXIT_CODE)
+
+    def request_stop(self) -> None:
+        """Begin the planned stop."""
+        self._stop_requested.set()
+
+    async def serve(self) -> bool:
+        """Serve until a stop is requested; tell whether all requests ended."""
         platform = Platform.open(
             self.settings.platform, self.settings.platform_timeout_seconds
         )
-        async with platform, UpstreamClient() as client:
-            async with UpstreamClient(reuse=False) as single_use_client:
-                await self._run_with(platform, client, single_use_client)
-
-    async def _run_with(
-        self,
-        platform: Platform,
-        client: UpstreamClient,
-        single_use_client: UpstreamClient,
-    ) -> None:
-        parts = DaemonParts(
-            self.settings,
-            self.incarnation,
-            self.metrics,
+        async with (
             platform,
-            client,
-            single_use_client,
-        )
-        await parts.start()
+            UpstreamClient() as client,
+            UpstreamClient(reuse=False) as single_use_client,
+        ):
+            self.parts = DaemonParts(
+                self.settings,
+                self.incarnation,
+                self.metrics,
+                platform,
+                client,
+                single_use_client,
+            )
+            try:
+                await self.parts.start()
+                return await self._serve_until_stopped(self.parts)
+            finally:
+                await self.parts.stop()
+
+    async def _serve_until_stopped(self, parts: DaemonParts) -> bool:
         background = asyncio.create_task(self._run_background(parts))
-        self._announce(parts)
         stop = asyncio.create_task(self._stop_requested.wait())
+        self._announce(parts)
+        self.started.set()
         try:
             await asyncio.wait((background, stop), return_when=asyncio.FIRST_COMPLETED)
             if background.done():
                 background.result()
-            await self._stop(parts)
+            return await self._stop(parts)
         finally:
-            stop.cancel()
-            background.cancel()
+            for task in (background, stop):
+                task.cancel()
             await asyncio.gather(background, stop, return_exceptions=True)
-            await parts.stop()
 
     def _announce(self, parts: DaemonParts) -> None:
         line = {
@@ -104,7 +117,7 @@
                 )
             await asyncio.sleep(QUARANTINE_REFRESH_SECONDS)
 
-    async def _stop(self, parts: DaemonParts) -> None:
+    async def _stop(self, parts: DaemonParts) -> bool:
         log_event("stopping", step="stop", requests=parts.drain.active)
         parts.drain.start(time.monotonic())
         await parts.membership.leave()
@@ -112,5 +125,4 @@
             parts.jobs.hand_over, parts.ledger.drain, parts.relay.drain
         )
         log_event("stopped", step="stop", finished=finished)
-        if not finished:
-            sys.exit(OVERDUE_EXIT_CODE)
+        return finished
--- a/packages/teaselpond/src/teaselpond/delivery/drain.py
+++ b/packages/teaselpond/src/teaselpond/delivery/drain.py
@@ -46,6 +46,7 @@
         self._clock = clock
         self._started_at: float | None = None
         self._stopped = False
+        self._exiting = False
         self._active = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -88,12 +89,18 @@
         if self._started_at is None:
             self._started_at = now
 
+    def resume(self) -> None:
+        """Serve again, unless the daemon is on its way to its exit."""
+        if not self._exiting:
+            self._started_at = None
+
     async def run(self, *steps: Callable[[], Awaitable[None]]) -> bool:
         """Go through the stop; return whether every request ended in time.
 
         An exception of one step doesn't keep the others from running; they
         are raised together at the end.
         """
+        self._exiting = True
         self.start(self._clock())
         started_at = self._started_at or 0.0
         await asyncio.sleep(started_at + self._ttl_seconds - self._clock())
--- a/packages/teaselpond/src/teaselpond/entry/callers.py
+++ b/packages/teaselpond/src/teaselpond/entry/callers.py
@@ -15,6 +15,7 @@
 
 WORKSPACE_HEADER = "X-Workspace"
 CHAT_HEADER = "X-Chat"
+REQUEST_ID_KEY: web.RequestKey[str] = web.RequestKey("request_id")
 REQUEST_ID_HEADER = "X-Request-Id"
 CLASS_HEADER = "X-Class"
 DEADLINE_HEADER = "X-Deadline-Seconds"
--- a/packages/teaselpond/src/teaselpond/entry/chats.py
+++ b/packages/teaselpond/src/teaselpond/entry/chats.py
@@ -10,7 +10,13 @@
 from ..exceptions import CallerGone, Refused
 from ..policy import RequestClass
 from .bodies import read_body
-from .callers import AFFINITY_HEADER, REQUEST_ID_HEADER, CallContext, read_call
+from .callers import (
+    AFFINITY_HEADER,
+    REQUEST_ID_HEADER,
+    REQUEST_ID_KEY,
+    CallContext,
+    read_call,
+)
 from .context import EntryContext
 
 EVENT_STREAM = "text/event-stream"
@@ -80,7 +86,7 @@
                 context.clock(),
                 context.settings.default_deadline_seconds,
             )
-            request["request_id"] = call.request_id
+            request[REQUEST_ID_KEY] = call.request_id
             body = await read_body(request)
             if call.last_event_id:
                 return await self._resume(request, call)
--- a/packages/teaselpond/src/teaselpond/entry/jobs.py
+++ b/packages/teaselpond/src/teaselpond/entry/jobs.py
@@ -11,7 +11,7 @@
 from ..delivery.verdicts import Exit, refuse
 from ..policy import RequestClass
 from .bodies import read_body
-from .callers import CallContext, read_call
+from .callers import REQUEST_ID_KEY, CallContext, read_call
 from .chats import EVENT_STREAM
 from .context import EntryContext
 
@@ -71,7 +71,7 @@
             self.context.clock(),
             self.context.settings.default_deadline_seconds,
         )
-        request["request_id"] = call.request_id
+        request[REQUEST_ID_KEY] = call.request_id
         return call
 
     def _check(self, call: CallContext, body: bytes) -> None:
--- a/packages/teaselpond/src/teaselpond/entry/middleware.py
+++ b/packages/teaselpond/src/teaselpond/entry/middleware.py
@@ -9,7 +9,7 @@
 from ..delivery.verdicts import Exit, refuse
 from ..exceptions import Refused
 from ..logs import log_event
-from .callers import read_request_id
+from .callers import REQUEST_ID_KEY, read_request_id
 from .context import EntryContext
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -80,9 +80,9 @@
 
 
 def _request_id(request: web.Request) -> str:
-    if "request_id" not in request:
+    if REQUEST_ID_KEY not in request:
         try:
-            request["request_id"] = read_request_id(request)
+            request[REQUEST_ID_KEY] = read_request_id(request)
         except Refused:
-            request["request_id"] = ""
-    return request["request_id"]
+            request[REQUEST_ID_KEY] = ""
+    return request[REQUEST_ID_KEY]
--- a/packages/teaselpond/src/teaselpond/entry/services.py
+++ b/packages/teaselpond/src/teaselpond/entry/services.py
@@ -7,7 +7,7 @@
 from ..delivery.records import ServiceCall, ServiceOutcome
 from ..delivery.verdicts import Exit, refuse
 from .bodies import read_body
-from .callers import CallContext, read_call
+from .callers import REQUEST_ID_KEY, CallContext, read_call
 from .context import EntryContext
 
 FORWARDED_HEADERS = ("Content-Type", "Accept", "traceparent", "tracestate")
@@ -33,7 +33,7 @@
                 context.clock(),
                 context.settings.default_deadline_seconds,
             )
-            request["request_id"] = call.request_id
+            request[REQUEST_ID_KEY] = call.request_id
             service = self._service(request, call)
             body = await read_body(request)
             service_call = self._service_call(request, call, service, body)
--- a/packages/teaselpond/src/teaselpond/locate/__init__.py
+++ b/packages/teaselpond/src/teaselpond/locate/__init__.py
@@ -1,5 +1,17 @@
 """Tell callers which daemons to use."""
 
-from .answers import LocateAnswer, LocateQuestion, LocateSettings, locate
+from .answers import (
+    LocateAnswer,
+    LocateQuestion,
+    LocateSettings,
+    locate,
+    longest_answer_seconds,
+)
 
-__all__ = ["LocateAnswer", "LocateQuestion", "LocateSettings", "locate"]
+__all__ = [
+    "LocateAnswer",
+    "LocateQuestion",
+    "LocateSettings",
+    "locate",
+    "longest_answer_seconds",
+]
--- a/packages/teaselpond/src/teaselpond/locate/answers.py
+++ b/packages/teaselpond/src/teaselpond/locate/answers.py
@@ -9,6 +9,10 @@
 from ..membership import Daemon, DaemonState, Membership
 from .ordering import nearest_first, spread
 
+SHORTEST_TTL_SHARE = 0.75
+TTL_SPREAD_SHARE = 0.5
+NEWS_SECONDS = 2.0
+
 
 @frozen
 class LocateQuestion:
@@ -80,4 +84,14 @@
     if len(settled) < min(2, settings.address_limit):
         return settings.unsettled_ttl_seconds
     # Spread, so that callers that asked together do not come back together.
-    return settings.ttl_seconds * (0.75 + 0.5 * spread(question.key, "ttl"))
+    share = SHORTEST_TTL_SHARE + TTL_SPREAD_SHARE * spread(question.key, "ttl")
+    return settings.ttl_seconds * share
+
+
+def longest_answer_seconds(ttl_seconds: float) -> float:
+    """Return for how long an answer may be kept, also one just given.
+
+    A daemon that leaves is still named until its leaving is known.
+    """
+    longest = ttl_seconds * (SHORTEST_TTL_SHARE + TTL_SPREAD_SHARE)
+    return longest + NEWS_SECONDS
--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -32,6 +32,7 @@
 ADVANCE_SECONDS = 0.05
 HELD_SECONDS = 5.0
 OWNER_RETRY_SECONDS = 0.2
+HANDOVER_SECONDS = 5.0
 ASKS_LIMIT = 8
 # An owner is told of held grants for this long after it was last asked, so
 # that a grant whose answer was lost is freed.
@@ -52,6 +53,14 @@
     owner_id: str
 
 
+@frozen
+class EarlyHandover:
+    """Hold what a former owner told before this daemon owned the engine."""
+
+    handover: Handover
+    received_at: float
+
+
 class SlotBroker:
     """Ask the right owner for slots, and serve those who ask this daemon."""
 
@@ -70,6 +79,7 @@
         self._metrics = metrics
         self._clock = clock
         self.reports_by_engine: dict[str, LoadReport] = {}
+        self._early_handovers: dict[str, EarlyHandover] = {}
         self._held_by_grant: dict[str, HeldSlot] = {}
         self._waiters_by_request: dict[str, asyncio.Future] = {}
         self._asked_at_by_owner: dict[str, float] = {}
@@ -127,7 +137,13 @@
                 )
                 return decision
             if isinstance(decision, Refusal):
-                raise self._refused(decision)
+                if decision.reason is not RefusalReason.NOT_OWNER:
+                    raise self._refused(decision)
+                # The engines passed to another owner in the meantime.
+                self._metrics.incr("retries.owner_changed")
+                await asyncio.sleep(OWNER_RETRY_SECONDS)
+                home = self._home(request, unreachable)
+                continue
             # The next owner keeps the chat at the engine that was chosen.
             request = evolve(request, hint_engine=decision.engine_id)
             home = Home(decision.engine_id, decision.owner_id)
@@ -185,6 +201,7 @@
         """Tell the new owners of engines what this one knew of them."""
         for handover in handovers:
             self._spawn(self._send_quietly(handover.to_owner, handover))
+        self._accept_early()
 
     def drop_origin(self, daemon_id: str) -> None:
         """Free what a daemon held that is gone."""
@@ -214,7 +231,20 @@
         self._advance()
 
     def _serve_handover(self, handover: Handover, sender: Identity) -> None:
-        self.dispatcher.accept(handover, self._clock())
+        # The former owner may learn of the change before this daemon does.
+        self._early_handovers[handover.engine_id] = EarlyHandover(
+            handover, self._clock()
+        )
+        self._accept_early()
+
+    def _accept_early(self) -> None:
+        now = self._clock()
+        for engine_id, early in list(self._early_handovers.items()):
+            if engine_id in self.dispatcher.engines.by_id:
+                self.dispatcher.accept(early.handover, now)
+                del self._early_handovers[engine_id]
+            elif now - early.received_at > HANDOVER_SECONDS:
+                del self._early_handovers[engine_id]
         self._advance()
 
     # How it works.
