--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/records.py
@@ -100,6 +100,19 @@
     ready: bool
 
 
+@frozen
+class OwnerView:
+    """Tell what a daemon said of an engine that it owns."""
+
+    time: float
+    daemon_id: str
+    engine_id: str
+    in_flight: int
+    limit: int
+    takes_work: bool
+    queued: int
+
+
 @frozen
 class VersionAccepted:
     """Tell when an operator's change was accepted, and as what."""
@@ -128,6 +141,8 @@
     engines_troubled: list[Interval] = field(factory=list)
     planned_stops: list[PlannedStop] = field(factory=list)
     versions_seen: list[VersionSeen] = field(factory=list)
+    # For reading a dump: no verdict rests on it.
+    owner_views: list[OwnerView] = field(factory=list)
     versions_accepted: list[VersionAccepted] = field(factory=list)
     races: list[Race] = field(factory=list)
     poison_words: list[str] = field(factory=list)
--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/watching.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/watching.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from ..fleet import Fleet
-from .records import DrillRecords, VersionSeen
+from .records import DrillRecords, OwnerView, VersionSeen
 
 WATCH_SECONDS = 0.5
 ASK_SECONDS = 1.0
@@ -50,3 +50,15 @@
             ready=ready,
         )
     )
+    for engine in status["engines"]:
+        records.owner_views.append(
+            OwnerView(
+                time=asked,
+                daemon_id=daemon_id,
+                engine_id=engine["engine_id"],
+                in_flight=engine["in_flight"],
+                limit=engine["limit"],
+                takes_work=engine["takes_work"],
+                queued=engine["queued"],
+            )
+        )
