--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -9,7 +9,7 @@
     LoadReport,
 )
 
-from .directory import EngineDirectory
+from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .grants import GrantBook
 from .messages import (
@@ -120,7 +120,23 @@
             for load_sum in pool.sums_by_zone(self.daemon_id, self._sum_version, now)
         )
 
-    # What entry daemons ask.
+    # What callers and entry daemons ask.
+
+    def locate(
+        self, workspace: str, chat: str, model: str, hint_engine: str, now: float
+    ) -> Home | None:
+        """Return the engine, and its owner, that a chat should go to.
+
+        A chat without a hint gets the first of its candidates below the mean.
+        Its caller should then send that engine as its hint.
+        """
+        home = self.directory.home(workspace, chat, model, hint_engine)
+        if home is None or home.engine_id == hint_engine:
+            return home
+        pool = self._pool(model)
+        multiple = self.settings.new_chat_multiple
+        place = self._placement.below(pool, workspace, chat, multiple, now)
+        return place or home
 
     def request(self, request: SlotRequest, now: float) -> Decision:
         """Decide on a request; asking again gives the same answer."""
@@ -209,19 +225,34 @@
         is_first = request.attempt == 1
         if is_first and (place := self._known_place(request)) is not None:
             return Redirect(request.request_id, place.owner_id, place.engine_id)
+        if is_first and self._placement.is_new(request, pool):
+            decision = self._spread(pool, request, now)
+            if decision is not None:
+                return decision
         engine = self._engine_for(pool, request, now)
         if engine is not None and not pool.queue.has_line(request):
             return self._grant(pool, request, engine, now)
         if engine is None and request.attempt < self.settings.attempts_per_request:
-            redirect = self._redirect(pool, request, now)
+            redirect = self._redirect(pool, request, self.settings.load_multiple, now)
             if redirect is not None:
                 return redirect
         return self._enqueue(pool, request, now)
 
+    def _spread(
+        self, pool: ModelPool, request: SlotRequest, now: float
+    ) -> Redirect | None:
+        """Send a new chat to an owner below the mean, when this one is not."""
+        multiple = self.settings.new_chat_multiple
+        if pool.roomy(request, multiple, now):
+            return None
+        return self._redirect(pool, request, multiple, now)
+
     def _known_place(self, request: SlotRequest):
         engine_id = self._displaced.place(request.workspace, request.chat)
         profile = self.directory.engines_by_id.get(engine_id)
-        if profile is None or not profile.takes_work or engine_id in request.excluded:
+        if request.hint_engine or profile is None:
+            return None
+        if not profile.takes_work or engine_id in request.excluded:
             return None
         home = self.directory.home_at(engine_id)
         if home is None or home.owner_id == self.daemon_id:
@@ -231,21 +262,21 @@
     def _engine_for(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> OwnedEngine | None:
-        roomy = pool.roomy(request, now)
+        roomy = pool.roomy(request, self.settings.load_multiple, now)
         engine = self._placement.choose(request, roomy, now)
         if engine is None or not self._over_share(pool, request, now):
             return engine
         return None
 
     def _over_share(self, pool: ModelPool, request: SlotRequest, now: float) -> bool:
-        in_use = pool.in_use()
-        capacity = pool.capacity(now)
-        return not pool.shares.may_take(request.workspace, in_use, capacity)
+        free = pool.capacity(now) - pool.in_use()
+        factor = self.settings.share_factor
+        return not pool.shares.may_take(request.workspace, free, factor)
 
     def _redirect(
-        self, pool: ModelPool, request: SlotRequest, now: float
+        self, pool: ModelPool, request: SlotRequest, multiple: float, now: float
     ) -> Redirect | None:
-        place = self._placement.elsewhere(request, pool, self.daemon_id, now)
+        place = self._placement.elsewhere(request, pool, self.daemon_id, multiple, now)
         if place is None:
             place = self._waiting_place(pool)
         if place is None:
@@ -296,13 +327,22 @@
         if len(pool.queue) < room:
             return True
         last = pool.queue.least_urgent()
-        if last is None or last.urgency <= URGENCY_BY_CLASS[request.request_class]:
+        if last is None or not self._goes_before(pool, request, last):
             return False
         pool.queue.remove(last.request.request_id)
         wait = pool.wait_seconds(len(pool.queue), now)
         self._shed.append(self._refuse(last.request, RefusalReason.SHED, wait))
         return True
 
+    def _goes_before(
+        self, pool: ModelPool, request: SlotRequest, last: Waiting
+    ) -> bool:
+        urgency = URGENCY_BY_CLASS[request.request_class]
+        if urgency != last.urgency:
+            return urgency < last.urgency
+        length = pool.queue.line_length(request)
+        return length + 1 < pool.queue.line_length(last.request)
+
     def _drain(self, pool: ModelPool, now: float) -> list[Grant]:
         grants: list[Grant] = []
         granted = True
@@ -337,7 +377,7 @@
         """Send a queued request to an owner that has room by now."""
         if request.attempt >= self.settings.attempts_per_request:
             return None
-        redirect = self._redirect(pool, request, now)
+        redirect = self._redirect(pool, request, self.settings.load_multiple, now)
         if redirect is not None:
             pool.queue.remove(request.request_id)
         return redirect
