Show and retry rolling changes, and keep orders within a lease

Cause: a rollout that stopped could only be tried again by two changes of the configuration, and operators couldn't see it; the default timeout of an order (10 s) was longer than the default lease is held (8.55 s), so that no order would have been sent. Before: no command; no order with default settings. After: teaselpondctl rollout status and retry; orders time out after 4 s, and never later than half of the time that a lease is held. The rollout's record moves to the model package, as both programs read it.

--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/__init__.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/__init__.py
@@ -5,6 +5,7 @@
 from .host import HostCommand
 from .locate import LocateCommand
 from .quarantine import QuarantineCommand
+from .rollout import RolloutCommand
 from .status import StatusCommand
 from .why import WhyCommand
 from .zone import ZoneCommand
@@ -15,6 +16,7 @@
     "HostCommand",
     "LocateCommand",
     "QuarantineCommand",
+    "RolloutCommand",
     "StatusCommand",
     "WhyCommand",
     "ZoneCommand",
--- /dev/null
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/rollout.py
@@ -0,0 +1,50 @@
+"""Show rolling changes of engines, and try failed ones again."""
+
+from fire import decorators
+
+from teaselpond_model.contracts import Check, Put
+from teaselpond_model.rollouts import ROLLOUT_PREFIX, Rollout, rollout_key
+
+from ..exceptions import CommandRefused
+from .base import Command
+
+COLUMNS = ("model", "target", "state", "changing", "failed")
+
+
+class RolloutCommand(Command):
+    """Show rolling changes of engines, and try failed ones again."""
+
+    async def status(self) -> None:
+        """List each model's last rolling change and what failed in it."""
+        async with self._session() as session:
+            page = await session.platform.table.scan(ROLLOUT_PREFIX)
+        rows = []
+        for entry in page.entries:
+            if entry.value is None:
+                continue
+            rollout = Rollout.from_value(entry.value)
+            failed = rollout.reasons_by_failed_engine
+            rows.append(
+                {
+                    "model": entry.key.removeprefix(ROLLOUT_PREFIX),
+                    "target": rollout.target,
+                    "state": "stopped" if rollout.is_stopped else "open",
+                    "changing": sorted(rollout.changing),
+                    "failed": [f"{key}: {failed[key]}" for key in sorted(failed)],
+                }
+            )
+        self._output.table(rows, COLUMNS)
+
+    @decorators.SetParseFn(str)
+    async def retry(self, model: str) -> None:
+        """Try the engines again that failed in a model's rolling change."""
+        async with self._session() as session:
+            table = session.platform.table
+            entry = await table.get(rollout_key(model))
+            if entry is None:
+                raise CommandRefused(f"no engine of {model} was ever changed")
+            rollout = Rollout.from_value(entry.value).without_failures()
+            put = Put(entry.key, rollout.to_value())
+            await table.transact((Check(entry.key, entry.version),), (put,))
+        self._output.tell(f"engines of {model} are tried again")
+        self._output.show(rollout.to_value())
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/program.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/program.py
@@ -11,6 +11,7 @@
     HostCommand,
     LocateCommand,
     QuarantineCommand,
+    RolloutCommand,
     StatusCommand,
     WhyCommand,
     ZoneCommand,
@@ -54,6 +55,7 @@
         self.locate = LocateCommand(settings, output).__call__
         self.counters = CountersCommand(settings, output).__call__
         self.why = WhyCommand(settings, output).__call__
+        self.rollout = RolloutCommand(settings, output)
         self.quarantine = QuarantineCommand(settings, output)
 
 
--- a/packages/teaselpond-ctl/tests/commands/test_commands.py
+++ b/packages/teaselpond-ctl/tests/commands/test_commands.py
@@ -14,7 +14,8 @@
 from attrs import field, frozen
 
 from teaselpond_ctl.__main__ import run
-from teaselpond_model.contracts import Address, Host, HostKind
+from teaselpond_model.contracts import Address, Host, HostKind, Put
+from teaselpond_model.rollouts import Rollout, rollout_key
 from teaselpond_standins.platform import PlatformFaultKind, PlatformStandin
 from teaselpond_standins.testing import AsyncTestCase
 
@@ -338,6 +339,24 @@
             key = f"config/entry/outages/{daemon.outages[0]['outage_id']}"
             self.assertEqual([key], back.value["changes"])
 
+    async def test_rollouts(self) -> None:
+        """Show what failed, and try it again."""
+        stopped = Rollout("fitting:4:serve", frozenset({"e3"}), {"e1": "x", "e2": "y"})
+        async with PlatformStandin() as platform:
+            missing = await self.ctl("rollout", "retry", "fitting", platform=platform)
+            self.assertEqual(1, missing.code)
+            put = Put(rollout_key("fitting"), stopped.to_value())
+            await platform.table.transact((), (put,))
+            shown = await self.ctl("rollout", "status", platform=platform)
+            self.assertIn("stopped", shown.output)
+            self.assertIn("e1: x", shown.output)
+            again = await self.ctl("rollout", "retry", "fitting", platform=platform)
+            self.assertEqual(0, again.code, again)
+            shown = await self.ctl("rollout", "status", "--json", platform=platform)
+            self.assertEqual(
+                ["open", []], [shown.value[0][n] for n in ("state", "failed")]
+            )
+
     async def test_a_wrong_operator_key_is_told(self) -> None:
         """Show why a daemon didn't answer."""
         self.environment["TEASELPOND_OPERATOR_KEY"] = "wrong"
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
@@ -109,7 +109,7 @@
     locate_seconds: float = rules.number(1, 3_600, 10.0)
     quarantine_deaths: int = rules.whole(1, 100, 2)
     quarantine_seconds: float = rules.number(1, 2_592_000, 3_600.0)
-    order_timeout_seconds: float = rules.number(0.1, 3_600, 10.0)
+    order_timeout_seconds: float = rules.number(0.1, 60, 4.0)
     order_concurrency: int = rules.whole(1, 1_000, 1)
     capacity_floor_ratio: float = rules.number(0, 1, 0.75)
 
--- a/packages/teaselpond/src/teaselpond/orders/rollouts.py
+++ b/packages/teaselpond-model/src/teaselpond_model/rollouts.py
@@ -106,6 +106,10 @@
         failed = {**self.reasons_by_failed_engine, engine_id: reason}
         return evolve(self.finish(engine_id), reasons_by_failed_engine=failed)
 
+    def without_failures(self) -> "Rollout":
+        """Let the engines that have failed be tried again."""
+        return evolve(self, reasons_by_failed_engine={})
+
     def without_gone(self, engine_ids: frozenset[str]) -> "Rollout":
         """Free the places of engines that are no longer configured."""
         return evolve(self, changing=self.changing & engine_ids)
--- a/packages/teaselpond/src/teaselpond/leases/lease.py
+++ b/packages/teaselpond/src/teaselpond/leases/lease.py
@@ -37,6 +37,11 @@
         """Return for how long the holder may act, by its own clock."""
         return self.duration_seconds * (1 - self.drift_ratio)
 
+    @property
+    def longest_order_seconds(self) -> float:
+        """Return the longest timeout of an order under a renewed lease."""
+        return self.held_seconds / 2
+
     @property
     def expired_seconds(self) -> float:
         """Return after how long others may take it for lapsed, by theirs."""
--- a/packages/teaselpond/src/teaselpond/orders/__init__.py
+++ b/packages/teaselpond/src/teaselpond/orders/__init__.py
@@ -3,7 +3,6 @@
 from .claims import ClaimPending, EngineClaims
 from .fleet import EngineFleet, EngineLink
 from .keeper import OrderKeeper
-from .rollouts import ModelCapacity, Rollout
 from .wishes import EngineWish, next_order, wishes_by_engine
 
 __all__ = [
@@ -12,9 +11,7 @@
     "EngineFleet",
     "EngineLink",
     "EngineWish",
-    "ModelCapacity",
     "OrderKeeper",
-    "Rollout",
     "next_order",
     "wishes_by_engine",
 ]
--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -19,13 +19,13 @@
     TeaselpondError,
     TransactionConflict,
 )
+from teaselpond_model.rollouts import ModelCapacity, RolloutLimits
 
 from ..exceptions import UpstreamRefused
 from ..leases import LeaseKeeper
 from .claims import ClaimPending, EngineClaims, FenceTooLow
 from .fleet import EngineFleet, EngineLink
 from .places import RolloutPlaces
-from .rollouts import ModelCapacity, RolloutLimits
 from .settings import OrderSettings
 from .wishes import EngineWish, interrupts_work, next_order
 
--- a/packages/teaselpond/src/teaselpond/orders/keeper.py
+++ b/packages/teaselpond/src/teaselpond/orders/keeper.py
@@ -115,7 +115,11 @@
             return WishInForce(
                 wishes[engine_id],
                 limits_from(policy),
-                policy.order_timeout_seconds,
+                # A lease that is renewed in time always lasts this long.
+                min(
+                    policy.order_timeout_seconds,
+                    self.context.leases.settings.longest_order_seconds,
+                ),
                 frozenset(wishes),
             )
 
--- a/packages/teaselpond/src/teaselpond/orders/places.py
+++ b/packages/teaselpond/src/teaselpond/orders/places.py
@@ -4,8 +4,8 @@
 
 from teaselpond_model.contracts import ABSENT_VERSION, Check, Put, TableService
 from teaselpond_model.exceptions import TransactionConflict
+from teaselpond_model.rollouts import ModelCapacity, Rollout, RolloutLimits, rollout_key
 
-from .rollouts import ModelCapacity, Rollout, RolloutLimits, rollout_key
 from .wishes import EngineWish
 
 WRITE_ATTEMPTS = 10
--- a/packages/teaselpond/src/teaselpond/orders/settings.py
+++ b/packages/teaselpond/src/teaselpond/orders/settings.py
@@ -3,8 +3,7 @@
 from attrs import frozen
 
 from teaselpond_model.configuration import PolicyItem
-
-from .rollouts import RolloutLimits
+from teaselpond_model.rollouts import RolloutLimits
 
 CHECK_SECONDS = 5.0
 RETRY_SECONDS = 2.0
--- a/packages/teaselpond/tests/orders/test_keeper.py
+++ b/packages/teaselpond/tests/orders/test_keeper.py
@@ -7,10 +7,9 @@
 
 from teaselpond.exceptions import UpstreamRefused
 from teaselpond.leases import LeaseKeeper, LeaseSettings
-from teaselpond.orders import EngineClaims, OrderKeeper, Rollout
+from teaselpond.orders import EngineClaims, OrderKeeper
 from teaselpond.orders.change import ChangeContext
 from teaselpond.orders.places import RolloutPlaces
-from teaselpond.orders.rollouts import rollout_key
 from teaselpond.orders.settings import OrderSettings
 from teaselpond_model.configuration import Document, read_toml
 from teaselpond_model.contracts import (
@@ -21,6 +20,7 @@
     Put,
 )
 from teaselpond_model.exceptions import UpstreamBroken, UpstreamUnavailable
+from teaselpond_model.rollouts import Rollout, rollout_key
 from teaselpond_standins.platform import (
     MemoryTable,
     MemoryWeights,
--- a/packages/teaselpond/tests/orders/test_rollouts.py
+++ b/packages/teaselpond/tests/orders/test_rollouts.py
@@ -4,14 +4,12 @@
 
 from teaselpond.orders import (
     EngineWish,
-    ModelCapacity,
-    Rollout,
     next_order,
     wishes_by_engine,
 )
-from teaselpond.orders.rollouts import RolloutLimits
 from teaselpond_model.configuration import read_toml
 from teaselpond_model.contracts import LoadReport, OrderKind
+from teaselpond_model.rollouts import ModelCapacity, Rollout, RolloutLimits
 
 SLOTS = {"e1": 8, "e2": 8, "e3": 8, "e4": 8}
 DOCUMENT = """
