Count held engines as capacity, and show open orders in status

Cause: an engine that its owner holds looked as if it took no work, so that the limit on engines that change at a time didn't count it; each check of an engine rebuilt the directory, held or not. Before: the adapter left held engines out. After: they count, and only held engines are resumed; status lists orders that no version holds yet.

--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/status.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/status.py
@@ -1,5 +1,7 @@
 """Show what every daemon has in force and does."""
 
+from collections.abc import Sequence
+
 from ..daemons import DaemonAnswer
 from ..exceptions import CommandRefused
 from .base import Command
@@ -27,11 +29,17 @@
             answers = await session.ask_all("/ops/status")
         daemons = [_daemon_row(answer) for answer in answers]
         engines = [row for answer in answers for row in _engine_rows(answer)]
-        self._output.show({"daemons": daemons, "engines": engines})
+        orders = _open_orders(answers)
+        self._output.show({"daemons": daemons, "engines": engines, "orders": orders})
         if not self._output.as_json:
             self._output.table(daemons, DAEMON_COLUMNS)
             self._output.tell("")
             self._output.table(engines, ENGINE_COLUMNS)
+            for order in orders:
+                self._output.tell(
+                    f"not written down yet: {order['section']} {order['item_id']} out, "
+                    f"by {order['who']}, on {order['daemons']} daemons"
+                )
         if not any(answer.succeeded for answer in answers):
             raise CommandRefused("no daemon answered", step="status")
 
@@ -66,3 +74,15 @@
         }
         for engine in answer.value.get("engines", ())
     ]
+
+
+def _open_orders(answers: Sequence[DaemonAnswer]) -> list[dict]:
+    """Return the orders that were given by the links, each once."""
+    orders_by_id: dict[str, dict] = {}
+    for answer in answers:
+        for outage in answer.value.get("outages", ()) if answer.succeeded else ():
+            known = orders_by_id.setdefault(
+                outage["outage_id"], {**outage, "daemons": 0}
+            )
+            known["daemons"] += 1
+    return list(orders_by_id.values())
--- a/packages/teaselpond-ctl/tests/commands/test_commands.py
+++ b/packages/teaselpond-ctl/tests/commands/test_commands.py
@@ -331,6 +331,8 @@
                     *("zone", "out", item, "--by_links", daemons), platform=platform
                 )
                 self.assertEqual(code, ran.code, ran)
+            status = await self.ctl("status", daemons, platform=platform)
+            self.assertIn("not written down yet: zones lienz out", status.output)
             platform.faults.clear()
             back = await self.ctl(
                 *("zone", "in", "lienz", "--wait_seconds=0", "--json"),
--- a/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
+++ b/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
@@ -65,6 +65,10 @@
         self._held_ids.discard(engine_id)
         self._configure()
 
+    def is_held(self, engine_id: str) -> bool:
+        """Tell whether an engine is given no new work while it changes."""
+        return engine_id in self._held_ids
+
     def serving_daemons(self) -> Membership:
         """Return the membership without daemons that operators took out."""
         if self._in_force is None:
--- a/packages/teaselpond/src/teaselpond/assembly/order_fleet.py
+++ b/packages/teaselpond/src/teaselpond/assembly/order_fleet.py
@@ -28,12 +28,17 @@
         return self._broker.reports_by_engine.get(engine_id)
 
     def slots_by_engine(self, model: str) -> Mapping[str, int]:
-        """Return the slots of the fleet's engines that may take work."""
+        """Return the slots of the fleet's engines that may take work.
+
+        Engines that this daemon holds are among them: a rollout counts
+        them by the places that they take.
+        """
         engines = self._broker.dispatcher.directory.engines_by_id
         return {
             engine_id: profile.slots
             for engine_id, profile in engines.items()
-            if profile.model == model and profile.takes_work
+            if profile.model == model
+            and (profile.takes_work or self._fleet.is_held(engine_id))
         }
 
     def requests_in_use(self, model: str) -> int:
--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -82,6 +82,7 @@
         self.engine_id = engine_id
         self.address = address
         self.wish_in_force = wish_in_force
+        self._is_held = False
 
     async def run(self) -> bool:
         """Give the orders that are due; tell whether the engine is as wished.
@@ -105,7 +106,9 @@
             self.context.count("orders.put_off")
             logging.warning("the change of %s is put off: %s", self.engine_id, error)
         finally:
-            self.context.fleet.resume(self.engine_id)
+            if self._is_held:
+                self._is_held = False
+                self.context.fleet.resume(self.engine_id)
         return False
 
     def _current(self) -> WishInForce:
@@ -150,6 +153,7 @@
     async def _drain(self, current: WishInForce) -> None:
         """Wait until nothing runs on the engine; nothing is cut short."""
         fleet = self.context.fleet
+        self._is_held = True
         fleet.hold(self.engine_id)
         while fleet.in_flight(self.engine_id):
             await self.context.sleep(self.context.settings.report_seconds)
--- a/packages/teaselpond/src/teaselpond/orders/fleet.py
+++ b/packages/teaselpond/src/teaselpond/orders/fleet.py
@@ -16,7 +16,10 @@
         """Return the newest report of an owned engine."""
 
     def slots_by_engine(self, model: str) -> Mapping[str, int]:
-        """Return the slots of the fleet's engines that may take work."""
+        """Return the slots of the fleet's engines that may take work.
+
+        Engines that this daemon holds are among them.
+        """
 
     def requests_in_use(self, model: str) -> int:
         """Return the fleet's running and queued requests of a model."""
