Let every key of the document have an effect

Cause: 12 keys of [policy], models' prefill rate and workspaces' weight had been guessed before the policy existed, and nothing read them. Ruled out: keeping workspaces' weight: the policy bounds a surge without shares that are set beforehand. A prefill rate for each model: the policy has one for the fleet.

--- a/packages/teaselpond-model/src/teaselpond_model/configuration/checks.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/checks.py
@@ -157,3 +157,18 @@
             message = "a host that is in is not listed"
             hint = "allowed: only hosts that are out; remove the entry"
             yield Fault("hosts.E001", message, host.host_id, "state", hint)
+
+
+@register("policy")
+def check_limits(document: Document) -> Iterator[Fault]:
+    """Demand that limits aren't below what they limit."""
+    policy = document.policy
+    for name, limit_name in (
+        ("backoff_seconds", "backoff_limit_seconds"),
+        ("ejection_seconds", "ejection_limit_seconds"),
+    ):
+        value, limit = getattr(policy, name), getattr(policy, limit_name)
+        if limit < value:
+            message = f"{limit:g} is below {name}"
+            hint = f"allowed: {value:g} or more"
+            yield Fault("policy.E001", message, policy.policy_id, limit_name, hint)
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
@@ -65,12 +65,11 @@
     model_id: str
     version: str = rules.text()
     adapters: tuple[str, ...] = rules.texts()
-    prefill_tokens_per_second: float = rules.number(1, 10_000_000, 2_000.0)
 
 
 @frozen
 class WorkspaceItem:
-    """Describe a workspace, its share and the keys of its callers.
+    """Describe what a workspace may use, and the keys of its callers.
 
     A workspace without key digests is open to every caller.
     """
@@ -78,7 +77,6 @@
     workspace_id: str
     models: tuple[str, ...] = rules.texts()
     services: tuple[str, ...] = rules.texts()
-    weight: float = rules.number(0.01, 1_000, 1.0)
     key_digests: tuple[str, ...] = rules.texts(DIGEST_RULE)
 
 
@@ -98,17 +96,22 @@
 
     policy_id: str = field(default="policy")
     load_multiple: float = rules.number(1.01, 10, 1.25)
-    queue_limit: int = rules.whole(0, 100_000, 256)
-    interactive_deadline_seconds: float = rules.number(0.1, 3_600, 30.0)
-    label_deadline_seconds: float = rules.number(0.1, 3_600, 60.0)
-    plan_deadline_seconds: float = rules.number(1, 86_400, 900.0)
-    retry_budget_ratio: float = rules.number(0, 1, 0.1)
+    load_floor: int = rules.whole(1, 1_024, 2)
+    queue_per_slot: float = rules.number(0, 1_000, 2.0)
+    ageing_seconds: float = rules.number(0.01, 3_600, 2.0)
+    prefill_tokens_per_second: float = rules.number(1, 10_000_000, 8_000.0)
+    quiet_seconds: float = rules.number(1, 3_600, 10.0)
+    slow_first_token_factor: float = rules.number(1, 1_000, 4.0)
+    slow_first_token_seconds: float = rules.number(0.1, 600, 2.0)
+    attempts_per_request: int = rules.whole(1, 10, 3)
+    retry_budget_share: float = rules.number(0, 1, 0.1)
     retry_budget_per_second: float = rules.number(0, 1_000, 1.0)
-    warm_up_answers: int = rules.whole(1, 100_000, 32)
-    zone_spill_load: float = rules.number(0, 10, 0.8)
-    locate_seconds: float = rules.number(1, 3_600, 10.0)
-    quarantine_deaths: int = rules.whole(1, 100, 2)
-    quarantine_seconds: float = rules.number(1, 2_592_000, 3_600.0)
+    backoff_seconds: float = rules.number(0.01, 60, 0.1)
+    backoff_limit_seconds: float = rules.number(0.01, 600, 5.0)
+    ejection_failures: int = rules.whole(1, 1_000, 5)
+    ejection_seconds: float = rules.number(0.1, 3_600, 10.0)
+    ejection_limit_seconds: float = rules.number(0.1, 86_400, 300.0)
+    ejection_share: float = rules.number(0, 1, 0.1)
     order_timeout_seconds: float = rules.number(0.1, 60, 4.0)
     order_concurrency: int = rules.whole(1, 1_000, 1)
     capacity_floor_ratio: float = rules.number(0, 1, 0.75)
--- a/packages/teaselpond-model/tests/configuration/test_checks.py
+++ b/packages/teaselpond-model/tests/configuration/test_checks.py
@@ -45,6 +45,12 @@
     ('["orders"]', '["orders", "x"]', "workspaces.E002", "allowed: orders"),
     ('["s1"]', "[]", "services.E001", "[services.orders] hosts"),
     ('["s1"]', '["e1"]', "services.E002", '"e1"'),
+    (
+        "[models",
+        "[policy]\nbackoff_seconds = 9\n[models",
+        "policy.E001",
+        "[policy] backoff_limit_seconds",
+    ),
     ("[models", '[hosts.e9]\nstate = "in"\n[models', "hosts.E001", "[hosts.e9]"),
 )
 
--- a/packages/teaselpond-model/tests/configuration/test_reading.py
+++ b/packages/teaselpond-model/tests/configuration/test_reading.py
@@ -48,7 +48,7 @@
     ("[zones]\na = 3", "[zones.a]", "E004"),
     ("[policy]\nload_multiple = true", "[policy] load_multiple", "E008"),
     ("[policy]\nload_multiple = 0.5", "1.01 to 10", "E008"),
-    ("[policy]\nqueue_limit = 1.5", "a whole number", "E008"),
+    ("[policy]\nload_floor = 1.5", "a whole number", "E008"),
     ("[policy]\nqueue = 1", "allowed: load_multiple", "E006"),
     ('[capacity.pools.a]\nmodel="m"\nhosts=["e1","e1"]', "without repeats", "E008"),
     ('[workspaces.a]\nkey_digests=["x"]', "SHA-256", "E008"),
--- a/packages/teaselpond-model/tests/configuration/test_store.py
+++ b/packages/teaselpond-model/tests/configuration/test_store.py
@@ -185,7 +185,9 @@
         """Let different sections pass, and refuse the same with a diff."""
         model_4, model_5 = document(('"3"', '"4"')), document(('"3"', '"5"'))
         moved = document(("[zones.innsbruck]\n", "[zones.innsbruck]\n# \n"))
-        weighted = document(("[workspaces.axams]", "[workspaces.axams]\nweight = 2"))
+        keyed = document(
+            ("[workspaces.axams]", f'[workspaces.axams]\nkey_digests = ["{"0" * 64}"]')
+        )
         zone_out = StateProposal("zones", "lienz", OUT)
         zone_in = StateProposal("zones", "lienz", IN)
         other_out = StateProposal("zones", "innsbruck", OUT)
@@ -196,9 +198,9 @@
         for first, second, both_pass in (
             (DocumentProposal(model_4, 1), DocumentProposal(model_5, 1), False),
             (DocumentProposal(model_4, 1), DocumentProposal(model_4, 1), True),
-            (DocumentProposal(model_4, 1), DocumentProposal(weighted, 1), True),
+            (DocumentProposal(model_4, 1), DocumentProposal(keyed, 1), True),
             (DocumentProposal(moved, 1), zone_out, True),
-            (zone_out, DocumentProposal(weighted, 1), True),
+            (zone_out, DocumentProposal(keyed, 1), True),
             (zone_out, DocumentProposal(region, 1), False),
             (zone_out, host_out, True),
             (zone_out, zone_out, True),
