Bound a stream's waits with one timer

Cause: a profile of the daemon under 12 streams showed four timers made and cancelled for each event: two for the caller's write, two of the library for the engine's read. Ruled out: no bound at all; coalescing events, which at 64 ms a token would only delay them (sends are a third of the time and stay).

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -21,6 +21,7 @@
 from .answers import AnswerText
 from .chats import ChatCall, engine_body
 from .sinks import AnswerHead, Sink
+from .stalls import Stalled, StallWatch
 from .tokens import StreamPlace
 from .verdicts import Exit, RunHistory, refuse
 
@@ -31,6 +32,8 @@
 RESUME_IDLE_SECONDS = 5.0
 RESUME_DELAY_SECONDS = 0.05
 DONE_EVENT = b"data: [DONE]\n\n"
+ENGINE = "engine"
+CALLER = "caller"
 ID_LINE = b"id: "
 
 
@@ -232,7 +235,7 @@
         await self._relay.deaths.check(self._engine_id, incarnation)
         if self._progress.text.finished:
             # Only the terminal event is missing; the text is whole.
-            await self._write(DONE_EVENT)
+            await self._write_bounded(DONE_EVENT)
             return
         silent = isinstance(error, UpstreamSilent)
         reason = RetryReason.ANSWER_SILENT if silent else RetryReason.ANSWER_CUT
@@ -244,8 +247,23 @@
     async def _forward_all(self, stream: EngineStream) -> None:
         prefix = self._relay.tokens.prefix(self._place).encode()
         self._id_line = ID_LINE + prefix + b"."
-        async for batch in stream.batches():
-            await self._forward(batch)
+        settings = self._relay.settings
+        idle = min(settings.event_idle_seconds, stream.idle_seconds)
+        caller = settings.caller_seconds
+        stream.stop_idle_timer()
+        try:
+            async with StallWatch(min(idle, caller)) as watch:
+                watch.expect(ENGINE, idle)
+                async for batch in stream.batches():
+                    watch.expect(CALLER, caller)
+                    await self._forward(batch)
+                    watch.expect(ENGINE, idle)
+        except Stalled as error:
+            if error.waiting_for == CALLER:
+                raise CallerGone("takes no bytes", step="write") from error
+            raise UpstreamSilent(
+                f"silent for {idle} s", step="stream", peer=str(self._address)
+            ) from error
 
     async def _forward(self, batch: EventBatch) -> None:
         progress = self._progress
@@ -267,16 +285,19 @@
             return self._id_line + marked[len(ID_LINE) :]
         return marked
 
-    async def _write(self, raw: bytes) -> None:
+    async def _write_bounded(self, raw: bytes) -> None:
         try:
             async with asyncio.timeout(self._relay.settings.caller_seconds):
-                if not self._progress.begun:
-                    self._progress.begun = True
-                    await self._sink.begin(self._head())
-                await self._sink.write(raw)
+                await self._write(raw)
         except TimeoutError as error:
             raise CallerGone("takes no bytes", step="write") from error
 
+    async def _write(self, raw: bytes) -> None:
+        if not self._progress.begun:
+            self._progress.begun = True
+            await self._sink.begin(self._head())
+        await self._sink.write(raw)
+
     def _head(self) -> AnswerHead:
         head = self._stream.head
         return AnswerHead(
@@ -344,10 +365,13 @@
 
     async def _read_out(self, stream: EngineStream) -> None:
         """Let the engine finish for a caller that may come for the rest."""
+        idle = self._relay.settings.event_idle_seconds
         try:
-            async for _batch in stream.batches():
-                pass
-        except UpstreamBroken:
+            async with StallWatch(idle) as watch:
+                watch.expect(ENGINE, idle)
+                async for _batch in stream.batches():
+                    watch.expect(ENGINE, idle)
+        except (UpstreamBroken, Stalled):
             return
 
     def _failed(
--- a/packages/teaselpond/src/teaselpond/upstreams/engines.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/engines.py
@@ -63,9 +63,11 @@
         client: UpstreamClient,
         address: Address,
         response: aiohttp.ClientResponse,
+        idle_seconds: float,
         after: int = 0,
     ) -> None:
         self.address = address
+        self.idle_seconds = idle_seconds
         self.head = StreamHead.read(response.headers)
         self._client = client
         self._response = response
@@ -81,6 +83,15 @@
         """Tell whether the terminal event has been read."""
         return self._cutter.terminal
 
+    def stop_idle_timer(self) -> None:
+        """Leave it to the caller to notice an engine that is silent.
+
+        The library sets a timer anew for each part that it reads.
+        """
+        connection = self._response.connection
+        if connection is not None and connection.protocol is not None:
+            connection.protocol.read_timeout = None
+
     async def batches(self) -> AsyncIterator[EventBatch]:
         """Yield whole events as they come, up to the terminal one.
 
@@ -158,7 +169,8 @@
         )
         if response.status != 200:
             raise await _read_refusal(self._client, response, address)
-        return EngineStream(self._client, address, response)
+        idle = self._client.idle_seconds if idle_seconds is None else idle_seconds
+        return EngineStream(self._client, address, response, idle)
 
     async def resume(
         self,
@@ -187,7 +199,8 @@
             raise UpstreamStreamMissing(stream_id, step="resume", peer=str(address))
         if response.status != 200:
             raise await _read_refusal(self._fresh_client, response, address)
-        return EngineStream(self._fresh_client, address, response, after)
+        idle = self._client.idle_seconds if idle_seconds is None else idle_seconds
+        return EngineStream(self._fresh_client, address, response, idle, after)
 
     async def cancel(
         self, address: Address, stream_id: str, *, request_id: str
