--- a/packages/teaselpond/src/teaselpond/policy/settings.py
+++ b/packages/teaselpond/src/teaselpond/policy/settings.py
@@ -14,9 +14,11 @@
     load_multiple: float = 1.25
     load_floor: int = 2
     sum_stale_seconds: float = 5.0
+    sum_discount: float = 0.0
     # Change of owner
     claim_wait_seconds: float = 2.0
     claim_seconds: float = 10.0
+    claim_report_seconds: float = 10.0
     # Cold starts
     quiet_seconds: float = 10.0
     slow_first_token_factor: float = 4.0
