Count engines that no sum tells of as idle in the mean

Cause: an owner that had not yet heard the other owners' sums took the mean of its own engines for the fleet's, and with one engine of its own no mean at all, so that engines rose above the cap for the first seconds of a fleet and after each change of owners (sums leave out engines whose claim is not confirmed). Ruled out: late load reports, and two owners of one engine (the reports showed no foreign work). Change: engines that the configuration lists and no sum tells of count as idle.

--- a/packages/teaselpond/src/teaselpond/policy/directory.py
+++ b/packages/teaselpond/src/teaselpond/policy/directory.py
@@ -8,6 +8,7 @@
 from teaselpond_model.contracts import Host
 
 from .affinity import EngineRing
+from .cap import FleetLoad
 from .ownership import owner_of
 from .profiles import EngineProfile
 
@@ -50,6 +51,15 @@
                 self._rings_by_model[model] = EngineRing(members)
         self._owners_by_engine.clear()
 
+    def listed(self, model: str) -> FleetLoad:
+        """Return the slots and engines of a model that may take work."""
+        able = [
+            engine
+            for engine in self.engines_by_id.values()
+            if engine.model == model and engine.takes_work
+        ]
+        return FleetLoad(slots=sum(each.slots for each in able), engines=len(able))
+
     def set_daemons(self, daemons: Iterable[Host]) -> None:
         """Take the daemons that live, as this daemon sees them."""
         self.daemons_by_id = {daemon.host_id: daemon for daemon in daemons}
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -417,4 +417,5 @@
             pool = self._pool(model)
             pool.settings = self.settings
             pool.engines_by_id = members.get(model, {})
+            pool.listed = self.directory.listed(model)
         return handovers
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -26,6 +26,7 @@
     shares: WorkspaceShares
     sums: SumTable
     engines_by_id: dict[str, OwnedEngine] = field(factory=dict)
+    listed: FleetLoad = FleetLoad()
     service_seconds: float = SERVICE_SECONDS_AT_START
 
     @classmethod
@@ -58,10 +59,15 @@
         """Return the model's load over all owners, as far as it is known."""
         own = self.own_load(now)
         others = self.sums.total(now)
+        # Engines that no sum tells of yet count as idle: without them the
+        # mean would be that of the few that are known.
+        heard = own.engines + own.ejected + others.engines + others.ejected
+        unheard = max(0, self.listed.engines - heard)
+        unheard_slots = unheard * self.listed.slots // max(1, self.listed.engines)
         return FleetLoad(
             own.in_flight + int(others.in_flight * (1 - self.settings.sum_discount)),
-            own.slots + others.slots,
-            own.engines + others.engines,
+            own.slots + others.slots + unheard_slots,
+            own.engines + others.engines + unheard,
             own.ejected + others.ejected,
         )
 
