--- a/packages/teaselpond/src/teaselpond/configuration/in_force.py
+++ b/packages/teaselpond/src/teaselpond/configuration/in_force.py
@@ -29,7 +29,8 @@
 
 def in_force_from(replica: Replica, pending: PendingOutages) -> ConfigurationInForce:
     """Return what a replica and the orders on top of it put in force."""
-    text = canonical_json(replica.digests())
+    order_ids = sorted(outage.outage_id for outage in pending)
+    text = canonical_json([replica.digests(), order_ids])
     digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
     return ConfigurationInForce(
         pending.on_top_of(replica.document),
