Leave alone what a newer program has written

Cause: during a rolling upgrade a command of the older version would have dropped the keys that it doesn't know from every item it applied, and a daemon would have read a state that it doesn't know as "in". Before: both. After: an item that reads as it did stays as it is stored, and an unknown choice is read as the safest one (out, at most once). A test bounds the history. Seen to fail first: test_keys_of_other_programs_stay without the comparison, test_unknown_choices_are_read_as_the_safest without the safest choice.

--- a/packages/teaselpond-model/src/teaselpond_model/configuration/proposals.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/proposals.py
@@ -7,7 +7,14 @@
 from attrs import frozen
 
 from .document import Document
-from .entries import Change, EntryKey, changes_between, render_changes, values_by_key
+from .entries import (
+    Change,
+    EntryKey,
+    changes_between,
+    document_from_values,
+    render_changes,
+    values_by_key,
+)
 from .exceptions import ConfigurationConflict, DocumentError
 from .sections import ServiceState
 
@@ -128,6 +135,14 @@
 
 
 def document_edit(proposal: DocumentProposal, base: Mapping[EntryKey, Any]) -> Edit:
-    """Return the edit from the base version's values to a document."""
-    wanted = values_by_key(proposal.document)
+    """Return the edit from the base version's values to a document.
+
+    An item that reads as it did is left as it is stored: another program's
+    version may know more or fewer keys than this one.
+    """
+    as_read = values_by_key(document_from_values(base))
+    wanted = {
+        key: base[key] if key in base and as_read.get(key) == value else value
+        for key, value in values_by_key(proposal.document).items()
+    }
     return Edit(proposal.base_version, base, wanted, Grain.SECTION)
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/reading.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/reading.py
@@ -175,8 +175,8 @@
     """Read an accepted item as leniently as rolling upgrades need.
 
     Keys that this program doesn't know are passed over, and keys that it
-    can't use fall back to their defaults. Raise DocumentInvalid when a key
-    without a default can't be used.
+    can't use fall back to the safest choice, or to their defaults. Raise
+    DocumentInvalid when a key without a default can't be used.
     """
     faults = Faults("")
     values = {}
@@ -187,7 +187,8 @@
         try:
             values[attribute.name] = rule.read(value[attribute.name])
         except ValueError:
-            continue
+            if isinstance(rule, rules.ChoiceRule):
+                values[attribute.name] = rule.safest
     try:
         return section.item_type(item_id, **values)
     except TypeError as error:
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/rules.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/rules.py
@@ -69,9 +69,13 @@
 
 @frozen
 class ChoiceRule:
-    """Allow the values of an enumeration."""
+    """Allow the values of an enumeration.
+
+    ``safest`` stands in for a value that a newer program has accepted.
+    """
 
     choices: type[enum.Enum]
+    safest: enum.Enum
 
     @property
     def allowed(self) -> str:
@@ -151,9 +155,9 @@
     return _ruled(TextsRule(rule or TextRule()), default)
 
 
-def choice(choices: type[enum.Enum], default: enum.Enum | None = None) -> Any:
+def choice(safest: enum.Enum, default: enum.Enum | None = None) -> Any:
     """Declare a key that holds a member of an enumeration."""
-    return _ruled(ChoiceRule(choices), default)
+    return _ruled(ChoiceRule(type(safest), safest), default)
 
 
 def number(minimum: float, maximum: float, default: float | None = None) -> Any:
--- a/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
@@ -29,7 +29,7 @@
 
     zone_id: str
     region: str = rules.text()
-    state: ServiceState = rules.choice(ServiceState, ServiceState.IN)
+    state: ServiceState = rules.choice(ServiceState.OUT, ServiceState.IN)
 
 
 @frozen
@@ -37,7 +37,7 @@
     """Tell the state that operators gave to a host; others are in."""
 
     host_id: str
-    state: ServiceState = rules.choice(ServiceState, ServiceState.OUT)
+    state: ServiceState = rules.choice(ServiceState.OUT, ServiceState.OUT)
 
 
 @frozen
@@ -86,7 +86,7 @@
 
     service_id: str
     hosts: tuple[str, ...] = rules.texts(required=True)
-    contract: ServiceContract = rules.choice(ServiceContract)
+    contract: ServiceContract = rules.choice(ServiceContract.AT_MOST_ONCE)
     timeout_seconds: float = rules.number(0.01, 600, 5.0)
 
 
--- a/packages/teaselpond-model/tests/configuration/test_reading.py
+++ b/packages/teaselpond-model/tests/configuration/test_reading.py
@@ -5,6 +5,7 @@
 from teaselpond_model.configuration import (
     Document,
     DocumentInvalid,
+    ServiceContract,
     ServiceState,
     changes_between,
     document_from_values,
@@ -120,6 +121,22 @@
         document = document_from_values(values)
         self.assertEqual(read_toml(DOCUMENT).document, document)
 
+    def test_unknown_choices_are_read_as_the_safest(self) -> None:
+        """Give no work, and repeat nothing, where a newer program rules."""
+        values = values_by_key(read_toml(DOCUMENT).document)
+        for value in values.values():
+            for name in ("state", "contract"):
+                if name in value:
+                    value[name] = "added-later"
+            if "slots" in value:
+                value["slots"] = "many"
+        document = document_from_values(values)
+        self.assertFalse(document.is_zone_in("innsbruck"))
+        self.assertIs(
+            ServiceContract.AT_MOST_ONCE, document.services_by_id["orders"].contract
+        )
+        self.assertEqual(8, document.pools_by_id["fitting"].slots)
+
     def test_digest_follows_the_content_only(self) -> None:
         """Digest equal sections alike and others not."""
         document = read_toml(DOCUMENT).document
--- a/packages/teaselpond-model/tests/configuration/test_store.py
+++ b/packages/teaselpond-model/tests/configuration/test_store.py
@@ -1,12 +1,14 @@
 """Check commits of the configuration under faults and races."""
 
 import asyncio
+from unittest import mock
 
 import testtools
 
 from teaselpond_model.configuration import (
     ConfigurationConflict,
     DocumentInvalid,
+    EntryKey,
     HistoryLost,
     ServiceState,
     read_toml,
@@ -14,6 +16,8 @@
 from teaselpond_model.configuration.exceptions import CommitUnsettled, DocumentError
 from teaselpond_model.configuration.proposals import (
     DocumentProposal,
+    Edit,
+    Grain,
     Proposal,
     RollbackProposal,
     StateProposal,
@@ -137,6 +141,31 @@
         with testtools.ExpectedException(DocumentError):
             await self.commit(StateProposal("zones", "ghost", OUT))
 
+    async def test_keys_of_other_programs_stay(self) -> None:
+        """Change one item of a document that a newer program has written."""
+        await self.first()
+        store = self.operator()
+        base = await store.load()
+        newer = {k: {**v, "added_later": 1} for k, v in base.values_by_key().items()}
+        edit = Edit(1, base.values_by_key(), newer, Grain.SECTION)
+        await store.commit(Commit(edit, Author("newer"), "newer", 0.0), base)
+        result = await self.commit(DocumentProposal(document(('"3"', '"4"')), 2))
+        self.assertEqual(["models"], [c.key.section for c in result.changes])
+        values = (await store.load()).values_by_key()
+        self.assertEqual(1, values[EntryKey("zones", "lienz")]["added_later"])
+
+    async def test_the_history_is_bounded(self) -> None:
+        """Drop the oldest records, and refuse what they are needed for."""
+        await self.first()
+        with mock.patch(f"{ConfigurationStore.__module__}.HISTORY_VERSIONS", 3):
+            for state in (OUT, IN, OUT, IN):
+                await self.commit(StateProposal("zones", "lienz", state))
+        records = await self.operator().history(0, 5)
+        self.assertEqual([5, 4, 3], [record.version for record in records])
+        await self.commit(RollbackProposal(2))
+        with testtools.ExpectedException(HistoryLost):
+            await self.commit(RollbackProposal(1))
+
     async def test_refused_changes_write_nothing(self) -> None:
         """Refuse invalid and dangerous changes, the latter unless forced."""
         await self.first()
