Prove orders against engine stand-ins over HTTP

Cause: fencing was proved against fakes only. Before: an order that never reached its engine made the engine wait for its effect for five minutes, and a refusal "not run" stopped the rollout. After: both are given again at the next check. test_engines.py meets late orders, engines that ignore fences, and answers lost, cut, garbled and slow. Seen to fail first: without the wait for the former holder, without the engine's own check, with a lost answer taken for a failure, and with "not run" taken for one.

--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -18,6 +18,7 @@
     LeaseLost,
     TeaselpondError,
     TransactionConflict,
+    UpstreamUnavailable,
 )
 from teaselpond_model.rollouts import ModelCapacity, RolloutLimits
 
@@ -196,7 +197,12 @@
         except UpstreamRefused as error:
             if error.status == OLD_FENCE_STATUS and current.wish.checks_fence:
                 raise FenceTooLow("the engine has seen a newer one") from error
+            if error.not_run:
+                raise
             raise OrderFailed(str(error), step=order.kind.value) from error
+        except UpstreamUnavailable:
+            # Nothing was sent, and the engine keeps its place for the retry.
+            raise
         except (TeaselpondError, TimeoutError) as error:
             # It may have taken effect: only the engine's report can tell.
             logging.warning("the answer of %s is lost: %s", self.engine_id, error)
--- /dev/null
+++ b/packages/teaselpond/tests/orders/test_engines.py
@@ -0,0 +1,143 @@
+"""Give orders to engine stand-ins over HTTP, with and without fences."""
+
+import time
+from collections.abc import Mapping
+from contextlib import AsyncExitStack
+
+from attrs import define
+
+from teaselpond.exceptions import UpstreamRefused
+from teaselpond.leases import LeaseKeeper, LeaseSettings
+from teaselpond.orders import EngineClaims, EngineWish
+from teaselpond.orders.change import ChangeContext, EngineChange, WishInForce
+from teaselpond.orders.places import RolloutPlaces
+from teaselpond.orders.settings import OrderSettings
+from teaselpond.upstreams import EngineClient, UpstreamClient
+from teaselpond_model.contracts import Address, EngineOrder, LoadReport, OrderKind
+from teaselpond_model.rollouts import RolloutLimits
+from teaselpond_standins.engine import EngineFaultKind, EngineSettings, EngineStandin
+from teaselpond_standins.platform import MemoryTable, MemoryWeights
+from teaselpond_standins.testing import AsyncTestCase
+
+LEASES = LeaseSettings(duration_seconds=30.0, renew_seconds=10.0)
+ORDERS = OrderSettings(report_seconds=0.05, settle_seconds=20.0)
+
+
+@define
+class OneEngine:
+    """Show an idle engine."""
+
+    address: Address
+
+    def owned_engines(self) -> Mapping[str, Address]:
+        """Return the engine."""
+        return {"e1": self.address}
+
+    def last_report(self, engine_id: str) -> LoadReport | None:
+        """Return nothing; changes ask the engine itself."""
+        return None
+
+    def slots_by_engine(self, model: str) -> Mapping[str, int]:
+        """Return the engine and another one."""
+        return {"e1": 8, "e2": 8}
+
+    def requests_in_use(self, model: str) -> int:
+        """Return none."""
+        return 0
+
+    def hold(self, engine_id: str) -> None:
+        """Accept the hold."""
+
+    def resume(self, engine_id: str) -> None:
+        """Accept the end of the hold."""
+
+    def in_flight(self, engine_id: str) -> int:
+        """Return none."""
+        return 0
+
+
+class EngineOrderTests(AsyncTestCase):
+    """Check orders against the engines' interface."""
+
+    async def start(
+        self, stack: AsyncExitStack, *, checks_fence: bool = True, load: float = 0.0
+    ) -> None:
+        """Start an engine, and share one table between daemons."""
+        settings = EngineSettings(
+            checks_fences=checks_fence,
+            load_model_seconds=load,
+            load_interval_seconds=0.02,
+            load_lag_seconds=0.0,
+        )
+        self.engine = await stack.enter_async_context(EngineStandin(settings))
+        client = await stack.enter_async_context(UpstreamClient())
+        fresh = await stack.enter_async_context(UpstreamClient(reuse=False))
+        self.link = EngineClient(client, fresh)
+        self.table = MemoryTable()
+        self.checks_fence = checks_fence
+
+    async def change(self, daemon_id: str, version: str, seconds: float = 5.0) -> bool:
+        """Let a daemon bring the engine to a version."""
+        leases = LeaseKeeper(self.table, daemon_id, daemon_id, settings=LEASES)
+        await leases.step(time.monotonic())
+        address = self.engine.address
+        context = ChangeContext(
+            leases,
+            EngineClaims(self.table, daemon_id, daemon_id, LEASES),
+            RolloutPlaces(self.table),
+            OneEngine(address),
+            self.link,
+            MemoryWeights(),
+            ORDERS,
+        )
+        wish = EngineWish("e1", "fitting", version, (), "serve", self.checks_fence)
+        limits = RolloutLimits(1, 0.5)
+        current = WishInForce(wish, limits, seconds, frozenset({"e1", "e2"}))
+        return await EngineChange(context, "e1", address, lambda: current).run()
+
+    async def order_late(self, fence: int) -> None:
+        """Send what a daemon sent before it was paused, long after."""
+        order = EngineOrder(OrderKind.LOAD_MODEL, fence, "fitting", "late")
+        await self.link.order(self.engine.address, order, seconds=5.0)
+
+    async def test_a_late_order_is_refused_by_its_fence(self) -> None:
+        """Keep the newer holder's version, and end the late order."""
+        async with AsyncExitStack() as stack:
+            await self.start(stack)
+            self.assertTrue(await self.change("d1", "2"))
+            late_fence = self.engine.records.orders[-1].fence
+            self.assertTrue(await self.change("d2", "3"))
+            try:
+                await self.order_late(late_fence)
+            except UpstreamRefused as error:
+                self.assertEqual(409, error.status)
+            else:
+                self.fail("the late order was taken")
+            self.assertEqual("3", self.engine.engine.model_version)
+            fences = [order.fence for order in self.engine.records.orders]
+            self.assertEqual(sorted(set(fences)), fences)
+
+    async def test_an_engine_without_fences_is_left_to_its_holder(self) -> None:
+        """Order nothing while a former holder may still order."""
+        async with AsyncExitStack() as stack:
+            await self.start(stack, checks_fence=False)
+            self.assertTrue(await self.change("d1", "2"))
+            self.assertFalse(await self.change("d2", "3"))
+            self.assertEqual("2", self.engine.engine.model_version)
+            self.assertEqual(1, len(self.engine.records.orders))
+
+    async def test_lost_and_slow_answers_cost_no_second_order(self) -> None:
+        """Read the engine's report when an answer doesn't come."""
+        for load, seconds, fault in (
+            (0.0, 5.0, None),
+            (0.6, 0.1, None),
+            (0.0, 5.0, EngineFaultKind.BREAK),
+            (0.0, 5.0, EngineFaultKind.RUBBISH),
+        ):
+            async with AsyncExitStack() as stack:
+                await self.start(stack, load=load)
+                if fault is not None:
+                    self.engine.add_fault(fault, "orders")
+                self.assertTrue(await self.change("d1", "2", seconds), fault)
+                self.assertEqual("2", self.engine.engine.model_version)
+                self.assertEqual(1, len(self.engine.records.orders), (load, fault))
--- a/packages/teaselpond/tests/orders/test_keeper.py
+++ b/packages/teaselpond/tests/orders/test_keeper.py
@@ -60,10 +60,13 @@
     orders: list[EngineOrder] = field(factory=list)
     refuses: bool = False
     loses_answers: int = 0
+    rejections: list[Exception] = field(factory=list)
     ignores_orders: int = 0
 
     def obey(self, order: EngineOrder) -> None:
         """Carry an order out; raise as the engine's client does."""
+        if self.rejections:
+            raise self.rejections.pop()
         if self.refuses:
             raise UpstreamRefused(500, b"", not_run=False)
         if self.checks_fence and order.fence < self.report.fence:
@@ -408,6 +411,21 @@
         await new.check()
         self.assertEqual("5", world.versions()[0])
 
+    async def test_orders_that_did_not_arrive_are_given_again(self) -> None:
+        """Don't count what the engine never saw as its failure."""
+        world = World()
+        daemon = Daemon(world, "d1", ENGINE_IDS)
+        world.document = document("4")
+        for engine in world.engines_by_id.values():
+            engine.rejections = [
+                UpstreamUnavailable("gone"),
+                UpstreamRefused(503, b"", not_run=True),
+            ]
+        await daemon.check(16)
+        self.assertEqual(["4"] * 4, world.versions())
+        self.assertEqual(4, world.order_count())
+        self.assertNotIn("orders.failed", daemon.counts)
+
     async def test_unreachable_engines_stop_nothing(self) -> None:
         """Go on with the others."""
         world = World()
