Try engines that hold a place in a rollout first

Before: test_orders_that_did_not_arrive_are_given_again failed after 16 checks with two of four engines changed. After: all four. The orders' tests share their world in a module of its own.

--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -83,6 +83,7 @@
         self.engine_id = engine_id
         self.address = address
         self.wish_in_force = wish_in_force
+        self.has_place = False
         self._is_held = False
 
     async def run(self) -> bool:
@@ -128,7 +129,8 @@
         self, order: EngineOrder, current: WishInForce, report: LoadReport
     ) -> bool:
         if interrupts_work(order):
-            if not await self._take_place(current):
+            self.has_place = await self._take_place(current)
+            if not self.has_place:
                 return False
             await self._drain(current)
         elif (await self.context.places.read(current.wish)).has_failed(self.engine_id):
@@ -226,6 +228,7 @@
         self.context.count("orders.failed")
         logging.error("an order to %s failed: %s", self.engine_id, error)
         await self.context.places.fail(current.wish, str(error))
+        self.has_place = False
 
     async def _take_higher_fence(self) -> None:
         self.context.count("orders.fence_too_low")
--- a/packages/teaselpond/src/teaselpond/orders/keeper.py
+++ b/packages/teaselpond/src/teaselpond/orders/keeper.py
@@ -33,6 +33,7 @@
         # Engines that are as wished and hold no place in a rollout, as far
         # as this daemon knows since it owns them.
         self._settled: set[str] = set()
+        self._begun: set[str] = set()
         self._tries_by_engine: Counter[str] = Counter()
         self._wishes_of: Document | None = None
         self._wishes_by_engine: dict[str, EngineWish] = {}
@@ -51,23 +52,28 @@
         """Start a change of each owned engine that isn't as wished."""
         owned = self.context.fleet.owned_engines()
         self._settled &= owned.keys()
+        self._begun &= owned.keys()
         for engine_id in self._due(owned.keys()):
             self._start(engine_id, owned[engine_id])
         await self._release_others(owned.keys())
 
     def _due(self, owned: Iterable[str]) -> list[str]:
-        """Return one engine of each model, the one tried least often.
+        """Return one engine of each model.
 
-        While a rollout is full, each engine that waits for a place costs
-        the table service a read at each check.
+        One that holds a place in a rollout goes first, then the one tried
+        least often. While a rollout is full, each engine that waits for a
+        place costs the table service a read at each check.
         """
         wishes = self._wishes()
         due_by_model: dict[str, str] = {}
-        for engine_id in sorted(owned, key=lambda each: self._tries_by_engine[each]):
+        for engine_id in sorted(owned, key=self._turn):
             if engine_id in wishes and self._needs_change(wishes[engine_id]):
                 due_by_model.setdefault(wishes[engine_id].model, engine_id)
         return list(due_by_model.values())
 
+    def _turn(self, engine_id: str) -> tuple[bool, int]:
+        return engine_id not in self._begun, self._tries_by_engine[engine_id]
+
     def _needs_change(self, wish: EngineWish) -> bool:
         report = self.context.fleet.last_report(wish.engine_id)
         if report is None or self._is_busy(wish.engine_id):
@@ -89,16 +95,20 @@
         )
         self._tries_by_engine[engine_id] += 1
         task = asyncio.create_task(change.run(), name=f"change {engine_id}")
-        task.add_done_callback(lambda done: self._note_end(engine_id, done))
+        task.add_done_callback(lambda done: self._note_end(change, done))
         self._tasks_by_engine[engine_id] = task
 
-    def _note_end(self, engine_id: str, task: asyncio.Task[bool]) -> None:
+    def _note_end(self, change: EngineChange, task: asyncio.Task[bool]) -> None:
+        engine_id = change.engine_id
+        self._begun.discard(engine_id)
         if task.cancelled():
             return
         if task.exception() is not None:
             logging.error("the change of %s broke: %r", engine_id, task.exception())
         elif task.result():
             self._settled.add(engine_id)
+        elif change.has_place:
+            self._begun.add(engine_id)
 
     def _is_busy(self, engine_id: str) -> bool:
         task = self._tasks_by_engine.get(engine_id)
--- /dev/null
+++ b/packages/teaselpond/tests/orders/worlds.py
@@ -0,0 +1,215 @@
+"""Share engines, daemons and a clock that doesn't wait among tests."""
+
+import asyncio
+from collections.abc import Mapping
+
+from attrs import define, evolve, field
+
+from teaselpond.exceptions import UpstreamRefused
+from teaselpond.leases import LeaseKeeper, LeaseSettings
+from teaselpond.orders import EngineClaims, OrderKeeper
+from teaselpond.orders.change import ChangeContext
+from teaselpond.orders.places import RolloutPlaces
+from teaselpond.orders.settings import OrderSettings
+from teaselpond_model.configuration import Document, read_toml
+from teaselpond_model.contracts import (
+    Address,
+    EngineOrder,
+    LoadReport,
+    OrderKind,
+)
+from teaselpond_model.exceptions import UpstreamBroken
+from teaselpond_standins.platform import (
+    MemoryTable,
+    MemoryWeights,
+)
+
+DOCUMENT = """
+[zones.innsbruck]
+region = "tyrol"
+[capacity.pools.fitting]
+model = "fitting"
+hosts = ["e1", "e2", "e3", "e4"]
+checks_fence = CHECKS
+[models.fitting]
+version = "VERSION"
+[policy]
+order_timeout_seconds = 5.0
+"""
+LEASES = LeaseSettings(duration_seconds=15.0, store_timeout_seconds=1.0)
+SETTINGS = OrderSettings(settle_seconds=20.0)
+ENGINE_IDS = ("e1", "e2", "e3", "e4")
+
+
+def document(version: str, checks: str = "true") -> Document:
+    """Return the document with one version of the model."""
+    text = DOCUMENT.replace("VERSION", version).replace("CHECKS", checks)
+    return read_toml(text).document
+
+
+@define
+class FakeEngine:
+    """Take orders as an engine does, some of them badly."""
+
+    report: LoadReport
+    checks_fence: bool = True
+    orders: list[EngineOrder] = field(factory=list)
+    refuses: bool = False
+    loses_answers: int = 0
+    rejections: list[Exception] = field(factory=list)
+    ignores_orders: int = 0
+
+    def obey(self, order: EngineOrder) -> None:
+        """Carry an order out; raise as the engine's client does."""
+        if self.rejections:
+            raise self.rejections.pop()
+        if self.refuses:
+            raise UpstreamRefused(500, b"", not_run=False)
+        if self.checks_fence and order.fence < self.report.fence:
+            raise UpstreamRefused(409, b"", not_run=True)
+        self.orders.append(order)
+        if self.ignores_orders:
+            self.ignores_orders -= 1
+            raise UpstreamBroken("the engine crashed")
+        self.report = evolve(self.report, fence=order.fence)
+        if order.kind is OrderKind.LOAD_MODEL:
+            self.report = evolve(self.report, model_version=order.model_version)
+        if self.loses_answers:
+            self.loses_answers -= 1
+            raise UpstreamBroken("the answer is lost")
+
+
+class World:
+    """Hold the table, the engines and one clock for several daemons.
+
+    Nothing waits: a sleep moves the clock.
+    """
+
+    def __init__(self, version: str = "3", checks: str = "true") -> None:
+        self.now = 0.0
+        self.table = MemoryTable()
+        self.weights = MemoryWeights(clock=lambda: self.now)
+        self.document = document(version, checks)
+        self.checks = checks
+        self.in_flight: dict[str, int] = {}
+        self.requests = 0
+        self.held: set[str] = set()
+        self.least_left = len(ENGINE_IDS)
+        self.engines_by_id = {
+            engine_id: FakeEngine(
+                LoadReport("i", 1, 0, 0, 0, "fitting", version), checks == "true"
+            )
+            for engine_id in ENGINE_IDS
+        }
+
+    def address(self, engine_id: str) -> Address:
+        """Return an address that names the engine."""
+        return Address("127.0.0.1", 1 + ENGINE_IDS.index(engine_id))
+
+    def engine(self, address: Address) -> FakeEngine:
+        """Return the engine at an address."""
+        return self.engines_by_id[ENGINE_IDS[address.port - 1]]
+
+    async def sleep(self, seconds: float) -> None:
+        """Move the clock, and let the work on held engines end."""
+        self.now += seconds
+        for engine_id in self.held:
+            self.in_flight[engine_id] = max(self.in_flight.get(engine_id, 0) - 1, 0)
+        await asyncio.sleep(0)
+
+    def hold(self, engine_id: str) -> None:
+        """Take an engine out of work, and note how many are left."""
+        self.held.add(engine_id)
+        self.least_left = min(self.least_left, len(ENGINE_IDS) - len(self.held))
+
+    def versions(self) -> list[str]:
+        """Return what each engine runs."""
+        return [engine.report.model_version for engine in self.engines_by_id.values()]
+
+    def order_count(self) -> int:
+        """Return how many orders all engines have taken."""
+        return sum(len(engine.orders) for engine in self.engines_by_id.values())
+
+
+class Daemon:
+    """Be one daemon's fleet view and engine link over a world."""
+
+    def __init__(self, world: World, daemon_id: str, owned: tuple[str, ...]) -> None:
+        self.world = world
+        self.owned = owned
+        self.counts: list[str] = []
+        self.leases = LeaseKeeper(
+            world.table, daemon_id, f"{daemon_id}-i", settings=LEASES
+        )
+        claims = EngineClaims(
+            world.table, daemon_id, f"{daemon_id}-i", LEASES, clock=lambda: world.now
+        )
+        self.context = ChangeContext(
+            self.leases,
+            claims,
+            RolloutPlaces(world.table),
+            fleet=self,
+            link=self,
+            weights=world.weights,
+            settings=SETTINGS,
+            clock=lambda: world.now,
+            sleep=self.sleep,
+            count=self.counts.append,
+        )
+        self.keeper = OrderKeeper(self.context, lambda: world.document)
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep in the world, with the lease renewed."""
+        await self.world.sleep(seconds)
+        await self.leases.step(self.world.now)
+
+    async def check(self, rounds: int = 1) -> None:
+        """Compare some times, and wait for the changes of each."""
+        for _ in range(rounds):
+            self.world.now += 5.0
+            await self.leases.step(self.world.now)
+            await self.keeper.check()
+            tasks = self.keeper._tasks_by_engine.values()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def owned_engines(self) -> Mapping[str, Address]:
+        """Return the engines and their addresses."""
+        return {engine_id: self.world.address(engine_id) for engine_id in self.owned}
+
+    def last_report(self, engine_id: str) -> LoadReport | None:
+        """Return an engine's report."""
+        return self.world.engines_by_id[engine_id].report
+
+    def slots_by_engine(self, model: str) -> Mapping[str, int]:
+        """Return the slots of all engines."""
+        return dict.fromkeys(ENGINE_IDS, 8)
+
+    def requests_in_use(self, model: str) -> int:
+        """Return the world's."""
+        return self.world.requests
+
+    def hold(self, engine_id: str) -> None:
+        """Take an engine out of work."""
+        self.world.hold(engine_id)
+
+    def resume(self, engine_id: str) -> None:
+        """Give an engine work again."""
+        self.world.held.discard(engine_id)
+
+    def in_flight(self, engine_id: str) -> int:
+        """Return what runs on an engine."""
+        return self.world.in_flight.get(engine_id, 0)
+
+    async def load(self, address: Address) -> LoadReport:
+        """Return an engine's report."""
+        return self.world.engine(address).report
+
+    async def order(
+        self, address: Address, order: EngineOrder, *, seconds: float
+    ) -> None:
+        """Give an engine an order."""
+        engine = self.world.engine(address)
+        running = self.world.in_flight.get(ENGINE_IDS[address.port - 1], 0)
+        if running:
+            raise AssertionError(f"{running} requests would be cut")
+        engine.obey(order)
