--- a/packages/teaselpond-ctl/src/teaselpond_ctl/session.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/session.py
@@ -19,6 +19,7 @@
 from .settings import Settings
 
 FOLLOW_SECONDS = 0.1
+FOLLOW_SECONDS_PER_DAEMON = 0.005
 
 
 @define
@@ -125,4 +126,6 @@
                     f"in force on {have} of {len(answers)} daemons after {passed:.1f} s"
                 )
                 return lacking
-            await asyncio.sleep(FOLLOW_SECONDS)
+            await asyncio.sleep(
+                FOLLOW_SECONDS + FOLLOW_SECONDS_PER_DAEMON * len(answers)
+            )
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/settings.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/settings.py
@@ -34,7 +34,13 @@
 
     def author(self) -> str:
         """Return the name for the history."""
-        return self.who or getpass.getuser()
+        if self.who:
+            return self.who
+        try:
+            return getpass.getuser()
+        except (KeyError, OSError):
+            # The user id has no name on this machine.
+            return f"uid-{os.getuid()}"
 
     def daemon_addresses(self) -> tuple[Address, ...]:
         """Return the daemons that were named; raise CommandUsage."""
