Describe delivery, its reasons and the quarantine

After: topics/delivery.md, reference/reasons.md (a test finds each reason in it), howto/quarantine.md.

--- a/packages/teaselpond/tests/delivery/test_verdicts.py
+++ b/packages/teaselpond/tests/delivery/test_verdicts.py
@@ -16,10 +16,11 @@
     refuse,
     refuse_admission,
 )
-from teaselpond.policy import Refusal, RefusalReason
+from teaselpond.policy import Refusal, RefusalReason, RetryReason
 from teaselpond.reasons import Reason
 from teaselpond_model.contracts import Address
 
+ROOT = Path(__file__).parents[4]
 SOURCE = Path(teaselpond.__file__).parent
 
 
@@ -32,6 +33,12 @@
         used = {verdict.reason for verdict in EXITS.values()}
         self.assertEqual(set(Reason), used)
 
+    def test_every_reason_is_documented(self) -> None:
+        """Find each reason and each retry reason in the reference page."""
+        page = (ROOT / "docs" / "reference" / "reasons.md").read_text()
+        for reason in (*Reason, *RetryReason):
+            self.assertIn(f"`{reason.value}`", page)
+
     def test_names_tell_before_and_after_the_send(self) -> None:
         """Never call not-run what left after the send, nor the reverse."""
         for exit_, verdict in EXITS.items():
