--- a/packages/teaselpond-standins/src/teaselpond_standins/capacity/points.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/capacity/points.py
@@ -32,10 +32,12 @@
 
     action: str
     count: int
+    seconds: float
     table_reads: int
     table_writes: int
     object_reads: int
     object_writes: int
+    host_list_reads: int
     processor_seconds: float
 
 
