--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -238,5 +238,7 @@
         for engine_id, engine in self.engines.by_id.items():
             members.setdefault(engine.profile.model, {})[engine_id] = engine
         for model in self.pools_by_model.keys() | members.keys():
-            self._pool(model).configure(self.settings, members.get(model, {}))
+            pool = self._pool(model)
+            pool.configure(self.settings, members.get(model, {}))
+            pool.listed = self.directory.listed(model)
         return handovers
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -46,6 +46,7 @@
     sums: SumTable
     shares: WorkspaceShares = field(factory=WorkspaceShares)
     engines_by_id: dict[str, OwnedEngine] = field(factory=dict)
+    listed: FleetLoad = FleetLoad()
     service_seconds: float = SERVICE_SECONDS_AT_START
     reviewed_at: float = float("-inf")
     _able: list[AbleEngine] | None = None
@@ -114,11 +115,16 @@
         """
         own = self.own_load(now)
         others = self.sums.total(now)
-        heard = int(others.in_flight * (1 - self.settings.sum_discount))
+        # Engines that no sum tells of yet count as idle: without them the
+        # mean would be that of the few that are known.
+        heard = own.engines + own.ejected + others.engines + others.ejected
+        unheard = max(0, self.listed.engines - heard)
+        unheard_slots = unheard * self.listed.slots // max(1, self.listed.engines)
+        counted = int(others.in_flight * (1 - self.settings.sum_discount))
         return FleetLoad(
-            own.in_flight + heard,
-            own.slots + others.slots,
-            own.engines + others.engines,
+            own.in_flight + counted,
+            own.slots + others.slots + unheard_slots,
+            own.engines + others.engines + unheard,
             own.ejected + others.ejected,
         )
 
