--- a/packages/teaselpond/tests/policy/test_claims.py
+++ b/packages/teaselpond/tests/policy/test_claims.py
@@ -24,7 +24,8 @@
 from teaselpond.policy.cap import FleetLoad, load_cap
 from teaselpond_model.contracts import Address, Host, HostKind, LoadReport
 
-KNOBS = PolicySettings(claim_wait_seconds=2.0, claim_seconds=10.0)
+# No margin for late sums: the claims alone must hold the cap.
+KNOBS = PolicySettings(claim_wait_seconds=2.0, claim_seconds=10.0, sum_discount=0.0)
 REPORT_LAG_SECONDS = 1.5
 LONGEST_CUT_SECONDS = 7.0
 SLOTS = 12
