Take engines that come back into service for cold

An engine whose host or zone was out now starts cold, and a handover of an older incarnation does not warm. Both tests failed first (8 slots for 2). In the measure of decisions engines are warmed by their reports; before, most of its requests found no room.

--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/decisions.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/decisions.py
@@ -17,7 +17,7 @@
     RequestClass,
     SlotRequest,
 )
-from teaselpond_model.contracts import Address, Host, HostKind
+from teaselpond_model.contracts import Address, Host, HostKind, LoadReport
 
 from .workload import prefixes_of, request_prefixes
 
@@ -75,8 +75,12 @@
     hosts = [_host(f"entry-{n}", f"zone-{n}", HostKind.ENTRY) for n in range(daemons)]
     dispatcher.set_daemons(hosts, 0.0)
     dispatcher.advance(0.0)
-    for engine in dispatcher.engines.by_id.values():
-        engine.warmup.raise_to(SLOTS)
+    # A full report shows an engine to be warm; a later one that it is free.
+    for sequence, running in enumerate((SLOTS, 0)):
+        report = LoadReport("1", sequence, running, 0, 0, "model-0", "1")
+        for engine_id in dispatcher.engines.by_id:
+            dispatcher.observe_load(engine_id, report, 0.1 * (1 + sequence))
+    dispatcher.advance(1.0)
     for number in range(DECISIONS):
         _fill_cache(dispatcher, number)
     for number in range(1, daemons):
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -58,8 +58,13 @@
         """Return the id of the engine's host."""
         return self.profile.engine_id
 
-    def change_profile(self, profile: EngineProfile) -> None:
-        """Take a changed configuration or host state."""
+    def change_profile(self, profile: EngineProfile, now: float) -> None:
+        """Take a changed configuration or host state.
+
+        An engine that was out may have started again meanwhile.
+        """
+        if profile.takes_work and not self.profile.takes_work:
+            self.warmup.start(ColdReason.RETURNED, now)
         was_warm = self.warmup.is_warm
         self.profile = profile
         self.warmup.slots = profile.slots
@@ -136,8 +141,9 @@
 
     def accept(self, handover: Handover, now: float) -> None:
         """Take the former owner's word for the engine's state."""
-        self.see_incarnation(handover.incarnation, now)
-        self.warmup.raise_to(handover.limit)
+        if self.warmup.incarnation in ("", handover.incarnation):
+            self.see_incarnation(handover.incarnation, now)
+            self.warmup.raise_to(handover.limit)
         self.slots.expect_foreign(handover.in_flight, now)
         self.claim.confirm()
 
--- a/packages/teaselpond/src/teaselpond/policy/reasons.py
+++ b/packages/teaselpond/src/teaselpond/policy/reasons.py
@@ -32,6 +32,7 @@
 
     FIRST_SEEN = "first-seen"
     INCARNATION = "incarnation"
+    RETURNED = "returned"
     CACHE_CLEARED = "cache-cleared"
     QUIET = "quiet"
     SLOW_FIRST_TOKEN = "slow-first-token"
--- a/packages/teaselpond/tests/policy/test_cold_starts.py
+++ b/packages/teaselpond/tests/policy/test_cold_starts.py
@@ -3,7 +3,7 @@
 import testtools
 from attrs import evolve
 
-from teaselpond.policy import Grant, Outcome, Release
+from teaselpond.policy import Grant, Handover, Outcome, Release
 from teaselpond_model.contracts import (
     CacheEvent,
     CacheEventKind,
@@ -11,6 +11,7 @@
     LoadReport,
 )
 from teaselpond_standins.testing.policy import (
+    SOLE_OWNER,
     make_dispatcher,
     make_profile,
     make_request,
@@ -147,6 +148,19 @@
         self.assertEqual(0, grant.cached_tokens)
         self.assertEqual(COLD_LIMIT - 1, len(grants(owner, 0, 20, 31.0)))
 
+    def test_an_engine_that_comes_back_into_service_is_cold(self):
+        owner = warm_owner(ENGINE)
+        for available, now in ((False, 30.0), (True, 31.0)):
+            owner.configure(SOLE_OWNER, [evolve(ENGINE, available=available)], now)
+        self.assertEqual(COLD_LIMIT, len(grants(owner, 0, 20, 31.0)))
+
+    def test_a_handover_of_an_older_incarnation_does_not_warm(self):
+        owner = make_dispatcher(ENGINE)
+        by_report(owner, 1.0)
+        handover = Handover("e1", "d2", "d1", 0, SLOTS, "i1")
+        owner.accept(handover, 2.0)
+        self.assertEqual(COLD_LIMIT, len(grants(owner, 0, 20, 2.0)))
+
     def test_a_whole_zone_that_returns_is_warmed_gradually(self):
         zone = [evolve(ENGINE, host=make_profile(f"e{n}").host) for n in range(5)]
         owner = warm_owner(*zone)
