Let ageing lift classes, not a busy workspace's own requests

A test of the queue showed that a workspace which surges went first within a class, as its requests had waited longest: r2 of a busy workspace before r3 of an idle one. Now a class ages by its oldest request, and within it the workspace with the fewest slots goes first.

--- a/packages/teaselpond/src/teaselpond/policy/queue.py
+++ b/packages/teaselpond/src/teaselpond/policy/queue.py
@@ -1,7 +1,7 @@
 """Hold the requests that wait for a slot of one model."""
 
 from collections import deque
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 from attrs import define, field, frozen
 
@@ -66,29 +66,36 @@
         return waiting
 
     def in_order(
-        self,
-        in_use_by_workspace: Mapping[str, int],
-        now: float,
-        may_start: Callable[[Waiting], bool] = lambda waiting: True,
+        self, in_use_by_workspace: Mapping[str, int], now: float
     ) -> list[Waiting]:
-        """Return the head of each line that may start, the first to go first.
+        """Return the head of each line, the first to go first.
 
-        Of one class, the workspace with the fewest slots goes first.
+        A class ages by its oldest request. Within a class the workspace with
+        the fewest slots goes first, however long a busy one has waited.
         """
-        heads = [
-            line[0]
-            for lines in self._lines.values()
-            for line in lines.values()
-            if may_start(line[0])
-        ]
-        return sorted(
-            heads,
-            key=lambda waiting: (
-                int(waiting.rank(self.ageing_seconds, now)),
-                in_use_by_workspace.get(waiting.request.workspace, 0),
-                waiting.since,
-            ),
-        )
+        heads: list[Waiting] = []
+        for request_class in self._lines_by_age(now):
+            lines = self._lines[request_class]
+            heads.extend(
+                sorted(
+                    (line[0] for line in lines.values()),
+                    key=lambda waiting: (
+                        in_use_by_workspace.get(waiting.request.workspace, 0),
+                        waiting.since,
+                    ),
+                )
+            )
+        return heads
+
+    def _lines_by_age(self, now: float) -> list[RequestClass]:
+        ranks = {
+            request_class: min(
+                line[0].rank(self.ageing_seconds, now) for line in lines.values()
+            )
+            for request_class, lines in self._lines.items()
+            if lines
+        }
+        return sorted(ranks, key=ranks.__getitem__)
 
     def ahead_of(self, request: SlotRequest) -> int:
         """Return how many queued requests are at least as urgent."""
