--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/fleets.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/fleets.py
@@ -109,6 +109,16 @@
         self.daemons_by_id.pop(daemon_id).request_stop()
         return await self._tasks_by_id.pop(daemon_id)
 
+    async def kill_daemon(self, daemon_id: str) -> None:
+        """End a daemon at once: its ports close and it says no goodbye."""
+        daemon = self.daemons_by_id.pop(daemon_id)
+        for link in daemon.parts.links.lasting_links():
+            link.abort("killed")
+        task = self._tasks_by_id.pop(daemon_id)
+        daemon.parts.membership = None
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def wait_ready(self, daemon_id: str) -> None:
         """Wait until a daemon is ready; raise TimeoutError."""
         for _ in range(int(READY_SECONDS / POLL_SECONDS)):
--- a/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
+++ b/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
@@ -6,9 +6,11 @@
 from teaselpond_model.contracts import Host, HostKind, HostState
 
 from ..configuration import ConfigurationInForce
-from ..membership import Daemon, Membership, Upstream, UpstreamState
+from ..membership import Daemon, DaemonState, Membership, Upstream, UpstreamState
 from ..owner import EnginePollers, SlotBroker, build_profiles, build_settings
 
+RUNNING_STATES = (DaemonState.ALIVE, DaemonState.SUSPECT, DaemonState.LEAVING)
+
 
 class FleetFollower:
     """Feed the dispatcher with engines and daemons, and poll what it owns."""
@@ -51,7 +53,7 @@
         former = self._membership
         self._membership = membership
         self._set_daemons()
-        for daemon_id in former.daemons_by_id.keys() - membership.daemons_by_id.keys():
+        for daemon_id in ended_runs(former, membership):
             self._broker.drop_origin(daemon_id)
         self._configure()
 
@@ -106,6 +108,27 @@
         )
 
 
+def ended_runs(former: Membership, current: Membership) -> tuple[str, ...]:
+    """Return the daemons whose run ended between two memberships.
+
+    A daemon that is gone stays a member while the platform lists it.
+    """
+    return tuple(
+        daemon_id
+        for daemon_id, daemon in former.daemons_by_id.items()
+        if daemon.state in RUNNING_STATES
+        and not _still_runs(daemon, current.daemons_by_id.get(daemon_id))
+    )
+
+
+def _still_runs(former: Daemon, current: Daemon | None) -> bool:
+    return (
+        current is not None
+        and current.state in RUNNING_STATES
+        and current.incarnation == former.incarnation
+    )
+
+
 def host_of_daemon(daemon: Daemon) -> Host:
     """Return a daemon as the policy sees it."""
     return Host(daemon.daemon_id, daemon.caller_address, daemon.zone, HostKind.ENTRY)
--- /dev/null
+++ b/packages/teaselpond/tests/owner/test_broker.py
@@ -0,0 +1,129 @@
+"""Check that slots are granted across daemons and never leak."""
+
+import asyncio
+import itertools
+import json
+
+from attrs import frozen
+
+from teaselpond.daemon import Daemon
+from teaselpond.links import AnswerLost, LinkManager, PeerUnavailable
+from teaselpond.owner import SlotAsk
+from teaselpond.policy import Release
+from teaselpond_standins.testing import AsyncTestCase
+from teaselpond_standins.testing.fleets import TestFleet
+
+CHATS = 12
+WORDS = 30
+
+
+@frozen
+class LinkFault:
+    """Describe what a daemon's links do to messages about slots."""
+
+    name: str
+    message_class: type
+    answer_lost: bool
+
+
+LINK_FAULTS = (
+    LinkFault("release lost", Release, False),
+    LinkFault("ask refused", SlotAsk, False),
+    LinkFault("answer to an ask lost", SlotAsk, True),
+)
+
+
+class SpoiledLinks:
+    """Fail every second message of one class."""
+
+    def __init__(self, links: LinkManager, fault: LinkFault) -> None:
+        self._links = links
+        self._fault = fault
+        self._uses = itertools.count()
+
+    async def send(self, daemon_id: str, message: object) -> None:
+        """Send, or raise PeerUnavailable."""
+        if self._strikes(message):
+            raise PeerUnavailable("spoiled", step="send", peer=daemon_id)
+        await self._links.send(daemon_id, message)
+
+    async def call(self, daemon_id: str, message: object, seconds: float) -> object:
+        """Call, or raise PeerUnavailable, or AnswerLost after the call."""
+        if not self._strikes(message):
+            return await self._links.call(daemon_id, message, seconds)
+        if self._fault.answer_lost:
+            await self._links.call(daemon_id, message, seconds)
+            raise AnswerLost("spoiled", step="call", peer=daemon_id)
+        raise PeerUnavailable("spoiled", step="call", peer=daemon_id)
+
+    def _strikes(self, message: object) -> bool:
+        is_meant = isinstance(message, self._fault.message_class)
+        return is_meant and next(self._uses) % 2 == 0
+
+
+class SlotTests(AsyncTestCase):
+    """Check grants of another daemon's engines under faults of the links."""
+
+    async def test_no_slot_leaks(self) -> None:
+        """Hold chats while one kind of message fails on every second use."""
+        fleet = await self.enter(TestFleet())
+        for fault in LINK_FAULTS:
+            for daemon in fleet.daemons_by_id.values():
+                links = daemon.parts.links
+                daemon.parts.broker._links = SpoiledLinks(links, fault)
+            statuses = await asyncio.gather(
+                *(
+                    self._chat(fleet, f"{fault.name}-{n}", daemon=f"entry-{1 + n % 2}")
+                    for n in range(CHATS)
+                )
+            )
+            self.assertEqual([200] * CHATS, statuses, fault.name)
+            await self.wait_until(lambda: self._held(fleet) == 0)
+        asked = sum(
+            daemon.metrics.counts_by_name["slots.asked_remotely"]
+            for daemon in fleet.daemons_by_id.values()
+        )
+        self.assertGreater(asked, 0)
+
+    async def test_a_daemon_that_dies_gives_its_slots_back(self) -> None:
+        """End a daemon at once while its callers' streams run."""
+        fleet = await self.enter(TestFleet())
+        streams = [
+            asyncio.create_task(
+                self._chat(fleet, f"c{n}", words=4000, daemon="entry-2")
+            )
+            for n in range(CHATS)
+        ]
+        survivor = fleet.daemons_by_id["entry-1"]
+        await self.wait_until(lambda: self._granted(survivor) > 0)
+        await fleet.kill_daemon("entry-2")
+        await asyncio.gather(*streams, return_exceptions=True)
+        await self.wait_until(lambda: self._granted(survivor) == 0, 30.0)
+
+    async def _chat(
+        self, fleet: TestFleet, chat: str, *, daemon: str, words: int = WORDS
+    ) -> int:
+        body = {
+            "model": "fitting",
+            "stream": True,
+            "max_tokens": words,
+            "messages": [{"role": "user", "content": chat}],
+        }
+        async with fleet.session.post(
+            f"{fleet.url(daemon)}/v1/chat/completions",
+            headers={"X-Workspace": "axams", "X-Chat": chat.replace(" ", "-")},
+            data=json.dumps(body),
+        ) as response:
+            text = await response.text()
+            if response.status == 200:
+                self.assertIn("[DONE]", text)
+            return response.status
+
+    def _held(self, fleet: TestFleet) -> int:
+        daemons = fleet.daemons_by_id.values()
+        return sum(self._granted(d) + d.parts.broker.held_count for d in daemons)
+
+    def _granted(self, daemon: Daemon) -> int:
+        engines = daemon.parts.broker.dispatcher.engines
+        every = (*engines.by_id.values(), *engines.former_by_id.values())
+        return sum(len(engine.slots.uses_by_grant) for engine in every)
