Let a drill ask for more work

Cause: at a fifth of the slots in use the cap's floor hides most of what a cap is for. Before: fixed numbers of callers.

--- a/packages/teaselpond-standins/src/teaselpond_standins/commands/drill.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/commands/drill.py
@@ -16,13 +16,15 @@
         seed: int = 1,
         seconds: float = 60.0,
         mean_gap_seconds: float = 2.0,
+        load: int = 1,
         dump: str = "",
     ) -> None:
         """Run a drill; exit 0 only when every promise held.
 
-        ``dump`` names a file for all records and the daemons' logs.
+        ``load`` multiplies the callers, and ``dump`` names a file for all
+        records and the daemons' logs.
         """
-        drill = Drill(DrillPlan(seed, seconds, mean_gap_seconds, dump=dump))
+        drill = Drill(DrillPlan(seed, seconds, mean_gap_seconds, load, dump=dump))
         verdicts = asyncio.run(drill.run())
         held = all(verdict.held for verdict in verdicts)
         sys.exit(0 if held and not drill.records.failures else 1)
--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
@@ -34,6 +34,8 @@
     seed: int = 1
     seconds: float = 60.0
     mean_gap_seconds: float = 2.0
+    # Multiplies the numbers of callers that follow.
+    load: int = 1
     chats: int = 6
     labels: int = 2
     orders: int = 3
@@ -114,7 +116,7 @@
             (callers.look_up, plan.lookups),
             (callers.submit_plans, plan.plans),
         ):
-            loops += [loop(number) for number in range(count)]
+            loops += [loop(number) for number in range(count * plan.load)]
         return loops
 
     async def _strike_at(self, disturbance: Disturbance, arena: Arena) -> None:
