--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -87,10 +87,11 @@
         self.clock.after(DRAIN_CHECK_SECONDS, lambda: self.stop_zone(zone))
 
     def bring_back(self, zone: str) -> None:
-        """Bring a zone back; its engines are cold."""
+        """Bring a zone back; the engines that had stopped are cold."""
         del self.zones_out[zone]
         for engine in self.of_zone(zone):
-            engine.restart()
+            if engine.is_down:
+                engine.restart()
         self.tell()
 
     def replace_some(self) -> None:
@@ -156,6 +157,10 @@
         delay = 0.0 if self.knows_zones_without_lag else ZONE_NOTICE_SECONDS / 2
         self.world.watchers.append(lambda: self.world.clock.after(delay, self._learn))
 
+    def leaked_slots(self) -> int:
+        """Return 0: a central run hands out no slots."""
+        return 0
+
     def _learn(self) -> None:
         self._known_out = frozenset(self.world.zones_out)
 
--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -18,6 +18,7 @@
     LeaseLost,
     TeaselpondError,
     TransactionConflict,
+    UpstreamUnavailable,
 )
 from teaselpond_model.rollouts import ModelCapacity, RolloutLimits
 
@@ -82,6 +83,7 @@
         self.engine_id = engine_id
         self.address = address
         self.wish_in_force = wish_in_force
+        self.has_place = False
         self._is_held = False
 
     async def run(self) -> bool:
@@ -127,7 +129,8 @@
         self, order: EngineOrder, current: WishInForce, report: LoadReport
     ) -> bool:
         if interrupts_work(order):
-            if not await self._take_place(current):
+            self.has_place = await self._take_place(current)
+            if not self.has_place:
                 return False
             await self._drain(current)
         elif (await self.context.places.read(current.wish)).has_failed(self.engine_id):
@@ -196,7 +199,12 @@
         except UpstreamRefused as error:
             if error.status == OLD_FENCE_STATUS and current.wish.checks_fence:
                 raise FenceTooLow("the engine has seen a newer one") from error
+            if error.not_run:
+                raise
             raise OrderFailed(str(error), step=order.kind.value) from error
+        except UpstreamUnavailable:
+            # Nothing was sent, and the engine keeps its place for the retry.
+            raise
         except (TeaselpondError, TimeoutError) as error:
             # It may have taken effect: only the engine's report can tell.
             logging.warning("the answer of %s is lost: %s", self.engine_id, error)
@@ -220,6 +228,7 @@
         self.context.count("orders.failed")
         logging.error("an order to %s failed: %s", self.engine_id, error)
         await self.context.places.fail(current.wish, str(error))
+        self.has_place = False
 
     async def _take_higher_fence(self) -> None:
         self.context.count("orders.fence_too_low")
