--- a/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/bench/runs.py
@@ -45,12 +45,17 @@
         return self.scenario.seconds
 
     def able(self) -> list[VirtualEngine]:
-        """Return the engines in service that run and are not ejected."""
+        """Return the engines in service that run and are not ejected.
+
+        A zone counts until the daemons must know that it is out.
+        """
         ejected = self.ejected()
+        notice = self.clock.now - ZONE_NOTICE_SECONDS
+        known_out = {zone for zone, at in self.zones_out.items() if at <= notice}
         return [
             engine
             for engine_id, engine in self.engines_by_id.items()
-            if engine.profile.host.zone not in self.zones_out
+            if engine.profile.host.zone not in known_out
             and not engine.is_down
             and engine_id not in ejected
         ]
@@ -82,10 +87,11 @@
         self.clock.after(DRAIN_CHECK_SECONDS, lambda: self.stop_zone(zone))
 
     def bring_back(self, zone: str) -> None:
-        """Bring a zone back; its engines are cold."""
+        """Bring a zone back; the engines that had stopped are cold."""
         del self.zones_out[zone]
         for engine in self.of_zone(zone):
-            engine.restart()
+            if engine.is_down:
+                engine.restart()
         self.tell()
 
     def replace_some(self) -> None:
@@ -151,6 +157,10 @@
         delay = 0.0 if self.knows_zones_without_lag else ZONE_NOTICE_SECONDS / 2
         self.world.watchers.append(lambda: self.world.clock.after(delay, self._learn))
 
+    def leaked_slots(self) -> int:
+        """Return 0: a central run hands out no slots."""
+        return 0
+
     def _learn(self) -> None:
         self._known_out = frozenset(self.world.zones_out)
 
--- a/packages/teaselpond/src/teaselpond/orders/change.py
+++ b/packages/teaselpond/src/teaselpond/orders/change.py
@@ -18,14 +18,15 @@
     LeaseLost,
     TeaselpondError,
     TransactionConflict,
+    UpstreamUnavailable,
 )
+from teaselpond_model.rollouts import ModelCapacity, RolloutLimits
 
 from ..exceptions import UpstreamRefused
 from ..leases import LeaseKeeper
 from .claims import ClaimPending, EngineClaims, FenceTooLow
 from .fleet import EngineFleet, EngineLink
 from .places import RolloutPlaces
-from .rollouts import ModelCapacity, RolloutLimits
 from .settings import OrderSettings
 from .wishes import EngineWish, interrupts_work, next_order
 
@@ -82,6 +83,8 @@
         self.engine_id = engine_id
         self.address = address
         self.wish_in_force = wish_in_force
+        self.has_place = False
+        self._is_held = False
 
     async def run(self) -> bool:
         """Give the orders that are due; tell whether the engine is as wished.
@@ -105,7 +108,9 @@
             self.context.count("orders.put_off")
             logging.warning("the change of %s is put off: %s", self.engine_id, error)
         finally:
-            self.context.fleet.resume(self.engine_id)
+            if self._is_held:
+                self._is_held = False
+                self.context.fleet.resume(self.engine_id)
         return False
 
     def _current(self) -> WishInForce:
@@ -124,7 +129,8 @@
         self, order: EngineOrder, current: WishInForce, report: LoadReport
     ) -> bool:
         if interrupts_work(order):
-            if not await self._take_place(current):
+            self.has_place = await self._take_place(current)
+            if not self.has_place:
                 return False
             await self._drain(current)
         elif (await self.context.places.read(current.wish)).has_failed(self.engine_id):
@@ -150,6 +156,7 @@
     async def _drain(self, current: WishInForce) -> None:
         """Wait until nothing runs on the engine; nothing is cut short."""
         fleet = self.context.fleet
+        self._is_held = True
         fleet.hold(self.engine_id)
         while fleet.in_flight(self.engine_id):
             await self.context.sleep(self.context.settings.report_seconds)
@@ -192,7 +199,12 @@
         except UpstreamRefused as error:
             if error.status == OLD_FENCE_STATUS and current.wish.checks_fence:
                 raise FenceTooLow("the engine has seen a newer one") from error
+            if error.not_run:
+                raise
             raise OrderFailed(str(error), step=order.kind.value) from error
+        except UpstreamUnavailable:
+            # Nothing was sent, and the engine keeps its place for the retry.
+            raise
         except (TeaselpondError, TimeoutError) as error:
             # It may have taken effect: only the engine's report can tell.
             logging.warning("the answer of %s is lost: %s", self.engine_id, error)
@@ -216,6 +228,7 @@
         self.context.count("orders.failed")
         logging.error("an order to %s failed: %s", self.engine_id, error)
         await self.context.places.fail(current.wish, str(error))
+        self.has_place = False
 
     async def _take_higher_fence(self) -> None:
         self.context.count("orders.fence_too_low")
--- a/packages/teaselpond/src/teaselpond/policy/engines.py
+++ b/packages/teaselpond/src/teaselpond/policy/engines.py
@@ -7,9 +7,8 @@
 
 from teaselpond_model.contracts import CacheEvent, CacheEventPage, LoadReport
 
-from .cap import FleetLoad, load_cap
 from .claims import Claim, ClaimState
-from .messages import Handover, Outcome, Release
+from .messages import Handover, Outcome, Release, RequestClass
 from .outliers import OutlierDetector
 from .prefixes import PrefixIndex
 from .profiles import EngineProfile
@@ -21,6 +20,9 @@
 BLOCK_TOKENS = 16
 FORMER_INCARNATIONS = 8
 FOREIGN_TOLERANCE = 1
+SLOW_ANSWERS = 2
+# Engines push the prefills of these back behind more urgent ones.
+PATIENT_CLASSES = frozenset({RequestClass.LABEL, RequestClass.PLAN})
 
 
 @define
@@ -36,6 +38,7 @@
     outliers: OutlierDetector = field(factory=OutlierDetector)
     heard_at: float = float("-inf")
     prefill_free_at: float = float("-inf")
+    _slow_answers: int = 0
     _report_sequence: int = -1
     _former: deque[str] = field(factory=lambda: deque(maxlen=FORMER_INCARNATIONS))
 
@@ -88,21 +91,29 @@
         self.prefill_free_at = max(self.prefill_free_at, now) + seconds
         return self.prefill_free_at - now
 
-    def has_room(self, load: FleetLoad) -> bool:
-        """Tell whether one more request keeps the engine within its bounds."""
-        limit = self.usable_slots()
-        settings = self.settings
-        cap = load_cap(load, limit, settings.load_multiple, settings.load_floor)
-        limit = min(limit, cap)
-        own = len(self.slots.uses_by_grant)
-        return self.slots.in_flight < limit and own < self.claim.limit(limit)
-
-    def advance(self, now: float) -> None:
-        """Let time pass: claims ripen, and a quiet engine counts as cold."""
-        self.claim.advance(self.slots.reported_at, now)
+    def may_claim(self, cap: int) -> bool:
+        """Tell whether this claimant's part of the cap has room."""
+        claim = self.claim
+        if claim.state is ClaimState.CONFIRMED:
+            return True
+        return len(self.slots.uses_by_grant) < claim.limit(cap)
+
+    def advance(self, now: float) -> bool:
+        """Let time pass; return True when it changed the engine's limits.
+
+        Claims ripen, a quiet engine counts as cold, an ejection ends.
+        """
+        changed = False
+        if self.claim.state is not ClaimState.CONFIRMED:
+            self.claim.advance(self.slots.reported_at, now)
+            changed = True
         quiet = now - self.heard_at > self.settings.quiet_seconds
         if quiet and self.warmup.reason is not ColdReason.QUIET:
             self.warmup.start(ColdReason.QUIET, now)
+            changed = True
+        if self.outliers.end_ejection(now):
+            changed = True
+        return changed
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Take a load report, unless it is older than one known."""
@@ -169,7 +180,6 @@
 
     def finish(self, use: SlotUse, release: Release, may_eject: bool, now: float):
         """Learn from the end of a request."""
-        self.see_incarnation(release.incarnation, now)
         if release.outcome is Outcome.COMPLETED:
             self.outliers.succeed()
             self.warmup.complete(use.granted_at)
@@ -178,7 +188,20 @@
             self.outliers.fail(may_eject, self.settings, now)
         elif release.outcome is Outcome.REFUSED_BY_ENGINE:
             self.claim.contest(self.settings.claim_seconds, now)
-        if self._is_slow(use, release):
+        # After the count: an answer that shows a cold start doesn't warm.
+        self.see_incarnation(release.incarnation, now)
+        if use.request.request_class not in PATIENT_CLASSES:
+            self._judge_first_token(use, release, now)
+
+    def _judge_first_token(self, use: SlotUse, release: Release, now: float) -> None:
+        """Start cold at the second slow answer, or at one without cache."""
+        if not self._is_slow(use, release):
+            self._slow_answers = 0
+            return
+        self._slow_answers += 1
+        has_lost_cache = use.cached_expected > 0 and release.cached_tokens == 0
+        if has_lost_cache or self._slow_answers >= SLOW_ANSWERS:
+            self._slow_answers = 0
             self.warmup.start(ColdReason.SLOW_FIRST_TOKEN, now)
 
     def _is_slow(self, use: SlotUse, release: Release) -> bool:
--- a/packages/teaselpond/src/teaselpond/policy/grants.py
+++ b/packages/teaselpond/src/teaselpond/policy/grants.py
@@ -34,7 +34,9 @@
         """Write down a new grant."""
         grant_id = f"{self.prefix}.{next(self._numbers)}"
         grant = Grant(grant_id, request.request_id, engine_id, priority, cached_tokens)
-        use = SlotUse(grant_id, request, engine_id, now, first_token_expected)
+        use = SlotUse(
+            grant_id, request, engine_id, now, first_token_expected, cached_tokens
+        )
         self._uses_by_grant[grant_id] = use
         self._grants_by_request[request.request_id] = grant
         self._grants_by_origin.setdefault(request.origin_daemon, set()).add(grant_id)
@@ -52,6 +54,10 @@
             del self._grants_by_origin[use.request.origin_daemon]
         return use
 
+    def open_ids(self) -> tuple[str, ...]:
+        """Return the ids of all open grants."""
+        return tuple(self._uses_by_grant)
+
     def by_request(self, request_id: str) -> Grant | None:
         """Return the open grant of a request."""
         return self._grants_by_request.get(request_id)
