--- a/packages/teaselpond/tests/owner/test_broker.py
+++ b/packages/teaselpond/tests/owner/test_broker.py
@@ -89,9 +89,7 @@
         """End a daemon at once while its callers' streams run."""
         fleet = await self.enter(TestFleet())
         streams = [
-            asyncio.create_task(
-                self._chat(fleet, f"c{n}", words=600, daemon="entry-2")
-            )
+            asyncio.create_task(self._chat(fleet, f"c{n}", words=600, daemon="entry-2"))
             for n in range(CHATS)
         ]
         survivor = fleet.daemons_by_id["entry-1"]
