Let the drill's operators race for a key that exists

Cause: racing operators changed workspaces' weight, which the document no longer has, so that every one of them was refused: the drill printed "not tried an accepted version is in force everywhere in 5 s (0 cases)" and its race held with nobody accepted.

--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/strikes.py
@@ -245,8 +245,9 @@
     runs = []
     for number in range(1, RACING_OPERATORS + 1):
         own_tables = copy.deepcopy(tables)
-        workspace = own_tables["workspaces"][disturbance.workspace]
-        workspace["weight"] = round(workspace.get("weight", 1.0) + 0.1 * number, 3)
+        workspaces = own_tables["workspaces"]
+        added = f"{disturbance.workspace}-{base}-{number}"
+        workspaces[added] = workspaces[disturbance.workspace]
         runs.append(_apply(arena, own_tables, base, f"operator-{number}"))
     versions = await asyncio.gather(*runs)
     accepted = tuple(version for version in versions if version is not None)
