--- a/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
+++ b/packages/teaselpond-model/src/teaselpond_model/configuration/sections.py
@@ -99,6 +99,8 @@
     load_floor: int = rules.whole(1, 1_024, 2)
     queue_per_slot: float = rules.number(0, 1_000, 2.0)
     ageing_seconds: float = rules.number(0.01, 3_600, 2.0)
+    share_factor: float = rules.number(0.01, 1_000, 2.0)
+    new_chat_multiple: float = rules.number(0.1, 10, 1.0)
     prefill_tokens_per_second: float = rules.number(1, 10_000_000, 8_000.0)
     quiet_seconds: float = rules.number(1, 3_600, 10.0)
     slow_first_token_factor: float = rules.number(1, 1_000, 4.0)
