Strike a fleet's processes under chats and plans

After: a killed daemon's stream is resumed at another one by its event id, a killed engine's answer is whole, a plan outlives its killed or paused holder with one result, a stopped daemon serves, then refuses not-run, ends its stream and exits 0, and a poison prompt at three daemons takes at most two engines.

--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_fleet_faults.py
@@ -0,0 +1,200 @@
+"""Kill, pause and stop processes under chats and plans in work."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+
+from teaselpond_standins.engine import expected_answer
+from teaselpond_standins.fleet import Fleet, FleetPlan, ManagedProcess
+from teaselpond_standins.testing import AsyncTestCase
+
+HEADERS = {"X-Workspace": "axams"}
+RESULT_SECONDS = 30.0
+DONE = "[DONE]"
+
+
+class Chat:
+    """Read one streamed chat by hand."""
+
+    def __init__(self, session: aiohttp.ClientSession, name: str, words: int) -> None:
+        self.session = session
+        prompt = f"{name} words:{words}"
+        self.messages = [{"role": "user", "content": prompt}]
+        self.parts: list[str] = []
+        self.last_event_id = ""
+        self.engine = ""
+        self.whole = False
+        self.refusal = ""
+        self.begun = asyncio.Event()
+
+    async def read(self, daemon: ManagedProcess) -> "Chat":
+        """Read from the start, or from the last event, until it ends."""
+        headers = HEADERS | {"X-Chat": self.messages[0]["content"].split()[0]}
+        if self.last_event_id:
+            headers["Last-Event-ID"] = self.last_event_id
+        body = {"model": "fitting", "messages": self.messages, "stream": True}
+        url = f"{daemon.url}/v1/chat/completions"
+        try:
+            async with self.session.post(url, json=body, headers=headers) as response:
+                if response.status != 200:
+                    problem = await response.json()
+                    self.refusal = f"{problem['reason']} {problem['run']}"
+                    return self
+                self.engine = response.headers["X-Engine"]
+                async for line in response.content:
+                    self._take(line.decode().rstrip("\n"))
+        except aiohttp.ClientError:
+            # Cut, which the test then sees by its not being whole.
+            pass
+        return self
+
+    def _take(self, line: str) -> None:
+        name, _, value = line.partition(": ")
+        if name == "id":
+            self.last_event_id = value
+        if name != "data":
+            return
+        self.whole = value == DONE
+        if not self.whole:
+            delta = json.loads(value)["choices"][0]["delta"]
+            self.parts.append(delta.get("content", ""))
+        self.begun.set()
+
+    @property
+    def right(self) -> bool:
+        """Tell whether the whole answer came, byte for byte."""
+        return self.whole and "".join(self.parts) == expected_answer(self.messages)
+
+
+class FleetFaultTests(AsyncTestCase):
+    """Check what callers get while processes end under them."""
+
+    async def start(self, daemons: int, engines: int = 2) -> list[ManagedProcess]:
+        """Start a fleet and return its daemons."""
+        plan = FleetPlan(
+            zones=("imst", "lienz"), engines_per_zone=engines, daemons=daemons
+        )
+        self.fleet = await self.enter(Fleet(plan))
+        self.session = await self.enter(aiohttp.ClientSession())
+        return list(self.fleet.daemons_by_id.values())
+
+    async def test_processes_end_in_the_middle(self) -> None:
+        """Kill, pause and stop daemons of one fleet at the same time."""
+        one, two, three, four, five = await self.start(5)
+        await asyncio.gather(
+            self._kill(one, two, three),
+            self._pause_holder(four, three),
+            self._stop(five),
+        )
+
+    async def _kill(
+        self, one: ManagedProcess, two: ManagedProcess, three: ManagedProcess
+    ) -> None:
+        """Lose a daemon with a stream and a plan, then an engine."""
+        plan_id = await self._submit(two, "plan words:150")
+        killed_daemon = Chat(self.session, "daemon", 120)
+        reading = await self._begin(killed_daemon, two)
+        await asyncio.sleep(0.2)
+        await two.kill()
+        await reading
+        self.assertFalse(killed_daemon.whole)
+        await killed_daemon.read(three)
+        self.assertTrue(killed_daemon.right)
+        killed_engine = Chat(self.session, "engine", 80)
+        reading = await self._begin(killed_engine, one)
+        await self.fleet.engines_by_id[killed_engine.engine].kill()
+        await reading
+        self.assertTrue(killed_engine.right)
+        result = await self._result(three, plan_id)
+        message = result["choices"][0]["message"]["content"]
+        messages = [{"role": "user", "content": "plan words:150"}]
+        self.assertEqual(expected_answer(messages), message)
+
+    async def _pause_holder(self, one: ManagedProcess, two: ManagedProcess) -> None:
+        """Keep the first result of a plan whose holder wakes late."""
+        plan_id = await self._submit(one, "plan words:60")
+        one.send_signal(signal.SIGSTOP)
+        first = await self._result(two, plan_id)
+        one.send_signal(signal.SIGCONT)
+        await asyncio.sleep(3.0)
+        self.assertEqual(first, await self._result(one, plan_id))
+        self.assertEqual(first, await self._result(two, plan_id))
+
+    async def test_poison_at_three_daemons(self) -> None:
+        """Lose two engines of six at most, and serve the others after it."""
+        daemons = await self.start(3, engines=3)
+        seen = []
+        for daemon in (*daemons, daemons[0]):
+            chat = await Chat(self.session, "poison-a please", 30).read(daemon)
+            seen.append(chat.refusal)
+        crashes = 0
+        for engine in self.fleet.engines_by_id.values():
+            crashes += await self._count_crashes(engine)
+        self.assertLessEqual(crashes, 2)
+        self.assertEqual(["quarantined not-run"] * 3, seen[1:])
+        self.assertIn("quarantined", seen[0])
+        sound = await Chat(self.session, "sound", 10).read(daemons[1])
+        self.assertTrue(sound.right)
+
+    async def _stop(self, one: ManagedProcess) -> None:
+        """End what is in work, refuse what is new, and exit 0."""
+        chat = Chat(self.session, "long", 300)
+        reading = await self._begin(chat, one)
+        one.send_signal(signal.SIGTERM)
+        served = 0
+        late = ""
+        while late != "leaving not-run" and not reading.done():
+            stale = await Chat(self.session, "stale", 5).read(one)
+            # A fresh fleet's cold engines may have no room for a moment.
+            self.assertTrue(stale.right or stale.refusal.endswith("not-run"))
+            served += stale.right
+            late = stale.refusal
+            await asyncio.sleep(0.1)
+        self.assertEqual("leaving not-run", late)
+        self.assertGreater(served, 0)
+        self.assertFalse(reading.done())
+        await reading
+        self.assertTrue(chat.right)
+        self.assertEqual(0, await one.wait(10.0))
+
+    async def _count_crashes(self, engine: ManagedProcess) -> int:
+        async with asyncio.timeout(RESULT_SECONDS):
+            while True:
+                try:
+                    async with self.session.get(engine.url + "/_ran") as response:
+                        return len((await response.json())["crash_times"])
+                except aiohttp.ClientConnectorError:
+                    # Down after a crash, to come back soon.
+                    await asyncio.sleep(0.1)
+
+    async def _begin(self, chat: Chat, daemon: ManagedProcess) -> asyncio.Task:
+        """Begin to read a chat, again as long as it is refused as not run."""
+        while True:
+            reading = asyncio.create_task(chat.read(daemon))
+            await self.wait_until(
+                lambda task=reading: chat.begun.is_set() or task.done()
+            )
+            if chat.begun.is_set():
+                return reading
+            self.assertIn("not-run", chat.refusal)
+            await asyncio.sleep(0.2)
+
+    async def _submit(self, daemon: ManagedProcess, prompt: str) -> str:
+        messages = [{"role": "user", "content": prompt}]
+        body = {"model": "fitting", "messages": messages}
+        url = f"{daemon.url}/v1/jobs"
+        async with self.session.post(url, json=body, headers=HEADERS) as response:
+            self.assertEqual(202, response.status)
+            return (await response.json())["job_id"]
+
+    async def _result(self, daemon: ManagedProcess, job_id: str) -> dict:
+        url = f"{daemon.url}/v1/jobs/{job_id}"
+        async with asyncio.timeout(RESULT_SECONDS):
+            while True:
+                async with self.session.get(url, headers=HEADERS) as response:
+                    job = await response.json()
+                if job.get("state") == "done":
+                    return job["result"]
+                await asyncio.sleep(0.2)
