Doubt what was owned before a pause of the daemon

Cause: a daemon that was paused for 12 s still took its claims for confirmed and granted slots at once when it went on, beside the owner that had taken the engines over meanwhile. Change: the broker notices that its clock has jumped by more than 3 s, less than peers take to find a daemon silent, and restarts its claims and sums before it decides anything.

--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -33,6 +33,9 @@
 HELD_SECONDS = 5.0
 OWNER_RETRY_SECONDS = 0.2
 HANDOVER_SECONDS = 5.0
+# The loop reads the clock far more often than this. Peers take longer to find
+# that a daemon has gone silent.
+PAUSE_SECONDS = 3.0
 ASKS_LIMIT = 8
 # An owner is told of held grants for this long after it was last asked, so
 # that a grant whose answer was lost is freed.
@@ -77,7 +80,8 @@
         self._numbers = itertools.count(1)
         self._links = links
         self._metrics = metrics
-        self._clock = clock
+        self._read_clock = clock
+        self._read_at = clock()
         self.reports_by_engine: dict[str, LoadReport] = {}
         self._early_handovers: dict[str, EarlyHandover] = {}
         self._held_by_grant: dict[str, HeldSlot] = {}
@@ -106,6 +110,16 @@
             group.create_task(self._advance_forever())
             group.create_task(self._publish_held())
 
+    def _clock(self) -> float:
+        """Return the time; what was owned before a pause is doubted first."""
+        now = self._read_clock()
+        paused = now - self._read_at > PAUSE_SECONDS
+        self._read_at = now
+        if paused:
+            self._metrics.incr("slots.paused")
+            self.dispatcher.restart_claims(now)
+        return now
+
     # What requests of this daemon ask.
 
     async def acquire(self, request: SlotRequest) -> Grant:
--- a/packages/teaselpond/src/teaselpond/policy/dispatcher.py
+++ b/packages/teaselpond/src/teaselpond/policy/dispatcher.py
@@ -10,6 +10,7 @@
 )
 
 from .admission import QUEUE_CHECK_SECONDS, Admission, refuse
+from .cap import SumTable
 from .directory import EngineDirectory, Home
 from .engines import OwnedEngine
 from .grants import GrantBook
@@ -72,6 +73,16 @@
                 pool.sums.forget(host_id)
         return handovers
 
+    def restart_claims(self, now: float) -> None:
+        """Doubt all that is owned, after a pause of this process.
+
+        Meanwhile the others may have taken it for gone and its engines over.
+        """
+        for engine in self.engines.by_id.values():
+            engine.claim = engine.claim.begin(self.settings, now)
+        for pool in self.pools_by_model.values():
+            pool.sums = SumTable(self.settings.sum_stale_seconds)
+
     def accept(self, handover: Handover, now: float) -> None:
         """Take over an engine from the owner that has let it go."""
         engine = self.engines.by_id.get(handover.engine_id)
--- a/packages/teaselpond/tests/owner/test_broker.py
+++ b/packages/teaselpond/tests/owner/test_broker.py
@@ -7,9 +7,24 @@
 from attrs import frozen
 
 from teaselpond.daemon import Daemon
-from teaselpond.links import AnswerLost, LinkManager, PeerUnavailable
-from teaselpond.owner import SlotAsk
-from teaselpond.policy import Release
+from teaselpond.links import (
+    AnswerLost,
+    Identity,
+    LinkKeys,
+    LinkManager,
+    PeerUnavailable,
+)
+from teaselpond.metrics import Metrics
+from teaselpond.owner import SlotAsk, SlotBroker
+from teaselpond.policy import (
+    Dispatcher,
+    EngineProfile,
+    PolicySettings,
+    Release,
+    RequestClass,
+    SlotRequest,
+)
+from teaselpond_model.contracts import Address, Host, HostKind, LoadReport
 from teaselpond_standins.testing import AsyncTestCase
 from teaselpond_standins.testing.fleets import TestFleet
 
@@ -125,3 +140,55 @@
         engines = daemon.parts.broker.dispatcher.engines
         every = (*engines.by_id.values(), *engines.former_by_id.values())
         return sum(len(engine.slots.uses_by_grant) for engine in every)
+
+
+class PauseTests(AsyncTestCase):
+    """Check an owner that was paused while others took its engines over."""
+
+    async def test_nothing_is_granted_right_after_a_pause(self) -> None:
+        """Ask for slots before and after a pause, and after fresh reports."""
+        self.now = 100.0
+        broker = self._make_broker()
+        self.assertEqual("e1", (await broker.acquire(self._ask(1))).engine_id)
+        self.now += 12.0
+        waiting = asyncio.create_task(broker.acquire(self._ask(2)))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        for sequence in range(1, 4):
+            self.now += 2.5
+            broker.observe_load("e1", self._report(sequence))
+            broker.drop_origin("nobody")
+        self.assertEqual("e1", (await waiting).engine_id)
+
+    def _make_broker(self) -> SlotBroker:
+        dispatcher = Dispatcher("d1", "i1")
+        own = Host("d1", Address("127.0.0.1", 1), "a", HostKind.ENTRY)
+        engine = Host("e1", Address("127.0.0.1", 2), "a", HostKind.ENGINE)
+        profile = EngineProfile(engine, "fitting", 4, 4)
+        settings = PolicySettings(
+            claim_wait_seconds=0.0, claim_seconds=0.0, claim_report_seconds=0.0
+        )
+        dispatcher.configure(settings, (profile,), self.now)
+        dispatcher.set_daemons((own,), self.now)
+        dispatcher.advance(self.now)
+        dispatcher.configure(PolicySettings(), (profile,), self.now)
+        identity = Identity("d1", 1, "a", Address("127.0.0.1", 0))
+        links = LinkManager(identity, LinkKeys((b"key",)))
+        return SlotBroker(dispatcher, links, Metrics(), 1, lambda: self.now)
+
+    def _ask(self, number: int) -> SlotRequest:
+        return SlotRequest(
+            request_id=f"r{number}",
+            workspace="w",
+            chat=f"c{number}",
+            model="fitting",
+            request_class=RequestClass.INTERACTIVE,
+            prompt_tokens=10,
+            prefixes=(),
+            deadline=self.now + 1000.0,
+            origin_daemon="d1",
+        )
+
+    def _report(self, sequence: int) -> LoadReport:
+        return LoadReport("i1", sequence, 1, 0, 0, "fitting", "1")
