--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/calling.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/calling.py
@@ -9,9 +9,8 @@
 import aiohttp
 from attrs import define, frozen
 
-from .records import Attempt, Ending
+from .records import PATIENCE_SECONDS, Attempt, Ending
 
-SILENT_SECONDS = 12.0
 CONNECT_SECONDS = 2.0
 CALL_SECONDS = 60.0
 LOCATE_SECONDS = 2.0
@@ -80,7 +79,7 @@
         # Connections that are kept would blame a stop for what is a reuse.
         connector = aiohttp.TCPConnector(force_close=True, limit=0)
         timeout = aiohttp.ClientTimeout(
-            total=CALL_SECONDS, sock_connect=CONNECT_SECONDS, sock_read=SILENT_SECONDS
+            total=CALL_SECONDS, sock_connect=CONNECT_SECONDS, sock_read=PATIENCE_SECONDS
         )
         return cls(aiohttp.ClientSession(connector=connector, timeout=timeout))
 
@@ -129,6 +128,7 @@
         """Send a call whose answer is streamed, adding to a partial one."""
         started = time.time()
         reason = ""
+        ending = Ending.CUT
         try:
             async with self._send(address, call) as response:
                 if response.status >= 400:
@@ -140,6 +140,7 @@
             return _failed(address, call, started, error)
         except CUT_ERRORS as error:
             reason = repr(error)[:120]
+            ending = _ending_of(error)
         problem = partial.problem or {}
         partial.problem = None
         return Attempt(
@@ -147,7 +148,7 @@
             address,
             started,
             time.time(),
-            Ending.WHOLE if partial.is_whole else Ending.CUT,
+            Ending.WHOLE if partial.is_whole else ending,
             status=200,
             run=problem.get("run", ""),
             reason=problem.get("reason", reason),
@@ -193,12 +194,17 @@
 
 
 def _failed(address: str, call: Call, started: float, error: Exception) -> Attempt:
-    is_unsent = isinstance(error, UNSENT_ERRORS)
     return Attempt(
         call.request_id,
         address,
         started,
         time.time(),
-        Ending.UNREACHABLE if is_unsent else Ending.CUT,
+        _ending_of(error),
         reason=repr(error)[:120],
     )
+
+
+def _ending_of(error: Exception) -> Ending:
+    if isinstance(error, UNSENT_ERRORS):
+        return Ending.UNREACHABLE
+    return Ending.SILENT if isinstance(error, TimeoutError) else Ending.CUT
--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/records.py
@@ -26,11 +26,15 @@
     REFUSED = "refused"
     # The connection could not be made, so that nothing was sent.
     UNREACHABLE = "unreachable"
-    # The connection ended, or went silent, after it was made.
+    # The connection ended after it was made.
     CUT = "cut"
+    # The caller left, after it had heard nothing for its patience.
+    SILENT = "silent"
 
 
 NOT_RUN = "not-run"
+# How long a caller waits for the next byte.
+PATIENCE_SECONDS = 12.0
 
 
 @frozen
