Look again only at engines whose owner can have changed

Change: an owner is kept until it leaves or is outranked by a daemon that came; only daemons of the engine's zone are hashed where there are any.

--- a/packages/teaselpond/src/teaselpond/policy/directory.py
+++ b/packages/teaselpond/src/teaselpond/policy/directory.py
@@ -35,7 +35,9 @@
 
     def set_engines(self, engines: Iterable[EngineProfile]) -> None:
         """Take the fleet's engines; rebuild only the rings that changed."""
+        former = self.engines_by_id
         self.engines_by_id = {engine.engine_id: engine for engine in engines}
+        self._forget_moved_engines(former)
         by_model: dict[str, list[EngineProfile]] = {}
         for engine in self.engines_by_id.values():
             by_model.setdefault(engine.model, []).append(engine)
@@ -49,7 +51,6 @@
             if self._shapes_by_model.get(model) != shape:
                 self._shapes_by_model[model] = shape
                 self._rings_by_model[model] = EngineRing(members)
-        self._owners_by_engine.clear()
 
     def listed(self, model: str) -> FleetLoad:
         """Return the slots and engines of a model that may take work."""
@@ -62,8 +63,37 @@
 
     def set_daemons(self, daemons: Iterable[Host]) -> None:
         """Take the daemons that live, as this daemon sees them."""
+        former = self.daemons_by_id
         self.daemons_by_id = {daemon.host_id: daemon for daemon in daemons}
-        self._owners_by_engine.clear()
+        gone_ids = {
+            host_id
+            for host_id, host in former.items()
+            if self.daemons_by_id.get(host_id) != host
+        }
+        come = [
+            host
+            for host_id, host in self.daemons_by_id.items()
+            if former.get(host_id) != host
+        ]
+        if gone_ids or come:
+            self._follow_daemons(gone_ids, come)
+
+    def _follow_daemons(self, gone_ids: set[str], come: list[Host]) -> None:
+        """Look again only at engines whose owner left or may be outranked."""
+        for engine_id, owner in list(self._owners_by_engine.items()):
+            if owner is None or owner.host_id in gone_ids:
+                del self._owners_by_engine[engine_id]
+            elif come:
+                engine = self.engines_by_id[engine_id]
+                self._owners_by_engine[engine_id] = owner_of(
+                    engine.host, (owner, *come)
+                )
+
+    def _forget_moved_engines(self, former: dict[str, EngineProfile]) -> None:
+        for engine_id in list(self._owners_by_engine):
+            engine = self.engines_by_id.get(engine_id)
+            if engine is None or engine.host.zone != former[engine_id].host.zone:
+                del self._owners_by_engine[engine_id]
 
     def has_model(self, model: str) -> bool:
         """Tell whether any engine of the fleet serves a model."""
@@ -73,7 +103,9 @@
         """Return the daemon that owns an engine, None when there is none."""
         if engine_id not in self._owners_by_engine:
             engine = self.engines_by_id.get(engine_id)
-            self._owners_by_engine[engine_id] = engine and owner_of(
+            if engine is None:
+                return None
+            self._owners_by_engine[engine_id] = owner_of(
                 engine.host, self.daemons_by_id.values()
             )
         return self._owners_by_engine[engine_id]
--- a/packages/teaselpond/src/teaselpond/policy/ownership.py
+++ b/packages/teaselpond/src/teaselpond/policy/ownership.py
@@ -26,5 +26,11 @@
 
 def owner_of(engine: Host, daemons: Iterable[Host]) -> Host | None:
     """Return the daemon that owns an engine, None when no daemon lives."""
-    owners = rank_owners(engine, daemons)
-    return owners[0] if owners else None
+    live = [daemon for daemon in daemons if daemon.state is HostState.LIVE]
+    # Only where the engine's own zone has no daemon do the others matter.
+    near = [daemon for daemon in live if daemon.zone == engine.zone] or live
+    return min(
+        near,
+        key=lambda daemon: (-hash64(engine.host_id, daemon.host_id), daemon.host_id),
+        default=None,
+    )
