Run suspects of one death in turn, and stop a superseded daemon

A daemon whose name another run had taken went on. Change: suspects that share a death run one at a time, whatever their engine; a superseded daemon goes through its planned stop. Suspects of one death at two daemons can still meet.

--- a/packages/teaselpond/src/teaselpond/daemon.py
+++ b/packages/teaselpond/src/teaselpond/daemon.py
@@ -12,6 +12,7 @@
 from teaselpond_model.platform import Platform
 
 from .assembly.parts import DaemonParts
+from .links import Superseded
 from .logs import log_event
 from .metrics import Metrics
 from .settings import Settings, parse_address
@@ -74,6 +75,7 @@
     async def _serve_until_stopped(self, parts: DaemonParts) -> bool:
         background = asyncio.create_task(self._run_background(parts))
         stop = asyncio.create_task(self._stop_requested.wait())
+        parts.links.events.subscribe(self._follow_link_event)
         self._announce(parts)
         self.started.set()
         try:
@@ -86,6 +88,12 @@
                 task.cancel()
             await asyncio.gather(background, stop, return_exceptions=True)
 
+    def _follow_link_event(self, event: object) -> None:
+        # Another run of this daemon serves under its name.
+        if isinstance(event, Superseded):
+            log_event("superseded", step="links", known=event.known_incarnation)
+            self.request_stop()
+
     def _announce(self, parts: DaemonParts) -> None:
         line = {
             "listening": str(parts.caller_address),
--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -98,7 +98,7 @@
         if not quarantine.is_suspect(call.fingerprint, self._relay.wall_clock()):
             await self._run(priority)
             return
-        turn = quarantine.turn(self._engine_id)
+        turn = quarantine.turn(call.fingerprint, self._engine_id)
         await self._enter(turn)
         try:
             await self._run(priority)
--- a/packages/teaselpond/src/teaselpond/delivery/poison.py
+++ b/packages/teaselpond/src/teaselpond/delivery/poison.py
@@ -117,7 +117,7 @@
         self._wall_clock = wall_clock
         self._suspicions_by_fingerprint: dict[str, Suspicion] = {}
         self._deaths: deque[_SeenDeath] = deque(maxlen=MAX_DEATHS)
-        self._turns_by_engine: dict[str, _Turn] = {}
+        self._turns_by_name: dict[str, _Turn] = {}
         self._seen_version = 0
 
     # Asking
@@ -142,9 +142,22 @@
         return tuple(found)
 
     @asynccontextmanager
-    async def turn(self, engine_id: str) -> AsyncIterator[None]:
-        """Let one suspect at a time run on an engine."""
-        turn = self._turns_by_engine.setdefault(engine_id, _Turn())
+    async def turn(self, fingerprint: str, engine_id: str) -> AsyncIterator[None]:
+        """Let one suspect at a time run, of an engine and of a death.
+
+        Suspects of one death that ran side by side again would share the
+        next death too, and the innocent ones would be quarantined.
+        """
+        suspicion = self._suspicions_by_fingerprint.get(fingerprint)
+        death_id = min(suspicion.death_ids) if suspicion else fingerprint
+        # Every suspect takes them in this order, so that none waits for ever.
+        async with self._one_turn(f"death {death_id}"):
+            async with self._one_turn(f"engine {engine_id}"):
+                yield
+
+    @asynccontextmanager
+    async def _one_turn(self, name: str) -> AsyncIterator[None]:
+        turn = self._turns_by_name.setdefault(name, _Turn())
         turn.users += 1
         try:
             async with turn.lock:
@@ -152,7 +165,7 @@
         finally:
             turn.users -= 1
             if not turn.users:
-                del self._turns_by_engine[engine_id]
+                del self._turns_by_name[name]
 
     # Learning
 
--- a/packages/teaselpond/tests/delivery/test_poison.py
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -160,8 +160,8 @@
         running = []
         most = []
 
-        async def run(engine: str) -> None:
-            async with one.turn(engine):
+        async def run(number: int, engine: str) -> None:
+            async with one.turn(f"f{number}", engine):
                 running.append(engine)
                 most.append(running.count(engine))
                 try:
@@ -169,9 +169,28 @@
                 finally:
                     running.remove(engine)
 
-        tasks = [asyncio.create_task(run(f"e{n % 2}")) for n in range(10)]
+        tasks = [asyncio.create_task(run(n, f"e{n % 2}")) for n in range(10)]
         await asyncio.sleep(0.0015)
         tasks[2].cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.assertEqual({1}, set(most))
-        self.assertEqual({}, one._turns_by_engine)
+        self.assertEqual({}, one._turns_by_name)
+
+    async def test_suspects_of_one_death_do_not_meet_again(self) -> None:
+        """Let suspects of one death run in turn, also on other engines."""
+        one = self.make()
+        names = [f"f{n}" for n in range(4)]
+        death = EngineDeath("e0", "i1")
+        await one.record_death(death, tuple(("w", n) for n in names), zone="z")
+        running = []
+        most = []
+
+        async def run(number: int) -> None:
+            async with one.turn(names[number], f"e{number}"):
+                running.append(number)
+                most.append(len(running))
+                await asyncio.sleep(0.001)
+                running.remove(number)
+
+        await asyncio.gather(*(run(number) for number in range(4)))
+        self.assertEqual([1, 1, 1, 1], most)
