--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 ROOT := $(dir $(abspath $(lastword $(MAKEFILE_LIST))))
 PYTHON ?= python3.11
 VENV ?= $(ROOT).venv
+TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 PACKAGES := teaselpond-model teaselpond teaselpond-ctl teaselpond-standins
 
@@ -23,7 +24,7 @@
 	cd $(ROOT) && $(BIN)/ruff format --check packages && $(BIN)/ruff check packages
 
 test: check
-	cd $(ROOT) && $(BIN)/python -m pytest
+	cd $(ROOT) && $(BIN)/python -m pytest --numprocesses=$(TEST_PROCESSES) --dist=loadfile
 
 bench: $(VENV)/installed
 	cd $(ROOT) && $(BIN)/python -m teaselpond_standins bench
--- a/packages/teaselpond-standins/tests/test_documents.py
+++ b/packages/teaselpond-standins/tests/test_documents.py
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 LINK = re.compile(r"\]\(([^)#\s]+)[^)]*\)")
-STANDIN_COMMAND = re.compile(r"python -m teaselpond_standins ([a-z][a-z-]*)")
+STANDIN_COMMAND = re.compile(r"python -m teaselpond_standins ([a-z][a-z_-]*)")
 
 
 def pages() -> list[pathlib.Path]:
@@ -40,7 +40,7 @@
             f"{page.relative_to(ROOT)}: {name}"
             for page in pages()
             for name in STANDIN_COMMAND.findall(page.read_text())
-            if name not in known
+            if name.replace("_", "-") not in known
         ]
         self.assertEqual([], unknown)
 
