Read calls in one place, map policy refusals once, split the capacity tables

Change: EntryContext.read_call, verdicts.refuse_admission, work_tables and rendering; answers of a leaving daemon close their connection, which the test of a host taken out now demands (it failed before with no such header). Result: entry, owner and capacity tests pass (14).

--- a/packages/teaselpond-standins/src/teaselpond_standins/capacity/tables.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/capacity/tables.py
@@ -1,31 +1,17 @@
 """Render the tables of the capacity page from the fits."""
 
-from collections.abc import Iterable
-
 from . import design, message_sizes
 from .estimates import Estimates
+from .rendering import megabytes, percent, render_table
+from .work_tables import bursts, relay_design, relay_points, stores, stores_design
 
 BUCKET_SECONDS = 1.0
 ADVANCES_PER_SECOND = 20
 
 
-def _table(header: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
-    titles = list(header)
-    lines = [titles, ["---"] * len(titles), *rows]
-    return "\n".join("| " + " | ".join(map(str, line)) + " |" for line in lines)
-
-
-def _percent(share: float) -> str:
-    return f"{100 * share:.2f}%"
-
-
-def _megabytes(size: float) -> str:
-    return f"{size / 1e6:.1f} MB"
-
-
 def runs(estimates: Estimates) -> str:
     """List the runs that gave the points."""
-    return _table(
+    return render_table(
         ("points", "command", "measured", "load before", "cores"),
         (
             (
@@ -42,7 +28,7 @@
 
 def control_points(estimates: Estimates) -> str:
     """List the measured points of control traffic."""
-    return _table(
+    return render_table(
         (
             "daemons",
             "loads told",
@@ -63,8 +49,8 @@
                 f"{point.loads_learned_per_second:.2f}",
                 f"{point.bytes_per_second:,.0f}",
                 f"{point.packet_bytes_per_second:,.0f}",
-                _percent(point.processor_share),
-                _percent(point.processor_share_max),
+                percent(point.processor_share),
+                percent(point.processor_share_max),
             )
             for point in estimates.points.control
         ),
@@ -90,9 +76,9 @@
     rows.append(
         (
             "core",
-            _percent(core.constant),
+            percent(core.constant),
             f"{1e6 * core.slopes[0]:.0f} us a frame sent or received",
-            _percent(core.spread),
+            percent(core.spread),
             core.points,
         )
     )
@@ -100,13 +86,15 @@
     rows.append(
         (
             "resident memory",
-            _megabytes(held.constant),
+            megabytes(held.constant),
             f"{held.slopes[0] / 1000:.0f} kB a link",
-            _megabytes(held.spread),
+            megabytes(held.spread),
             held.points,
         )
     )
-    return _table(("value", "constant", "slopes", "largest residual", "points"), rows)
+    return render_table(
+        ("value", "constant", "slopes", "largest residual", "points"), rows
+    )
 
 
 def control_design(estimates: Estimates) -> str:
@@ -127,11 +115,11 @@
                 f"{share * design.requests_a_daemon():.1f}",
                 f"{size:,.0f}",
                 f"{total:,.0f}",
-                _percent(core),
+                percent(core),
                 "yes" if fits else "**no**",
             )
         )
-    return _table(
+    return render_table(
         (
             "grants that are remote",
             "remote grants/s",
@@ -168,12 +156,12 @@
                 f"{memory.slopes[0]:,.0f} B a {unit}",
                 f"{memory.spread:,.0f} B",
                 f"{size:,.0f}",
-                _megabytes(memory.at(size)),
+                megabytes(memory.at(size)),
                 f"{operation}: {1e6 * time.at(size):,.0f} us",
                 f"{1e6 * time.spread:,.0f} us",
             )
         )
-    return _table(
+    return render_table(
         (
             "structure",
             "memory slope",
@@ -221,142 +209,7 @@
     rows.append(("target", design.CONTROL_MEMORY_BYTES))
     base = estimates.resident_bytes.constant
     rows.append(("beside it: interpreter and libraries, no state", base))
-    return _table(("state", "memory"), ((n, _megabytes(size)) for n, size in rows))
-
-
-def stores(estimates: Estimates) -> str:
-    """List what actions ask of the stores, and what that is for the fleet."""
-    rows = []
-    for action in ("idle second", "order", "plan"):
-        table_reads = estimates.store_calls(action, "table_reads").slopes[0]
-        table_writes = estimates.store_calls(action, "table_writes").slopes[0]
-        object_reads = estimates.store_calls(action, "object_reads").slopes[0]
-        object_writes = estimates.store_calls(action, "object_writes").slopes[0]
-        processor = estimates.store_calls(action, "processor_seconds").slopes[0]
-        rows.append(
-            (
-                action,
-                f"{table_reads:.2f}",
-                f"{table_writes:.2f}",
-                f"{object_reads:.2f}",
-                f"{object_writes:.2f}",
-                f"{1e3 * processor:.1f} ms",
-            )
-        )
-    return _table(
-        (
-            "action of one daemon",
-            "table reads",
-            "table writes",
-            "object reads",
-            "object writes",
-            "processor",
-        ),
-        rows,
-    )
-
-
-def stores_design(estimates: Estimates) -> str:
-    """Work out the stores' load at the design size."""
-    reads = estimates.store_calls("idle second", "table_reads").slopes[0]
-    writes = estimates.store_calls("idle second", "table_writes").slopes[0]
-    order_writes = estimates.store_calls("order", "table_writes").slopes[0]
-    fleet_writes = writes * design.DAEMONS
-    left = design.TABLE_WRITES_PER_SECOND - fleet_writes
-    changes = design.CHANGES_A_DAY / design.SECONDS_A_DAY
-    orders = left / order_writes
-    return _table(
-        ("what", "at the design size"),
-        (
-            ("idle table reads", f"{reads * design.DAEMONS:,.0f}/s"),
-            ("idle table writes (leases)", f"{fleet_writes:,.0f}/s"),
-            ("configuration changes", f"{changes:.2f}/s"),
-            ("writes left of 300/s", f"{left:,.0f}/s"),
-            (
-                "orders that these writes bear",
-                f"{orders:,.0f}/s, {_percent(orders / design.REQUESTS_PER_SECOND)} "
-                "of all requests",
-            ),
-        ),
-    )
-
-
-def relay_points(estimates: Estimates) -> str:
-    """List the measured relays."""
-    return _table(
-        ("chats", "tokens a chat", "tokens", "processor seconds", "seconds"),
-        (
-            (p.chats, p.tokens_a_chat, p.tokens, p.processor_seconds, p.seconds)
-            for p in estimates.points.relays
-        ),
-    )
-
-
-def relay_design(estimates: Estimates) -> str:
-    """Work out the processor time of relaying at the design size."""
-    a_chat, a_token = estimates.relay.slopes
-    requests = design.requests_a_daemon()
-    tokens = design.TOKENS_PER_SECOND / design.DAEMONS
-    cores = a_chat * requests + a_token * tokens
-    return _table(
-        ("what", "value"),
-        (
-            ("processor time a chat", f"{1e3 * a_chat:.1f} ms"),
-            ("processor time a streamed token", f"{1e6 * a_token:.0f} us"),
-            ("largest residual", f"{estimates.relay.spread:.2f} s"),
-            ("chats a daemon", f"{requests:.0f}/s"),
-            ("tokens a daemon", f"{tokens:,.0f}/s"),
-            ("cores a daemon, at one event a token", f"**{cores:.1f}**"),
-            ("tokens a second that one core relays", f"{1 / a_token:,.0f}"),
-        ),
-    )
-
-
-def bursts(estimates: Estimates) -> str:
-    """Work out bursts from the sizes of messages and the measured times."""
-    links = design.lasting_links_a_daemon()
-    member = message_sizes.member_fact_bytes() * links
-    host = message_sizes.host_fact_bytes() * links
-    owners = estimates.operation("change of daemons").at(design.ENGINES)
-    restarts = design.RESTARTS_A_DAY / design.SECONDS_A_DAY
-    changes = design.CHANGES_A_DAY / design.SECONDS_A_DAY
-    delta = message_sizes.configuration_delta_bytes(design.WORKSPACES)
-    notice = message_sizes.configuration_notice_bytes() * links
-    apply = estimates.operation("configuration").at(design.WORKSPACES)
-    zone_daemons = design.DAEMONS / design.ZONES
-    zone_engines = design.ENGINES / design.ZONES
-    rows = [
-        (
-            f"{name} lost: {daemons:.0f} daemons, {engines:.0f} engines",
-            f"{2 * member * daemons / 1000:,.0f} kB of members "
-            f"(suspect, gone), {host * engines / 1000:,.0f} kB of hosts",
-            f"{owners:.2f} s for each membership taken while it falls apart",
-        )
-        for name, daemons, engines in (
-            ("zone", zone_daemons, zone_engines),
-            (
-                "region",
-                design.DAEMONS / design.REGIONS,
-                design.ENGINES / design.REGIONS,
-            ),
-        )
-    ]
-    rows.append(
-        (
-            f"rolling restart, {restarts:.3f}/s",
-            f"{3 * member * restarts:,.0f} B/s (leaving, gone, alive)",
-            f"{_percent(2 * owners * restarts)} of a core for owners",
-        )
-    )
-    rows.append(
-        (
-            f"configuration changes, {changes:.3f}/s",
-            f"{(delta + notice) * changes:,.0f} B/s "
-            f"({delta} B a delta, a notice a link)",
-            f"{_percent(apply * changes)} of a core",
-        )
-    )
-    return _table(("burst", "bytes a daemon", "processor time a daemon"), rows)
+    return render_table(("state", "memory"), ((n, megabytes(size)) for n, size in rows))
 
 
 def roles(estimates: Estimates) -> str:
@@ -393,10 +246,8 @@
             "owner",
             f"{engines:.0f} own engines, {design.ENGINES:,} in the directory",
             "grants and releases, local unless the caller came to another daemon",
-            _percent(
-                grant * requests + advance * ADVANCES_PER_SECOND + home * requests
-            ),
-            _megabytes(owner_memory + known),
+            percent(grant * requests + advance * ADVANCES_PER_SECOND + home * requests),
+            megabytes(owner_memory + known),
         ),
         (
             "locate",
@@ -409,15 +260,15 @@
             "links",
             f"{design.lasting_links_a_daemon():.1f} lasting links, others on demand",
             f"{packets:,.0f} B/s with packets, no remote grant",
-            _percent(estimates.processor_at(0.0)),
-            f"{_megabytes(links)} with a link to every daemon",
+            percent(estimates.processor_at(0.0)),
+            f"{megabytes(links)} with a link to every daemon",
         ),
         (
             "configuration",
             f"{design.WORKSPACES:,} workspaces",
             f"{changes:.2f} deltas/s",
-            _percent(apply * changes),
-            _megabytes(estimates.memory("configuration").at(design.WORKSPACES)),
+            percent(apply * changes),
+            megabytes(estimates.memory("configuration").at(design.WORKSPACES)),
         ),
         (
             "leases",
@@ -446,7 +297,7 @@
             f"{design.DISPLACED_CHATS:,} displaced chats",
             "cache events of own engines",
             f"{1e6 * event:.0f} us an event",
-            _megabytes(
+            megabytes(
                 prefix * engines
                 + estimates.memory("displaced chats").at(design.DISPLACED_CHATS)
             ),
@@ -460,7 +311,7 @@
             "not measured",
         ),
     )
-    return _table(("role", "state", "messages", "processor time", "memory"), rows)
+    return render_table(("role", "state", "messages", "processor time", "memory"), rows)
 
 
 TABLES_BY_NAME = {
--- a/packages/teaselpond/src/teaselpond/entry/application.py
+++ b/packages/teaselpond/src/teaselpond/entry/application.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 
+from ..delivery.drain import Phase
 from .chats import ChatViews
 from .context import EntryContext
 from .health import HealthViews
@@ -37,10 +38,19 @@
             client_max_size=self.context.settings.max_body_bytes,
             middlewares=[problem_middleware(self.context)],
         )
+        application.on_response_prepare.append(self._close_when_leaving)
         for view_class in self.view_classes:
             application.add_routes(view_class(self.context).routes())
         return application
 
+    async def _close_when_leaving(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        # A kept connection would bring its caller's next request here too.
+        if self.context.drain.phase(self.context.clock()) is not Phase.SERVING:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def start(self, ip: str, port: int) -> int:
         """Listen, and return the port."""
         settings = self.context.settings
--- a/packages/teaselpond/src/teaselpond/entry/chats.py
+++ b/packages/teaselpond/src/teaselpond/entry/chats.py
@@ -13,9 +13,7 @@
 from .callers import (
     AFFINITY_HEADER,
     REQUEST_ID_HEADER,
-    REQUEST_ID_KEY,
     CallContext,
-    read_call,
 )
 from .context import EntryContext
 
@@ -80,13 +78,7 @@
         """Answer one chat turn, or the rest of one."""
         context = self.context
         with context.drain.request(context.clock()):
-            call = read_call(
-                request,
-                context.document(),
-                context.clock(),
-                context.settings.default_deadline_seconds,
-            )
-            request[REQUEST_ID_KEY] = call.request_id
+            call = self.context.read_call(request)
             body = await read_body(request, self.context.settings.max_body_bytes)
             if call.last_event_id:
                 return await self._resume(request, call)
--- a/packages/teaselpond/src/teaselpond/entry/context.py
+++ b/packages/teaselpond/src/teaselpond/entry/context.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from aiohttp import web
 from attrs import frozen
 
 from teaselpond_model.configuration import Document
@@ -22,6 +23,7 @@
 from ..metrics import Metrics
 from ..owner import SlotBroker
 from ..settings import Settings
+from .callers import REQUEST_ID_KEY, CallContext, read_call
 from .journal import RequestJournal
 
 NOT_READY_RETRY_SECONDS = 1.0
@@ -60,6 +62,17 @@
         """Return the document in force; raise Refused without one."""
         return self.in_force().document
 
+    def read_call(self, request: web.Request) -> CallContext:
+        """Return what a call's headers say; raise Refused."""
+        call = read_call(
+            request,
+            self.document(),
+            self.clock(),
+            self.settings.default_deadline_seconds,
+        )
+        request[REQUEST_ID_KEY] = call.request_id
+        return call
+
     def upstreams_for(self, service_id: str) -> tuple[Host, ...]:
         """Return a service's hosts that may take work, the nearest first."""
         document = self.document()
--- a/packages/teaselpond/src/teaselpond/entry/jobs.py
+++ b/packages/teaselpond/src/teaselpond/entry/jobs.py
@@ -11,7 +11,7 @@
 from ..delivery.verdicts import Exit, refuse
 from ..policy import RequestClass
 from .bodies import read_body
-from .callers import REQUEST_ID_KEY, CallContext, read_call
+from .callers import CallContext
 from .chats import EVENT_STREAM
 from .context import EntryContext
 
@@ -36,7 +36,7 @@
         """Answer 202 once the job is stored."""
         context = self.context
         with context.drain.request(context.clock()):
-            call = self._read_call(request)
+            call = self.context.read_call(request)
             body = await read_body(request, self.context.settings.max_body_bytes)
             self._check(call, body)
             status = await context.jobs.submit(
@@ -58,22 +58,12 @@
 
     async def show(self, request: web.Request) -> web.StreamResponse:
         """Answer a job's state and result, as a stream when asked for one."""
-        call = self._read_call(request)
+        call = self.context.read_call(request)
         job_id = request.match_info["job_id"]
         if EVENT_STREAM in request.headers.get("Accept", ""):
             return await self._follow(request, call, job_id)
         return web.json_response(await self._load(call, job_id))
 
-    def _read_call(self, request: web.Request) -> CallContext:
-        call = read_call(
-            request,
-            self.context.document(),
-            self.context.clock(),
-            self.context.settings.default_deadline_seconds,
-        )
-        request[REQUEST_ID_KEY] = call.request_id
-        return call
-
     def _check(self, call: CallContext, body: bytes) -> None:
         # What could never run is refused before it is stored.
         plan = parse_chat(
--- a/packages/teaselpond/src/teaselpond/entry/services.py
+++ b/packages/teaselpond/src/teaselpond/entry/services.py
@@ -7,7 +7,7 @@
 from ..delivery.records import ServiceCall, ServiceOutcome
 from ..delivery.verdicts import Exit, refuse
 from .bodies import read_body
-from .callers import REQUEST_ID_KEY, CallContext, read_call
+from .callers import CallContext
 from .context import EntryContext
 
 FORWARDED_HEADERS = ("Content-Type", "Accept", "traceparent", "tracestate")
@@ -27,13 +27,7 @@
         """Run one call, at most once where its contract says so."""
         context = self.context
         with context.drain.request(context.clock()):
-            call = read_call(
-                request,
-                context.document(),
-                context.clock(),
-                context.settings.default_deadline_seconds,
-            )
-            request[REQUEST_ID_KEY] = call.request_id
+            call = self.context.read_call(request)
             service = self._service(request, call)
             body = await read_body(request, self.context.settings.max_body_bytes)
             service_call = self._service_call(request, call, service, body)
--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -9,7 +9,7 @@
 
 from teaselpond_model.contracts import Address, CacheEventPage, LoadReport
 
-from ..delivery.verdicts import Exit, refuse
+from ..delivery.verdicts import Exit, refuse, refuse_admission
 from ..exceptions import Refused
 from ..links import AnswerLost, LinkError, LinkManager
 from ..links.peers import Identity
@@ -41,12 +41,6 @@
 # that a grant whose answer was lost is freed.
 OWNER_MEMORY_SECONDS = 30.0
 
-EXITS_BY_REASON = {
-    RefusalReason.DEADLINE_PASSED: Exit.DEADLINE_BEFORE_SEND,
-    RefusalReason.NO_ENGINE: Exit.NO_CANDIDATE,
-    RefusalReason.ENGINES_UNAVAILABLE: Exit.NO_CANDIDATE,
-}
-
 
 @frozen
 class HeldSlot:
@@ -343,13 +337,7 @@
 
     def _refused(self, refusal: Refusal) -> Refused:
         self._metrics.incr(f"policy.refusals.{refusal.reason.value}")
-        exit_ = EXITS_BY_REASON.get(refusal.reason, Exit.ADMISSION_REFUSED)
-        return refuse(
-            exit_,
-            f"no slot: {refusal.reason.value}",
-            retry_after=refusal.retry_after,
-            step="acquire",
-        )
+        return refuse_admission(refusal)
 
     async def _advance_forever(self) -> None:
         while True:
--- a/packages/teaselpond/tests/entry/test_application.py
+++ b/packages/teaselpond/tests/entry/test_application.py
@@ -236,8 +236,13 @@
         self.assertNotIn(own, addresses)
         # Until it refuses as leaving, no call may fail: the owner changed.
         self.assertEqual(
-            ("leaving", "not-run", True),
-            (refused["reason"], refused["run"], bool(refused["alternatives"])),
+            ("leaving", "not-run", True, "close"),
+            (
+                refused["reason"],
+                refused["run"],
+                bool(refused["alternatives"]),
+                refused["connection"],
+            ),
         )
         await fleet.set_host("entry-1", ServiceState.IN)
         await self._wait_status(fleet, 200)
@@ -249,6 +254,7 @@
                     fleet.url() + CHATS, headers=WORKSPACE, data=BODY
                 ) as response:
                     answer = json.loads(await response.text())
+                    answer["connection"] = response.headers.get("Connection")
                     if response.status == status:
                         return answer
                 await asyncio.sleep(0.1)
