Keep the slot of an answer whose engine may still run it

Cause: an answer that carried another request's id, or none at all, names no stream that could be cancelled; its slot was given back at once while the engine went on with it. Change: such a slot is kept for 2 s; by then the engine's own report counts the work. The new test fails with the rule off.

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -11,6 +11,7 @@
     CallerGone,
     TeaselpondError,
     UpstreamBroken,
+    UpstreamCrossed,
     UpstreamRefused,
     UpstreamSilent,
     UpstreamStreamMissing,
@@ -80,6 +81,7 @@
         self._sink = sink
         self._progress = progress
         self._call = call
+        self._may_still_run = False
         self._opening: asyncio.Task[EngineStream] | None = None
         self._stream: EngineStream | None = None
         self._place: StreamPlace | None = None
@@ -161,8 +163,10 @@
         except UpstreamRefused as error:
             raise self._refused(error) from None
         except UpstreamSilent:
+            self._may_still_run = True
             raise self._failed(RetryReason.ANSWER_SILENT, Exit.ANSWER_SILENT) from None
-        except UpstreamBroken:
+        except UpstreamBroken as error:
+            self._may_still_run = isinstance(error, UpstreamCrossed)
             await self._relay.deaths.check(self._engine_id)
             raise self._failed(RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN) from None
 
@@ -333,6 +337,10 @@
         """See the engine's work on this request ended."""
         stream = self._stream or await self._head_after_cancel()
         if stream is None:
+            if self._may_still_run:
+                # No stream is named that could be cancelled. By then the
+                # engine's own report counts it.
+                await asyncio.sleep(self._relay.settings.abandoned_seconds)
             return
         if not stream.whole and self.caller_left and self._call.resumable:
             await self._read_out(stream)
--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -26,6 +26,7 @@
 CONTINUE_SECONDS = 30.0
 MAX_CONTINUATIONS = 8
 HEAD_AFTER_CANCEL_SECONDS = 5.0
+ABANDONED_SECONDS = 2.0
 
 
 @frozen
@@ -35,7 +36,8 @@
     ``event_idle_seconds`` is how long an engine may send nothing and
     ``resume_idle_seconds`` the same on a resumed stream; ``caller_seconds``
     is how long a caller may take nothing, ``continue_seconds`` how long an
-    answer that has begun is retried.
+    answer that has begun is retried. ``abandoned_seconds`` is how long a slot
+    is kept whose engine may still run what cannot be cancelled.
     """
 
     event_idle_seconds: float = EVENT_IDLE_SECONDS
@@ -43,6 +45,7 @@
     caller_seconds: float = CALLER_SECONDS
     continue_seconds: float = CONTINUE_SECONDS
     head_after_cancel_seconds: float = HEAD_AFTER_CANCEL_SECONDS
+    abandoned_seconds: float = ABANDONED_SECONDS
 
 
 class ChatRelay:
--- a/packages/teaselpond/tests/delivery/relays.py
+++ b/packages/teaselpond/tests/delivery/relays.py
@@ -122,7 +122,10 @@
         self.slots = Slots(self.standins)
         self.table = MemoryTable()
         self.settings = evolve(
-            RelaySettings(event_idle_seconds=0.6, resume_idle_seconds=0.3), **settings
+            RelaySettings(
+                event_idle_seconds=0.6, resume_idle_seconds=0.3, abandoned_seconds=0.1
+            ),
+            **settings,
         )
         self.policy = policy or PolicySettings(backoff_seconds=0.01)
 
--- a/packages/teaselpond/tests/delivery/test_relay.py
+++ b/packages/teaselpond/tests/delivery/test_relay.py
@@ -185,6 +185,16 @@
             await bench.relay.drain()
             self.assertEqual((1, {}), (bench.cancelled, bench.slots.held_by_grant))
 
+    async def test_slot_is_kept_while_the_engine_may_still_run(self) -> None:
+        """Keep the slot of a crossed answer, whose stream has no name."""
+        async with RelayBench(abandoned_seconds=4.0) as bench:
+            bench.standins[0].add_fault(F.CROSS)
+            await bench.relay.run(make_call(), Caller())
+            held = bench.slots.held_by_grant
+            await self.wait_until(lambda: list(held.values()) == ["e0"])
+            await bench.relay.drain()
+            self.assertEqual({}, held)
+
     async def test_caller_resumes_at_another_daemon(self) -> None:
         """Give each rest of an answer by the event id alone."""
         for events in range(1, EVENTS):
