Leave the load of silent daemons out of the mean after a second

Change: in fleets of up to 14 daemons sums are told every 0.1 to 0.4 s and are stale after 1 s; their expiry is looked at five times a second. In larger fleets nothing changes. The control traffic of small fleets was not measured again with it.

--- a/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
+++ b/packages/teaselpond/src/teaselpond/assembly/fleet_follower.py
@@ -100,7 +100,11 @@
         dispatcher = self._broker.dispatcher
         self._broker.hand_over(
             dispatcher.configure(
-                build_settings(document.policy), profiles, self._clock()
+                build_settings(
+                    document.policy, len(dispatcher.directory.daemons_by_id)
+                ),
+                profiles,
+                self._clock(),
             )
         )
         self._pollers.follow(
--- a/packages/teaselpond/src/teaselpond/assembly/load_sums.py
+++ b/packages/teaselpond/src/teaselpond/assembly/load_sums.py
@@ -6,13 +6,13 @@
 
 from ..links.facts import FactStore
 from ..links.loads import LoadPublisher, LoadSettings, follow_sums
+from ..owner import SMALL_FLEET_DAEMONS
 from ..policy import Dispatcher
 
 OFFER_SECONDS = 0.1
 # A small fleet can bear to be told of every change.
-SMALL_FLEET_DAEMONS = 14
 SMALL_FLEET_SETTINGS = LoadSettings(
-    level_step=0.001, shortest_seconds=0.1, longest_seconds=5.0
+    level_step=0.001, shortest_seconds=0.1, longest_seconds=0.4
 )
 LARGE_FLEET_SETTINGS = LoadSettings()
 
--- a/packages/teaselpond/src/teaselpond/owner/__init__.py
+++ b/packages/teaselpond/src/teaselpond/owner/__init__.py
@@ -1,11 +1,12 @@
 """Grant slots of the engines that this daemon owns, and ask other owners."""
 
 from .broker import SlotBroker
-from .fleet import build_profiles, build_settings
+from .fleet import SMALL_FLEET_DAEMONS, build_profiles, build_settings
 from .messages import CancelSlot, SlotAsk
 from .pollers import EnginePollers
 
 __all__ = [
+    "SMALL_FLEET_DAEMONS",
     "CancelSlot",
     "EnginePollers",
     "SlotAsk",
--- a/packages/teaselpond/src/teaselpond/owner/fleet.py
+++ b/packages/teaselpond/src/teaselpond/owner/fleet.py
@@ -11,6 +11,8 @@
 from ..policy import EngineProfile, PolicySettings
 
 SERVING_ROLE = "serve"
+SMALL_FLEET_DAEMONS = 14
+SMALL_FLEET_STALE_SECONDS = 1.0
 
 
 def build_profiles(
@@ -39,12 +41,18 @@
             )
 
 
-def build_settings(policy: PolicyItem) -> PolicySettings:
-    """Return the policy's knobs, as far as the document sets them."""
+def build_settings(policy: PolicyItem, daemons: int) -> PolicySettings:
+    """Return the policy's knobs, as far as the document sets them.
+
+    In a small fleet sums come often, so that one which is a second old is
+    that of a daemon in trouble; in a large one they come when they move.
+    """
+    is_small = daemons <= SMALL_FLEET_DAEMONS
     known = {field.name for field in attrs.fields(PolicySettings)}
     return PolicySettings(
-        # Sums are told again when they move, so that an old one still holds.
-        sum_stale_seconds=LOAD_LIFETIME_SECONDS,
+        sum_stale_seconds=(
+            SMALL_FLEET_STALE_SECONDS if is_small else LOAD_LIFETIME_SECONDS
+        ),
         **{
             field.name: getattr(policy, field.name)
             for field in attrs.fields(PolicyItem)
--- a/packages/teaselpond/src/teaselpond/policy/cap.py
+++ b/packages/teaselpond/src/teaselpond/policy/cap.py
@@ -6,7 +6,7 @@
 
 from .messages import LoadSum
 
-EXPIRY_CHECK_SECONDS = 1.0
+EXPIRY_CHECK_SECONDS = 0.2
 
 
 @frozen
--- a/packages/teaselpond/tests/policy/test_pools.py
+++ b/packages/teaselpond/tests/policy/test_pools.py
@@ -68,6 +68,15 @@
         self.assertTrue(0 < own < ENGINES)
         self.assertEqual(own * SETTINGS.load_floor, self.grants(owner))
 
+    def test_an_old_sum_counts_as_idle(self) -> None:
+        """Admit no more than the floor once the others fell silent."""
+        owner = self.make_owner()
+        own = len(owner.engines.by_id)
+        others = ENGINES - own
+        busy = LoadSum("fit", "a", "d2", others * 6, 0, others * SLOTS, others, 1)
+        owner.observe_sum(busy, 1.0 - SETTINGS.sum_stale_seconds - 0.1)
+        self.assertEqual(own * SETTINGS.load_floor, self.grants(owner))
+
     def test_heard_load_raises_the_cap(self) -> None:
         """Admit more once the others tell that they are busy."""
         owner = self.make_owner()
