Look for expired sums as often as their lifetime asks

Cause: the check five times a second, made for small fleets, went through all owners' sums in large ones too. Change: the check's interval is a fifth of the sums' lifetime.

--- a/packages/teaselpond/src/teaselpond/policy/cap.py
+++ b/packages/teaselpond/src/teaselpond/policy/cap.py
@@ -6,7 +6,7 @@
 
 from .messages import LoadSum
 
-EXPIRY_CHECK_SECONDS = 0.2
+EXPIRY_CHECK_SHARE = 0.2
 
 
 @frozen
@@ -80,7 +80,7 @@
 
     def total(self, now: float) -> FleetLoad:
         """Return the other owners' load in sum."""
-        if now - self._checked_at > EXPIRY_CHECK_SECONDS:
+        if now - self._checked_at > EXPIRY_CHECK_SHARE * self.stale_seconds:
             self._checked_at = now
             self._expire(now)
         return self._total
