Copy prompt beginnings from the engine that holds them

Change: hosts tell each other which engine read which beginning; placement prefers holders, and another engine is told to copy from one.

--- a/packages/teaselpond/src/teaselpond/gateway/beliefs.py
+++ b/packages/teaselpond/src/teaselpond/gateway/beliefs.py
@@ -97,7 +97,7 @@
         return True
 
     def drop_engine(self, engine_id: str) -> bool:
-        """Forget an upstream that is known to be gone; tell if it was there."""
+        """Forget an upstream that is known to be gone; tell if it was known."""
         return self.engines_by_id.pop(engine_id, None) is not None
 
     def note_store_back(self, outage_seconds: float, now: float) -> None:
--- a/packages/teaselpond/src/teaselpond/gateway/codec.py
+++ b/packages/teaselpond/src/teaselpond/gateway/codec.py
@@ -28,6 +28,7 @@
         engine: Engine,
         left_seconds: float,
         last_event_id: str | None,
+        copy_from: Engine | None,
     ) -> CIMultiDict[str]:
         """Return the headers of a call to an upstream, but for its id."""
 
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Put the parts of the gateway together, and run them."""
 
 import asyncio
+import math
 import os
 import signal
 from collections.abc import Callable, Mapping
@@ -32,8 +33,9 @@
 from .locating import choose_hosts
 from .members import Beat, Members, MemberState
 from .metrics import Metrics
-from .peers import PeerExchange
+from .peers import BEAT_SECONDS, BEATS_AT_ONCE, PeerExchange
 from .placement import Placer
+from .prefixes import PrefixBook
 from .relay import Relay
 from .rows import Row
 from .sending import Sender
@@ -52,6 +54,8 @@
 DIRECTORY_LIFETIME_SECONDS = 1.5
 # Peers that were told of a stop pass it on, but a datagram may be lost.
 FAREWELLS = 3
+# What is spread goes into a beat more than is needed, for late beats.
+SPREAD_MARGIN = 1.3
 
 
 class Store(StoreReader, Protocol):
@@ -94,6 +98,7 @@
     metrics: Metrics = field(factory=Metrics)
     loads: LoadBook = field(factory=LoadBook)
     health: HealthBook = field(factory=HealthBook)
+    prefixes: PrefixBook = field(factory=PrefixBook)
     members: Members = field(init=False)
     drain: Drain = field(init=False)
     admission: Admission = field(init=False)
@@ -142,6 +147,7 @@
         exchange = PeerExchange(
             self.members,
             self.loads,
+            self.prefixes,
             self.journal,
             self.clock,
             self._beat,
@@ -218,6 +224,7 @@
             self.loads,
             self.health,
             ColdBudget(bounds.cold_overage, bounds.cold_slack),
+            self.prefixes,
             self.settings.availability_zone,
         )
         relay = Relay(
@@ -297,6 +304,7 @@
         return MemberState.SERVING
 
     def _beat(self, passed: Mapping[str, str]) -> Beat:
+        now = self.clock()
         configuration = self.beliefs.configuration
         freshness = self.beliefs.freshness
         return Beat(
@@ -304,13 +312,22 @@
             incarnation=self.incarnation,
             ip=self.settings.ip,
             availability_zone=self.settings.availability_zone,
-            state=self._state(self.clock()),
+            state=self._state(now),
             configuration_version=configuration.version if configuration else 0,
             confirmed_store_seconds=freshness.confirmed_store_seconds or 0.0,
             loads_by_engine=self.loads.own(),
             ips_by_host=passed,
+            engines_by_prefix_key={
+                reading.key: reading.engine_id
+                for reading in self.prefixes.own_since(now - self._spread_seconds(now))
+            },
         )
 
+    def _spread_seconds(self, now: float) -> float:
+        """Return within how long every other host gets one of the beats."""
+        rounds = math.ceil(self.members.count(now) / BEATS_AT_ONCE)
+        return rounds * BEAT_SECONDS * SPREAD_MARGIN
+
     async def _register(self, store: Store) -> None:
         """List this host in the store, and learn of the others, once."""
         try:
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -40,6 +40,7 @@
     confirmed_store_seconds: float
     loads_by_engine: Mapping[str, int]
     ips_by_host: Mapping[str, str]
+    engines_by_prefix_key: Mapping[bytes, str]
 
 
 @frozen
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -11,6 +11,7 @@
 from .journal import Journal
 from .loads import LoadBook
 from .members import Beat, Members, MemberState
+from .prefixes import PrefixBook, Reading
 
 BEAT_SECONDS = 0.2
 # Loads of larger fleets are spread in turn, so that a host's control traffic
@@ -38,6 +39,7 @@
             beat.confirmed_store_seconds,
             dict(beat.loads_by_engine),
             dict(beat.ips_by_host),
+            dict(beat.engines_by_prefix_key),
         ]
     )
 
@@ -47,7 +49,7 @@
     try:
         values = cbor2.loads(content)
         protocol, host, incarnation, ip, zone, state, version, confirmed = values[:8]
-        loads, ips = values[8:10]
+        loads, ips, engines = values[8:11]
         if protocol != PROTOCOL:
             raise ValueError(f"protocol {protocol!r}")
         return Beat(
@@ -60,6 +62,7 @@
             float(confirmed),
             {str(engine): int(count) for engine, count in loads.items()},
             {str(host): str(ip) for host, ip in ips.items()},
+            {bytes(key): str(engine) for key, engine in engines.items()},
         )
     except (cbor2.CBORDecodeError, TypeError, AttributeError, LookupError) as error:
         raise ValueError(f"not a beat: {error!r}") from error
@@ -71,6 +74,7 @@
 
     members: Members
     loads: LoadBook
+    prefixes: PrefixBook
     journal: Journal
     clock: Callable[[], float]
     make_beat: Callable[[dict[str, str]], Beat]
@@ -105,6 +109,8 @@
         if not self.members.take(beat, now):
             return
         self.loads.take_peer(beat.host, beat.loads_by_engine)
+        for key, engine_id in beat.engines_by_prefix_key.items():
+            self.prefixes.take(Reading(key, engine_id, now))
         if before is None or before.beat.state is not beat.state:
             self.journal.write(
                 "peer-heard",
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from attrs import define, frozen
 
@@ -10,9 +10,10 @@
 from .budgets import ColdBudget
 from .calls import Call
 from .configuration import Service
-from .engines import EngineState
+from .engines import Engine, EngineState
 from .health import HealthBook
 from .loads import LoadBook
+from .prefixes import PrefixBook, prefix_key
 
 # An upstream is passed over when it holds more than this multiple of the mean
 # and this many more. The deployment's cap is a multiple of 2 and 3 more; what
@@ -23,13 +24,19 @@
 
 @frozen
 class Placement:
-    """Hold a choice, and what decided it."""
+    """Hold a choice, and what decided it.
+
+    ``copy_from`` is an upstream that holds the prompt's beginning where the
+    chosen one does not.
+    """
 
     engine: EngineBelief
     load: int
     mean_load: float
     candidates: int
     rank: int
+    is_held: bool = False
+    copy_from: Engine | None = None
 
 
 @frozen
@@ -48,6 +55,7 @@
     loads: LoadBook
     health: HealthBook
     cold_budget: ColdBudget
+    prefixes: PrefixBook
     availability_zone: str
 
     def place(
@@ -64,23 +72,25 @@
             return NoPlacement("all-unreachable", len(listed))
         service = self._service(call)
         warm = [belief for belief in sound if belief.cold_until <= now]
-        placement = self._choose(call, warm, service)
-        if placement is not None:
-            return placement
-        cold = [
-            belief
-            for belief in sound
-            if belief.cold_until > now
-            and self._may_warm_up(belief, service, now, host_count)
-        ]
-        placement = self._choose(call, cold, service)
-        if placement is not None:
-            return placement
-        return NoPlacement("all-cold" if not warm else "all-full", len(listed))
-
-    def note_sent(self, engine_id: str, now: float) -> None:
-        """Count a request sent to an upstream."""
+        placement = self._choose(call, warm, now)
+        if placement is None:
+            cold = [
+                belief
+                for belief in sound
+                if belief.cold_until > now
+                and self._may_warm_up(belief, service, now, host_count)
+            ]
+            placement = self._choose(call, cold, now)
+        if placement is None:
+            return NoPlacement("all-full" if warm else "all-cold", len(listed))
+        return placement
+
+    def note_sent(self, call: Call, engine_id: str, now: float) -> None:
+        """Take that a call is being sent to an upstream."""
         self.cold_budget.note_sent(engine_id, now)
+        key = _affinity(call)
+        if key:
+            self.prefixes.note(prefix_key(call.service, key), engine_id, now)
 
     def _listed(self, service: str) -> list[EngineBelief]:
         beliefs = self.beliefs
@@ -112,39 +122,87 @@
         )
 
     def _choose(
-        self, call: Call, candidates: Sequence[EngineBelief], service: Service | None
+        self, call: Call, candidates: Sequence[EngineBelief], now: float
     ) -> Placement | None:
         if not candidates:
             return None
-        loads = [self.loads.of(_id_of(belief)) for belief in candidates]
-        mean = sum(loads) / len(loads)
+        loads_by_id = {_id_of(each): self.loads.of(_id_of(each)) for each in candidates}
+        mean = sum(loads_by_id.values()) / len(loads_by_id)
         limit = math.floor(LOAD_FACTOR * mean + LOAD_SLACK)
-        if call.head.prompt is not None and call.head.prompt.affinity_key:
-            order = self._by_affinity(call.head.prompt.affinity_key, candidates)
+        key = _affinity(call)
+        holders = self.prefixes.holders(prefix_key(call.service, key), now)
+        if key:
+            order = _by_affinity(key, candidates, holders)
         else:
-            order = sorted(
-                range(len(candidates)),
-                key=lambda each: (
-                    loads[each] / candidates[each].engine.slots,
-                    candidates[each].engine.availability_zone != self.availability_zone,
-                    _score(call.head.request_id, _id_of(candidates[each])),
-                ),
+            order = self._by_load(call, candidates, loads_by_id)
+        rank = next(
+            (
+                rank
+                for rank, belief in enumerate(order)
+                if loads_by_id[_id_of(belief)] <= limit
+            ),
+            None,
+        )
+        if rank is None:
+            rank = min(
+                range(len(order)), key=lambda each: loads_by_id[_id_of(order[each])]
             )
-        for rank, each in enumerate(order):
-            if loads[each] <= limit:
-                break
-        else:
-            rank, each = 0, min(order, key=lambda index: loads[index])
-        return Placement(candidates[each], loads[each], mean, len(candidates), rank)
+        chosen = order[rank]
+        is_held = _id_of(chosen) in holders
+        return Placement(
+            chosen,
+            loads_by_id[_id_of(chosen)],
+            mean,
+            len(candidates),
+            rank,
+            is_held,
+            None if is_held or not key else self._source(holders, now),
+        )
 
-    def _by_affinity(self, key: str, candidates: Sequence[EngineBelief]) -> list[int]:
+    def _source(self, holders: Sequence[str], now: float) -> Engine | None:
+        """Return an upstream that a prompt's beginning can be copied from."""
+        for engine_id in holders:
+            belief = self.beliefs.engines_by_id.get(engine_id)
+            if belief is not None and not self.health.of(engine_id).is_ejected(now):
+                return belief.engine
+        return None
+
+    def _by_load(
+        self,
+        call: Call,
+        candidates: Sequence[EngineBelief],
+        loads_by_id: Mapping[str, int],
+    ) -> list[EngineBelief]:
         return sorted(
-            range(len(candidates)),
-            key=lambda each: _score(key, _id_of(candidates[each])),
-            reverse=True,
+            candidates,
+            key=lambda belief: (
+                loads_by_id[_id_of(belief)] / belief.engine.slots,
+                belief.engine.availability_zone != self.availability_zone,
+                _score(call.head.request_id, _id_of(belief)),
+            ),
         )
 
 
+def _affinity(call: Call) -> str:
+    prompt = call.head.prompt
+    return prompt.affinity_key if prompt is not None else ""
+
+
+def _by_affinity(
+    key: str, candidates: Sequence[EngineBelief], holders: Sequence[str]
+) -> list[EngineBelief]:
+    """Return upstreams that hold a beginning first, then by their hash.
+
+    Among several holders the hash decides too, so that all hosts agree.
+    """
+    held = set(holders)
+    return sorted(
+        candidates,
+        key=lambda belief: (_id_of(belief) in held, _score(key, _id_of(belief))),
+        reverse=True,
+    )
+
+
 def _id_of(belief: EngineBelief) -> str:
     return belief.engine.engine_id
 
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/prefixes.py
@@ -0,0 +1,72 @@
+"""Know which upstreams read a shared prompt beginning lately."""
+
+import hashlib
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+# An upstream's cache holds minutes of prompts at the usual rates; longer ago
+# the beginning may have been dropped.
+HELD_SECONDS = 45.0
+HOLDERS = 3
+# Bounds memory: some hundred bytes an entry.
+MAX_KEYS = 4096
+KEY_BYTES = 8
+
+
+@frozen
+class Reading:
+    """Hold that an upstream read a prompt beginning; on the boot clock."""
+
+    key: bytes
+    engine_id: str
+    at: float
+
+
+def prefix_key(service: str, affinity_key: str) -> bytes:
+    """Return the short name of a prompt beginning at a service."""
+    text = f"{service} {affinity_key}".encode()
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+@define
+class PrefixBook:
+    """Keep the last upstreams that read each prompt beginning."""
+
+    _holders_by_key: OrderedDict[bytes, dict[str, float]] = field(factory=OrderedDict)
+    _own_readings: deque[Reading] = field(factory=lambda: deque(maxlen=MAX_KEYS))
+
+    def note(self, key: bytes, engine_id: str, now: float) -> None:
+        """Take that this host had an upstream read a beginning."""
+        self.take(Reading(key, engine_id, now))
+        self._own_readings.append(Reading(key, engine_id, now))
+
+    def take(self, reading: Reading) -> None:
+        """Take a reading, of this host or another."""
+        holders = self._holders_by_key.setdefault(reading.key, {})
+        self._holders_by_key.move_to_end(reading.key)
+        holders.pop(reading.engine_id, None)
+        holders[reading.engine_id] = reading.at
+        while len(holders) > HOLDERS:
+            del holders[next(iter(holders))]
+        while len(self._holders_by_key) > MAX_KEYS:
+            self._holders_by_key.popitem(last=False)
+
+    def holders(self, key: bytes, now: float) -> list[str]:
+        """Return the upstreams that should hold a beginning, newest first."""
+        holders = self._holders_by_key.get(key, {})
+        return [
+            engine_id
+            for engine_id, at in reversed(holders.items())
+            if now - at < HELD_SECONDS
+        ]
+
+    def own_since(self, since: float) -> Iterable[Reading]:
+        """Return this host's readings after a time, the newest of each key."""
+        newest: dict[tuple[bytes, str], Reading] = {}
+        for reading in reversed(self._own_readings):
+            if reading.at < since:
+                break
+            newest.setdefault((reading.key, reading.engine_id), reading)
+        return newest.values()
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -166,11 +166,13 @@
             mean_load=round(placement.mean_load, 2),
             candidates=placement.candidates,
             rank=placement.rank,
+            is_held=placement.is_held,
+            copy_from=placement.copy_from.engine_id if placement.copy_from else None,
             offer=progress.offers,
             heard_seconds=round(now - placement.engine.heard_at, 3),
             after_event=progress.last_event_id,
         )
-        self.placer.note_sent(engine.engine_id, now)
+        self.placer.note_sent(call, engine.engine_id, now)
         with self.loads.running(engine.engine_id):
             before = progress.may_run
             progress.may_run = True
@@ -196,7 +198,7 @@
         try:
             async with asyncio.timeout(patience) as first_wait:
                 answer = await self.sender.open(
-                    call, engine, left, progress.last_event_id
+                    call, engine, left, progress.last_event_id, placement.copy_from
                 )
                 try:
                     head = answer.head
@@ -248,7 +250,7 @@
             raise UpstreamBroken("ended before its first event", step="stream")
 
     def _patience(self, call: Call, progress: Progress) -> float | None:
-        """Return how long to wait for a first event, in seconds, if bounded."""
+        """Return how long to wait for an answer, in seconds, if bounded."""
         if not call.may_repeat or progress.runs + 1 >= call.route.max_attempts:
             return None
         if call.route.type is RouteType.STREAM:
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -116,12 +116,15 @@
         engine: Engine,
         left_seconds: float,
         last_event_id: str | None,
+        copy_from: Engine | None = None,
     ) -> OpenAnswer:
         """Send a call and return its open answer; raise AttemptFailed."""
         client = self.kept if call.may_repeat else self.single
         peer = str(engine.address)
         head = call.head
-        headers = self.codec.encode_request(call, engine, left_seconds, last_event_id)
+        headers = self.codec.encode_request(
+            call, engine, left_seconds, last_event_id, copy_from
+        )
         try:
             response = await client.open(
                 engine.address,
--- a/packages/teaselpond/src/teaselpond/platform/headers.py
+++ b/packages/teaselpond/src/teaselpond/platform/headers.py
@@ -22,6 +22,8 @@
 COLD = "X-Teaselpond-Cold-Ms"
 URGENCY = "X-Teaselpond-Urgency-Class"
 LAST_EVENT_ID = "Last-Event-Id"
+# Names the upstream from which another copies what it keeps of a prompt.
+COPY_FROM = "Kv-Fetch"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 KEY_SCHEME = "bearer "
@@ -59,7 +61,7 @@
         "X-Teaselpond-Retain",
         "X-Teaselpond-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        COPY_FROM,
     )
 )
 
@@ -87,7 +89,11 @@
 
 
 def encode_request(
-    call: Call, engine: Engine, left_seconds: float, last_event_id: str | None
+    call: Call,
+    engine: Engine,
+    left_seconds: float,
+    last_event_id: str | None,
+    copy_from: Engine | None,
 ) -> CIMultiDict[str]:
     """Return the headers of a call to an upstream, but for its id."""
     headers = call.head.headers.copy()
@@ -95,6 +101,8 @@
     headers[EXPECT_ENGINE] = engine.engine_id
     if call.workspace is not None:
         headers[WORKSPACE] = call.workspace.name
+    if copy_from is not None:
+        headers[COPY_FROM] = str(copy_from.address)
     if last_event_id is not None:
         headers[LAST_EVENT_ID] = last_event_id
     return headers
