Copy from engines that are leaving, and let engines hold more of a key's load

Cause: an engine whose entry is removed serves on for seconds, but was no source of copies; and keys moved from engines that held a few above the mean. Change: an engine that is gone stays a source for 2.5 s; the load factor is 1.75 instead of 1.5 (the deployment's cap is 2 times the mean and 3).

--- a/packages/teaselpond/src/teaselpond/gateway/beliefs.py
+++ b/packages/teaselpond/src/teaselpond/gateway/beliefs.py
@@ -12,6 +12,9 @@
 # A shorter absence of the store lets no entry lapse: upstreams write more
 # often than this.
 OUTAGE_SECONDS = 1.0
+# An upstream whose entry is removed goes on serving for about this long, and
+# others can still copy from its cache.
+COPY_SECONDS = 2.5
 
 
 @frozen
@@ -35,6 +38,7 @@
     configuration: Configuration | None = None
     engines_by_id: dict[str, EngineBelief] = field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
+    _gone_by_id: dict[str, tuple[Engine, float]] = field(factory=dict)
     _store_back_at: float | None = None
 
     def take_configuration(self, configuration: Configuration) -> bool:
@@ -93,9 +97,18 @@
                 belief.lapsed_at or now,
             )
             return False
+        self._gone_by_id[engine_id] = (belief.engine, now)
         del self.engines_by_id[engine_id]
         return True
 
+    def copy_source(self, engine_id: str, now: float) -> Engine | None:
+        """Return an upstream that others can copy from, listed or leaving."""
+        belief = self.engines_by_id.get(engine_id)
+        if belief is not None:
+            return belief.engine
+        engine, gone_at = self._gone_by_id.get(engine_id, (None, 0.0))
+        return engine if now - gone_at < COPY_SECONDS else None
+
     def drop_engine(self, engine_id: str) -> bool:
         """Forget an upstream that is known to be gone; tell if it was known."""
         return self.engines_by_id.pop(engine_id, None) is not None
@@ -107,6 +120,9 @@
 
     def expire(self, now: float) -> list[str]:
         """Drop upstreams whose entries did not come back; return their ids."""
+        for engine_id, (_, gone_at) in list(self._gone_by_id.items()):
+            if now - gone_at >= COPY_SECONDS:
+                del self._gone_by_id[engine_id]
         if self._is_settling(now):
             return []
         lapsed = [
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -18,7 +18,7 @@
 # An upstream is passed over when it holds more than this multiple of the mean
 # and this many more. The deployment's cap is a multiple of 2 and 3 more; what
 # peers sent within the last beat is not known here.
-LOAD_FACTOR = 1.5
+LOAD_FACTOR = 1.75
 LOAD_SLACK = 2
 
 
@@ -162,9 +162,9 @@
     def _source(self, holders: Sequence[str], now: float) -> Engine | None:
         """Return an upstream that a prompt's beginning can be copied from."""
         for engine_id in holders:
-            belief = self.beliefs.engines_by_id.get(engine_id)
-            if belief is not None and not self.health.of(engine_id).is_ejected(now):
-                return belief.engine
+            engine = self.beliefs.copy_source(engine_id, now)
+            if engine is not None and not self.health.of(engine_id).is_ejected(now):
+                return engine
         return None
 
     def _by_load(
