--- a/packages/teaselpond/src/teaselpond/delivery/counters.py
+++ b/packages/teaselpond/src/teaselpond/delivery/counters.py
@@ -4,7 +4,6 @@
 
 from ..exceptions import Refused
 from ..policy import RetryReason
-from ..reasons import retry_counter
 
 
 class Counters(Protocol):
@@ -29,4 +28,4 @@
 
 def count_retry(counters: Counters, reason: RetryReason) -> None:
     """Count a retry by its reason."""
-    counters.incr(retry_counter(reason))
+    counters.incr(f"retries.{reason.value.replace('-', '_')}")
--- a/packages/teaselpond/src/teaselpond/reasons.py
+++ b/packages/teaselpond/src/teaselpond/reasons.py
@@ -2,8 +2,6 @@
 
 import enum
 
-from .policy import RetryReason
-
 
 class Run(enum.Enum):
     """Name what is known about an upstream having run a request."""
@@ -48,8 +46,3 @@
     def counter(self) -> str:
         """Return the statsd counter of refusals for this reason."""
         return f"refusals.{self.value.replace('-', '_')}"
-
-
-def retry_counter(reason: RetryReason) -> str:
-    """Return the statsd counter of retries for a reason."""
-    return f"retries.{reason.value.replace('-', '_')}"
--- a/packages/teaselpond/src/teaselpond/upstreams/__init__.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/__init__.py
@@ -1,9 +1,15 @@
 """Talk to engines and plain services."""
 
+import importlib
+from typing import Any
+
 from .connections import Answer, UpstreamClient
-from .engines import EngineClient, EngineStream, StreamHead
 from .events import EventBatch
 
+# The gateway runs on small hosts and uses none of these, so they are loaded
+# when they are first asked for.
+_ENGINE_NAMES = frozenset({"EngineClient", "EngineStream", "StreamHead"})
+
 __all__ = [
     "Answer",
     "EngineClient",
@@ -12,3 +18,9 @@
     "StreamHead",
     "UpstreamClient",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _ENGINE_NAMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(".engines", __name__), name)
