Learn at a start which engines hold which prompts

Change: a process that starts takes the readings of a peer that runs, or lists the engines' caches when no peer knows; a first beat is answered at once.

--- a/packages/teaselpond/src/teaselpond/gateway/calls.py
+++ b/packages/teaselpond/src/teaselpond/gateway/calls.py
@@ -33,8 +33,13 @@
 
     @property
     def affinity_key(self) -> str:
-        """Name the longest shared beginning; empty where nothing is shared."""
-        return "/".join(part.part_id for part in self.shared_parts)
+        """Return the last shared part's id; empty where nothing is shared.
+
+        The parts before a part are always the same ones, so its id names the
+        whole beginning.
+        """
+        shared = self.shared_parts
+        return shared[-1].part_id if shared else ""
 
 
 @frozen
--- a/packages/teaselpond/src/teaselpond/gateway/codec.py
+++ b/packages/teaselpond/src/teaselpond/gateway/codec.py
@@ -8,7 +8,7 @@
 from teaselpond_model.contracts import Address
 
 from .answers import AnswerHead
-from .calls import Call, Head
+from .calls import Call, Head, PromptPart
 from .engines import Engine
 
 
@@ -57,3 +57,12 @@
         self, addresses: Iterable[Address], lifetime_seconds: float
     ) -> bytes:
         """Return the body that names the hosts to connect to."""
+
+
+class CacheCodec(Protocol):
+    """Translate the call that lists what an engine's cache holds."""
+
+    CACHE_PATH: str
+
+    def decode_cache(self, content: bytes) -> list[PromptPart]:
+        """Return the parts that an engine holds; raise MalformedEntry."""
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -22,7 +22,7 @@
 from .budgets import ColdBudget, RetryBudget
 from .changes import Change
 from .clocks import boot_time
-from .codec import DirectoryCodec, HeaderCodec
+from .codec import CacheCodec, DirectoryCodec, HeaderCodec
 from .doors import Door
 from .drain import Drain, Phase
 from .entry import Entry
@@ -41,6 +41,7 @@
 from .sending import Sender
 from .settings import GatewaySettings
 from .sharing import BeliefSharing
+from .surveying import PrefixSurvey
 from .tables import Table
 from .tasks import keep_running
 
@@ -73,6 +74,7 @@
 
     headers: HeaderCodec
     directory: DirectoryCodec
+    caches: CacheCodec
 
     def load_settings(self, environment: Mapping[str, str]) -> GatewaySettings:
         """Read the settings file; raise ImproperlyConfigured."""
@@ -156,6 +158,7 @@
         )
         sharing = BeliefSharing(
             applier,
+            self.prefixes,
             self.members,
             self.journal,
             self.clock,
@@ -175,6 +178,7 @@
             "sharing": sharing.run,
             "register": lambda: self._register(store),
             "tick": self._tick,
+            "survey": self._make_survey(sender, sharing).run,
         }
         tasks = [
             asyncio.create_task(keep_running(name, run, self.journal, self.clock))
@@ -217,6 +221,19 @@
             single=UpstreamClient(reuse=False, **options),
         )
 
+    def _make_survey(self, sender: Sender, sharing: BeliefSharing) -> PrefixSurvey:
+        return PrefixSurvey(
+            self.beliefs,
+            self.prefixes,
+            self.members,
+            sharing,
+            sender.kept,
+            self.adapter.caches,
+            self.journal,
+            self.clock,
+            self.settings.is_first_start,
+        )
+
     def _make_entry(self, sender: Sender) -> Entry:
         bounds = self.settings.bounds
         placer = Placer(
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -111,6 +111,9 @@
         self.loads.take_peer(beat.host, beat.loads_by_engine)
         for key, engine_id in beat.engines_by_prefix_key.items():
             self.prefixes.take(Reading(key, engine_id, now))
+        if before is None or before.beat.incarnation != beat.incarnation:
+            # A process that has just started knows nobody yet.
+            self._send(beat.ip)
         if before is None or before.beat.state is not beat.state:
             self.journal.write(
                 "peer-heard",
@@ -142,6 +145,11 @@
         for ip in ips - {beat.ip}:
             self._transport.sendto(content, (ip, self.port))
 
+    def _send(self, ip: str) -> None:
+        if self._transport is not None:
+            beat = self.make_beat({})
+            self._transport.sendto(encode_beat(beat), (ip, self.port))
+
     def close(self) -> None:
         """Stop listening."""
         if self._transport is not None:
--- a/packages/teaselpond/src/teaselpond/gateway/prefixes.py
+++ b/packages/teaselpond/src/teaselpond/gateway/prefixes.py
@@ -24,9 +24,9 @@
     at: float
 
 
-def prefix_key(service: str, affinity_key: str) -> bytes:
+def prefix_key(service: str, part_id: str) -> bytes:
     """Return the short name of a prompt beginning at a service."""
-    text = f"{service} {affinity_key}".encode()
+    text = f"{service} {part_id}".encode()
     return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
 
 
@@ -45,6 +45,8 @@
     def take(self, reading: Reading) -> None:
         """Take a reading, of this host or another."""
         holders = self._holders_by_key.setdefault(reading.key, {})
+        if holders.get(reading.engine_id, reading.at) > reading.at:
+            return
         self._holders_by_key.move_to_end(reading.key)
         holders.pop(reading.engine_id, None)
         holders[reading.engine_id] = reading.at
@@ -62,6 +64,15 @@
             if now - at < HELD_SECONDS
         ]
 
+    def all(self, now: float) -> Iterable[Reading]:
+        """Return what should be held, the oldest readings first."""
+        return [
+            Reading(key, engine_id, at)
+            for key, holders in self._holders_by_key.items()
+            for engine_id, at in holders.items()
+            if now - at < HELD_SECONDS
+        ]
+
     def own_since(self, since: float) -> Iterable[Reading]:
         """Return this host's readings after a time, the newest of each key."""
         newest: dict[tuple[bytes, str], Reading] = {}
--- a/packages/teaselpond/src/teaselpond/gateway/settings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/settings.py
@@ -36,7 +36,8 @@
     """Hold what a gateway process is told at its start.
 
     ``seeds`` are peers' addresses, which may be stale; ``datagram_port`` is
-    the port of the peers' datagrams, alike on every host.
+    the port of the peers' datagrams, alike on every host. ``is_first_start``
+    tells that no host of the deployment ran before.
     """
 
     host: str
@@ -49,3 +50,4 @@
     datagram_port: int
     metrics_port: int
     bounds: Bounds
+    is_first_start: bool
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -0,0 +1,134 @@
+"""Learn at a start which engines hold which prompt beginnings."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from operator import attrgetter
+
+from attrs import define, field
+
+from teaselpond_model.exceptions import TeaselpondError
+
+from ..upstreams.connections import UpstreamClient
+from .beliefs import Beliefs
+from .codec import CacheCodec
+from .engines import Engine
+from .exceptions import MalformedEntry
+from .journal import Journal
+from .members import Members, MemberState
+from .prefixes import PrefixBook, Reading, prefix_key
+from .sharing import BeliefSharing, PeerUnavailable
+
+# Peers answer the first beat of a process at once, so that those that run are
+# heard within this time of a start.
+HEAR_SECONDS = 0.05
+# A listing delays an engine and has a price. When all hosts start anew, each
+# asks each engine, so larger fleets do without.
+MAX_LISTINGS = 100
+LIST_SECONDS = 0.5
+# The largest parts that an engine holds are those worth knowing.
+PARTS_PER_ENGINE = 200
+SETTLE_SECONDS = 0.05
+
+
+@define(eq=False)
+class PrefixSurvey:
+    """Ask a peer what engines hold, or the engines when no peer knows."""
+
+    beliefs: Beliefs
+    prefixes: PrefixBook
+    members: Members
+    sharing: BeliefSharing
+    client: UpstreamClient
+    codec: CacheCodec
+    journal: Journal
+    clock: Callable[[], float]
+    is_first_start: bool
+    chance: random.Random = field(factory=random.Random)
+
+    async def run(self) -> None:
+        """Survey once, then wait to be cancelled."""
+        if not self.is_first_start:
+            await self._survey()
+        self.sharing.knows_prefixes = True
+        await asyncio.Event().wait()
+
+    async def _survey(self) -> None:
+        while not self._engines():
+            await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(HEAR_SECONDS)
+        if await self._ask_peers():
+            return
+        engines = self._engines()
+        host_count = self.members.count(self.clock())
+        if len(engines) * host_count > MAX_LISTINGS:
+            self.journal.write(
+                "survey-left-out",
+                self.clock(),
+                engines=len(engines),
+                hosts=host_count,
+            )
+            return
+        await asyncio.gather(*(self._list(engine) for engine in engines))
+
+    async def _ask_peers(self) -> bool:
+        peers = [
+            member
+            for member in self.members.heard(self.clock())
+            if member.beat.state in (MemberState.SERVING, MemberState.UNCONFIRMED)
+        ]
+        self.chance.shuffle(peers)
+        for peer in peers[:2]:
+            try:
+                count = await self.sharing.ask_prefixes(peer)
+            except PeerUnavailable as error:
+                self.journal.write(
+                    "peer-silent", self.clock(), peer=peer.beat.host, error=str(error)
+                )
+                continue
+            self.journal.write(
+                "prefixes-from-peer", self.clock(), peer=peer.beat.host, count=count
+            )
+            if count:
+                return True
+        return False
+
+    def _engines(self) -> list[Engine]:
+        configuration = self.beliefs.configuration
+        if configuration is None:
+            return []
+        services = configuration.services_by_name
+        return [
+            belief.engine
+            for belief in self.beliefs.engines_by_id.values()
+            if (service := services.get(belief.engine.service)) is not None
+            and service.engine is not None
+        ]
+
+    async def _list(self, engine: Engine) -> None:
+        try:
+            async with asyncio.timeout(LIST_SECONDS):
+                answer = await self.client.fetch(
+                    engine.address,
+                    "GET",
+                    self.codec.CACHE_PATH,
+                    request_id=f"list-{self.chance.getrandbits(32):08x}",
+                    check_id=False,
+                )
+            parts = self.codec.decode_cache(answer.body)
+        except (TeaselpondError, MalformedEntry, TimeoutError) as error:
+            self.journal.write(
+                "cache-not-listed",
+                self.clock(),
+                engine=engine.engine_id,
+                error=repr(error),
+            )
+            return
+        parts.sort(key=attrgetter("tokens"))
+        now = self.clock()
+        for part in parts[-PARTS_PER_ENGINE:]:
+            key = prefix_key(engine.service, part.part_id)
+            self.prefixes.take(Reading(key, engine.engine_id, now))
+        self.journal.write(
+            "cache-listed", now, engine=engine.engine_id, parts=len(parts)
+        )
--- a/packages/teaselpond/src/teaselpond/platform/settings.py
+++ b/packages/teaselpond/src/teaselpond/platform/settings.py
@@ -47,6 +47,7 @@
             seeds=tuple(Address.parse(seed) for seed in raw.get("Seeds", ())),
             datagram_port=int(raw["InternalPorts"][0]),
             metrics_port=METRICS_PORT,
+            is_first_start=bool(raw.get("Bootstrap", False)),
             bounds=_decode_bounds(raw.get("Bounds", {})),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
