Let three hosts read the store for all

Change: the first hosts by a hash read the store and pass changes on by datagrams; beats tell the newest rows and the last confirmation, a host that misses something asks the peer that told, one that hears no word of the store for 2.2 s asks the store itself. A table of which nothing is known has a version of its own, so that an empty store is not read in a loop.

--- a/packages/teaselpond/src/teaselpond/gateway/applying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/applying.py
@@ -1,7 +1,7 @@
 """Apply what the store says to the beliefs of this host."""
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from attrs import define, field
@@ -21,7 +21,7 @@
 from .journal import Journal
 from .rowcache import RowCache
 from .rows import Page, Row
-from .tables import Table
+from .tables import FOLLOWED, Table
 
 
 @define(eq=False)
@@ -35,28 +35,51 @@
     _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self.caches_by_table = {
-            Table.OPERATOR: RowCache(),
-            Table.ENGINES: RowCache(),
-        }
+        self.caches_by_table = {table: RowCache() for table in FOLLOWED}
 
     def apply(
         self, table: Table, page: Page, is_whole: bool, asked_at: float, now: float
-    ) -> None:
-        """Apply an answer of the store, or of a peer that handed it on.
+    ) -> list[Row]:
+        """Apply an answer of the store; return the rows that were news.
 
         An answer of the operator's table confirms the configuration as of
         the store's time in it; ``asked_at`` is when it was asked for.
         """
         rows = self.caches_by_table[table].take(page, is_whole)
-        changes = [self.decode(table, row) for row in rows]
-        for change in changes:
-            apply_change(change, self, now)
+        is_readable = self._apply_rows(table, rows, now)
         self.beliefs.freshness.learn(asked_at, page.store_seconds)
-        if table is Table.OPERATOR and not any(
-            isinstance(change, EntryUnreadable) for change in changes
-        ):
+        if table is Table.OPERATOR and is_readable:
             self.beliefs.freshness.confirm(page.store_seconds)
+        return rows
+
+    def apply_changes(self, table: Table, after: int, page: Page, now: float) -> int:
+        """Apply changes that a peer tells; return how many were news."""
+        rows = self.caches_by_table[table].take_changes(after, page)
+        self._apply_rows(table, rows, now)
+        return len(rows)
+
+    def take_confirmation(
+        self, store_seconds: float, row_versions: Sequence[int]
+    ) -> None:
+        """Take a peer's confirmation if this host knows all that it knew."""
+        if self.caches_by_table[Table.OPERATOR].version >= row_versions[0]:
+            self.beliefs.freshness.confirm(store_seconds)
+
+    def row_versions(self) -> tuple[int, ...]:
+        """Return the versions of the newest rows of the followed tables."""
+        return tuple(self.caches_by_table[table].newest_row for table in FOLLOWED)
+
+    def versions(self) -> tuple[int, ...]:
+        """Return up to which versions all changes are known."""
+        return tuple(self.caches_by_table[table].version for table in FOLLOWED)
+
+    def _apply_rows(self, table: Table, rows: Iterable[Row], now: float) -> bool:
+        is_readable = True
+        for row in rows:
+            change = self.decode(table, row)
+            is_readable &= not isinstance(change, EntryUnreadable)
+            apply_change(change, self, now)
+        return is_readable
 
     def note(self, event: str, now: float, **fields: Any) -> None:
         """Write down a change of a belief."""
--- a/packages/teaselpond/src/teaselpond/gateway/beliefs.py
+++ b/packages/teaselpond/src/teaselpond/gateway/beliefs.py
@@ -38,8 +38,8 @@
     configuration: Configuration | None = None
     engines_by_id: dict[str, EngineBelief] = field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
+    store_back_at: float | None = None
     _gone_by_id: dict[str, tuple[Engine, float]] = field(factory=dict)
-    _store_back_at: float | None = None
 
     def take_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is older; tell if it was."""
@@ -113,10 +113,20 @@
         """Forget an upstream that is gone; tell whether it was known."""
         return self.engines_by_id.pop(engine_id, None) is not None
 
-    def note_store_back(self, outage_seconds: float, now: float) -> None:
-        """Take that the store answers again after some seconds without."""
-        if outage_seconds >= OUTAGE_SECONDS:
-            self._store_back_at = now
+    def note_store_back(self, outage_seconds: float, now: float) -> bool:
+        """Take that the store answers again after some seconds without.
+
+        Return whether entries may have lapsed meanwhile.
+        """
+        if outage_seconds < OUTAGE_SECONDS:
+            return False
+        self.store_back_at = now
+        return True
+
+    def take_store_back(self, at: float) -> None:
+        """Take a peer's word of when the store came back."""
+        if self.store_back_at is None or at > self.store_back_at:
+            self.store_back_at = at
 
     def expire(self, now: float) -> list[str]:
         """Drop upstreams whose entries did not come back; return their ids."""
@@ -135,7 +145,7 @@
         return lapsed
 
     def _is_settling(self, now: float) -> bool:
-        back_at = self._store_back_at
+        back_at = self.store_back_at
         return back_at is not None and now - back_at < LAPSED_SECONDS
 
     def _cold_seconds(self, service: str) -> float:
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -33,16 +33,17 @@
 from .locating import choose_hosts
 from .members import Beat, Members, MemberState
 from .metrics import Metrics
-from .peers import BEAT_SECONDS, BEATS_AT_ONCE, PeerExchange
+from .peers import BEAT_SECONDS, BEATS_AT_ONCE, PeerExchange, TableChanges
 from .placement import Placer
 from .prefixes import PrefixBook
+from .readers import TOLD_SECONDS, ReadingDuty
 from .relay import Relay
 from .rows import Page, Row
 from .sending import Sender
 from .settings import GatewaySettings
 from .sharing import BeliefSharing
 from .surveying import PrefixSurvey
-from .tables import Table
+from .tables import FOLLOWED, Table
 from .tasks import keep_running
 
 # An upstream one millisecond away answers a connection within this time
@@ -55,7 +56,6 @@
 DIRECTORY_LIFETIME_SECONDS = 1.5
 # Peers that were told of a stop pass it on, but a datagram may be lost.
 FAREWELLS = 3
-FOLLOWED = (Table.OPERATOR, Table.ENGINES)
 # What is spread goes into a beat more than is needed, for late beats.
 SPREAD_MARGIN = 1.3
 
@@ -103,6 +103,7 @@
     loads: LoadBook = field(factory=LoadBook)
     health: HealthBook = field(factory=HealthBook)
     prefixes: PrefixBook = field(factory=PrefixBook)
+    applier: StoreApplier = field(init=False)
     members: Members = field(init=False)
     drain: Drain = field(init=False)
     followers: list[Follower] = field(factory=list)
@@ -112,6 +113,9 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.journal = Journal(settings.host)
+        self.applier = StoreApplier(
+            self.beliefs, self.journal, self.adapter.decode_change
+        )
         self.members = Members(settings.host)
         self.drain = Drain(settings.bounds.grace_seconds)
         self.admission = Admission(
@@ -146,12 +150,15 @@
     async def _serve(self, session: aiohttp.ClientSession) -> None:
         settings = self.settings
         store = self.adapter.open_store(session, settings.store, STORE_ANSWER_SECONDS)
-        applier = StoreApplier(self.beliefs, self.journal, self.adapter.decode_change)
-        answered_by_table = {table: asyncio.Event() for table in FOLLOWED}
-        self.followers = [
-            self._follower(table, store, applier, answered)
-            for table, answered in answered_by_table.items()
-        ]
+        sharing = BeliefSharing(
+            self.applier,
+            self.prefixes,
+            self.members,
+            self.journal,
+            self.clock,
+            settings.listeners.peers.port if settings.listeners.peers else 0,
+            session,
+        )
         exchange = PeerExchange(
             self.members,
             self.loads,
@@ -159,19 +166,16 @@
             self.journal,
             self.clock,
             self._beat,
+            sharing.hear_beat,
+            sharing.hear_changes,
             settings.datagram_port,
             tuple(seed.ip for seed in settings.seeds),
         )
-        sharing = BeliefSharing(
-            applier,
-            self.prefixes,
-            self.members,
-            self.journal,
-            self.clock,
-            settings.listeners.peers.port if settings.listeners.peers else 0,
-            lambda: any(follower.is_failing for follower in self.followers),
-            session,
-        )
+        answered_by_table = {table: asyncio.Event() for table in FOLLOWED}
+        self.followers = [
+            self._follower(table, store, exchange, answered)
+            for table, answered in answered_by_table.items()
+        ]
         sender = self._make_sender()
         entry = self._make_entry(sender)
         doors = await self._open_doors(entry, sharing)
@@ -206,18 +210,47 @@
         self,
         table: Table,
         store: Store,
-        applier: StoreApplier,
+        exchange: PeerExchange,
         answered: asyncio.Event,
     ) -> Follower:
+        cache = self.applier.caches_by_table[table]
+        duty = ReadingDuty(self.settings.host)
+
         def apply(page: Page, is_whole: bool, asked_at: float, now: float) -> None:
-            applier.apply(table, page, is_whole, asked_at, now)
+            after = cache.version
+            rows = self.applier.apply(table, page, is_whole, asked_at, now)
             answered.set()
+            if rows and not is_whole:
+                changed = tuple(row for row in page.rows if row.version > after)
+                news = Page(changed, page.version, page.store_seconds, False)
+                exchange.send_changes(TableChanges(table, after, news))
 
         def note_return(seconds: float, now: float) -> None:
-            if table is Table.ENGINES:
-                self.beliefs.note_store_back(seconds, now)
+            if table is Table.ENGINES and self.beliefs.note_store_back(seconds, now):
+                # Peers must know before they hear of entries that lapsed.
+                exchange.send_beats(to_all=True)
+
+        return Follower(
+            table,
+            store,
+            self.journal,
+            self.clock,
+            apply,
+            note_return,
+            lambda: self._must_read(duty),
+            lambda: cache.version,
+        )
 
-        return Follower(table, store, self.journal, self.clock, apply, note_return)
+    def _must_read(self, duty: ReadingDuty) -> bool:
+        now = self.clock()
+        age = self.beliefs.freshness.age(now)
+        beats = [self._beat({}), *(each.beat for each in self.members.heard(now))]
+        if duty.is_due(beats, age, now):
+            return True
+        if age is not None and age <= TOLD_SECONDS:
+            for follower in self.followers:
+                follower.forget_failure()
+        return False
 
     def _make_sender(self) -> Sender:
         options: dict[str, Any] = {
@@ -344,7 +377,6 @@
 
     def _beat(self, passed: Mapping[str, str]) -> Beat:
         now = self.clock()
-        configuration = self.beliefs.configuration
         freshness = self.beliefs.freshness
         return Beat(
             host=self.settings.host,
@@ -352,8 +384,10 @@
             ip=self.settings.ip,
             availability_zone=self.settings.availability_zone,
             state=self._state(now),
-            configuration_version=configuration.version if configuration else 0,
             confirmed_store_seconds=freshness.confirmed_store_seconds or 0.0,
+            row_versions=self.applier.row_versions(),
+            is_store_answering=not any(each.is_failing for each in self.followers),
+            store_back_seconds=self._store_back_seconds(),
             loads_by_engine=self.loads.own(),
             ips_by_host=passed,
             engines_by_prefix_key={
@@ -362,6 +396,12 @@
             },
         )
 
+    def _store_back_seconds(self) -> float:
+        back_at = self.beliefs.store_back_at
+        if back_at is None:
+            return 0.0
+        return self.beliefs.freshness.store_time(back_at) or 0.0
+
     def _spread_seconds(self, now: float) -> float:
         """Return within how long every other host gets one of the beats."""
         rounds = math.ceil(self.members.count(now) / BEATS_AT_ONCE)
--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -11,16 +11,19 @@
 
 from .exceptions import HistoryLost
 from .journal import Journal
+from .rowcache import UNKNOWN_VERSION
 from .rows import Page, Row
 from .tables import Table
 
-# A table that does not change is confirmed this often: half of the bound on
-# revoked keys, so that one lost answer does not stop callers.
-FOLLOW_SECONDS = 2.4
+# A table that does not change is confirmed this often: a third of the bound
+# on revoked keys, so that a lost answer does not stop callers.
+FOLLOW_SECONDS = 1.5
 RETRY_MIN_SECONDS = 0.05
 # Above the store's slowest answers, a host that asks more often than this
 # would spend the fleet's rate of calls in an outage.
 RETRY_MAX_SECONDS = 0.5
+# How often a host that need not read looks whether it must.
+IDLE_SECONDS = 0.1
 
 
 class StoreReader(Protocol):
@@ -39,7 +42,9 @@
 
     ``apply`` takes the answer, whether it is the whole table, when it was
     asked for and when it came. ``note_return`` takes how long the store gave
-    no answer. Times are on the boot clock.
+    no answer. ``must_read`` tells whether peers leave it to this host;
+    ``known_version`` up to which version all changes are known.
+    Times are on the boot clock.
     """
 
     table: Table
@@ -48,9 +53,11 @@
     clock: Callable[[], float]
     apply: Callable[[Page, bool, float, float], None]
     note_return: Callable[[float, float], None]
+    must_read: Callable[[], bool]
+    known_version: Callable[[], int]
     answered_at: float | None = None
     _failing_since: float | None = None
-    _version: int | None = None
+    _is_history_lost: bool = False
 
     @property
     def is_failing(self) -> bool:
@@ -61,31 +68,48 @@
         """Follow the table until cancelled."""
         delay = RETRY_MIN_SECONDS
         while True:
-            try:
-                await self._step()
+            if self._needs_whole_table() or self.must_read():
+                delay = await self._try_step(delay)
+            else:
                 delay = RETRY_MIN_SECONDS
-            except HistoryLost as error:
-                self.journal.write(
-                    "history-lost", self.clock(), table=self.table.value, error=error
-                )
-                self._version = None
-            except StoreUnavailable as error:
-                self._note_failure(error, self.clock())
-                await asyncio.sleep(delay * random.uniform(0.5, 1.0))
-                delay = min(RETRY_MAX_SECONDS, delay * 2)
+                await asyncio.sleep(IDLE_SECONDS)
+
+    async def _try_step(self, delay: float) -> float:
+        """Ask once; return how long to wait after the next failure."""
+        try:
+            await self._step()
+        except HistoryLost as error:
+            self._is_history_lost = True
+            self.journal.write(
+                "history-lost", self.clock(), table=self.table.value, error=str(error)
+            )
+        except StoreUnavailable as error:
+            self._note_failure(error, self.clock())
+            await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+            return min(RETRY_MAX_SECONDS, delay * 2)
+        return RETRY_MIN_SECONDS
+
+    def forget_failure(self) -> None:
+        """Take that peers tell what the store says."""
+        self._failing_since = None
+
+    def _needs_whole_table(self) -> bool:
+        return self._is_history_lost or self.known_version() == UNKNOWN_VERSION
 
     async def _step(self) -> None:
         asked_at = self.clock()
-        is_whole = self._version is None
+        is_whole = self._needs_whole_table()
         if is_whole:
             page = await self._read_whole()
         else:
             # After a failure the first answer is wanted at once.
             wait = 0.0 if self.is_failing else FOLLOW_SECONDS
-            page = await self.store.follow(self.table, self._version, wait)
+            # What peers told meanwhile need not be asked for.
+            version = self.known_version()
+            page = await self.store.follow(self.table, version, wait)
         now = self.clock()
         self._note_success(now)
-        self._version = page.version
+        self._is_history_lost = False
         self.answered_at = now
         self.apply(page, is_whole, asked_at, now)
 
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -28,7 +28,10 @@
 
     ``incarnation`` is another one after each start of the host's process.
     ``confirmed_store_seconds`` is when, on the store's clock, the host's
-    configuration was confirmed last.
+    configuration was confirmed last; ``row_versions`` are those of the newest
+    rows that it knows of each followed table. ``is_store_answering`` is false
+    while the host asks the store and gets no answer, and
+    ``store_back_seconds`` is when, on its own clock, it last came back.
     """
 
     host: str
@@ -36,8 +39,10 @@
     ip: str
     availability_zone: str
     state: MemberState
-    configuration_version: int
     confirmed_store_seconds: float
+    row_versions: tuple[int, ...]
+    is_store_answering: bool
+    store_back_seconds: float
     loads_by_engine: Mapping[str, int]
     ips_by_host: Mapping[str, str]
     engines_by_prefix_key: Mapping[bytes, str]
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 import cbor2
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .journal import Journal
 from .loads import LoadBook
 from .members import Beat, Members, MemberState
 from .prefixes import PrefixBook, Reading
+from .rows import Page, Row
+from .tables import FOLLOWED, Table
 
 BEAT_SECONDS = 0.2
 # Loads of larger fleets are spread in turn, so that a host's control traffic
@@ -22,7 +24,19 @@
 # Loads that a host told longer ago than this say nothing any more.
 STALE_LOAD_SECONDS = 1.5
 PROTOCOL = 1
-MAX_DATAGRAM_BYTES = 8 * 1024
+BEAT = 0
+CHANGES = 1
+# Larger changes are asked for over a connection, which loses nothing.
+MAX_CHANGES_BYTES = 8 * 1024
+
+
+@frozen
+class TableChanges:
+    """Hold the rows of a table that changed after a version."""
+
+    table: Table
+    after: int
+    page: Page
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -30,13 +44,16 @@
     return cbor2.dumps(
         [
             PROTOCOL,
+            BEAT,
             beat.host,
             beat.incarnation,
             beat.ip,
             beat.availability_zone,
             int(beat.state),
-            beat.configuration_version,
             beat.confirmed_store_seconds,
+            list(beat.row_versions),
+            beat.is_store_answering,
+            beat.store_back_seconds,
             dict(beat.loads_by_engine),
             dict(beat.ips_by_host),
             dict(beat.engines_by_prefix_key),
@@ -44,33 +61,85 @@
     )
 
 
-def decode_beat(content: bytes) -> Beat:
-    """Return the beat in a datagram; raise ValueError."""
+def encode_changes(changes: TableChanges) -> bytes:
+    """Return changes of a table as a datagram."""
+    page = changes.page
+    rows = [[row.key, row.value, row.version] for row in page.rows]
+    return cbor2.dumps(
+        [
+            PROTOCOL,
+            CHANGES,
+            FOLLOWED.index(changes.table),
+            changes.after,
+            page.version,
+            page.store_seconds,
+            rows,
+        ]
+    )
+
+
+def decode_datagram(content: bytes) -> Beat | TableChanges:
+    """Return what a datagram holds; raise ValueError."""
     try:
-        values = cbor2.loads(content)
-        protocol, host, incarnation, ip, zone, state, version, confirmed = values[:8]
-        loads, ips, engines = values[8:11]
+        protocol, kind, *values = cbor2.loads(content)
         if protocol != PROTOCOL:
             raise ValueError(f"protocol {protocol!r}")
-        return Beat(
-            str(host),
-            int(incarnation),
-            str(ip),
-            str(zone),
-            MemberState(state),
-            int(version),
-            float(confirmed),
-            {str(engine): int(count) for engine, count in loads.items()},
-            {str(host): str(ip) for host, ip in ips.items()},
-            {bytes(key): str(engine) for key, engine in engines.items()},
-        )
-    except (cbor2.CBORDecodeError, TypeError, AttributeError, LookupError) as error:
-        raise ValueError(f"not a beat: {error!r}") from error
+        return _decode_beat(values) if kind == BEAT else _decode_changes(values)
+    except (
+        cbor2.CBORDecodeError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+        TypeError,
+    ) as error:
+        raise ValueError(f"not a datagram of a peer: {error!r}") from error
+
+
+def _decode_beat(values: list) -> Beat:
+    (host, incarnation, ip, zone, state, confirmed, versions) = values[:7]
+    (is_answering, back, loads, ips, engines) = values[7:12]
+    return Beat(
+        host=str(host),
+        incarnation=int(incarnation),
+        ip=str(ip),
+        availability_zone=str(zone),
+        state=MemberState(state),
+        confirmed_store_seconds=float(confirmed),
+        row_versions=_decode_versions(versions),
+        is_store_answering=bool(is_answering),
+        store_back_seconds=float(back),
+        loads_by_engine={str(name): int(count) for name, count in loads.items()},
+        ips_by_host={str(name): str(each) for name, each in ips.items()},
+        engines_by_prefix_key={bytes(key): str(name) for key, name in engines.items()},
+    )
+
+
+def _decode_versions(versions: list) -> tuple[int, ...]:
+    if len(versions) != len(FOLLOWED):
+        raise ValueError(f"versions of {len(versions)} tables")
+    return tuple(int(version) for version in versions)
+
+
+def _decode_changes(values: list) -> TableChanges:
+    table, after, version, store_seconds, rows = values
+    page = Page(
+        tuple(
+            Row(str(key), None if value is None else bytes(value), int(row_version))
+            for key, value, row_version in rows
+        ),
+        int(version),
+        float(store_seconds),
+        False,
+    )
+    return TableChanges(FOLLOWED[int(table)], int(after), page)
 
 
 @define(eq=False)
 class PeerExchange(asyncio.DatagramProtocol):
-    """Send this host's beats and take those of the others."""
+    """Send this host's beats and take those of the others.
+
+    ``hear_beat`` and ``hear_changes`` take what peers say of the store.
+    """
 
     members: Members
     loads: LoadBook
@@ -78,6 +147,8 @@
     journal: Journal
     clock: Callable[[], float]
     make_beat: Callable[[dict[str, str]], Beat]
+    hear_beat: Callable[[Beat, float], None]
+    hear_changes: Callable[[TableChanges, float], None]
     port: int
     seed_ips: tuple[str, ...]
     chance: random.Random = field(factory=random.Random)
@@ -98,19 +169,28 @@
         self.journal.write("datagram-error", self.clock(), error=str(exc))
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Take another host's beat."""
+        """Take what another host sent."""
         now = self.clock()
         try:
-            beat = decode_beat(data)
+            message = decode_datagram(data)
         except ValueError as error:
-            self.journal.write("beat-unreadable", now, peer=addr[0], reason=str(error))
+            self.journal.write(
+                "datagram-unreadable", now, peer=addr[0], reason=str(error)
+            )
             return
+        if isinstance(message, Beat):
+            self._take_beat(message, now)
+        else:
+            self.hear_changes(message, now)
+
+    def _take_beat(self, beat: Beat, now: float) -> None:
         before = self.members.members_by_host.get(beat.host)
         if not self.members.take(beat, now):
             return
         self.loads.take_peer(beat.host, beat.loads_by_engine)
         for key, engine_id in beat.engines_by_prefix_key.items():
             self.prefixes.take(Reading(key, engine_id, now))
+        self.hear_beat(beat, now)
         if before is None or before.beat.incarnation != beat.incarnation:
             # A process that has just started knows nobody yet.
             self._send(beat.ip)
@@ -145,6 +225,14 @@
         for ip in ips - {beat.ip}:
             self._transport.sendto(content, (ip, self.port))
 
+    def send_changes(self, changes: TableChanges) -> None:
+        """Tell every known host at once of rows that changed."""
+        content = encode_changes(changes)
+        if self._transport is None or len(content) > MAX_CHANGES_BYTES:
+            return
+        for ip in set(self.members.ips_by_host.values()):
+            self._transport.sendto(content, (ip, self.port))
+
     def _send(self, ip: str) -> None:
         if self._transport is not None:
             beat = self.make_beat({})
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/readers.py
@@ -0,0 +1,52 @@
+"""Choose the hosts that follow the platform's store for the others."""
+
+import random
+import zlib
+from collections.abc import Sequence
+
+from attrs import define, field
+
+from .members import Beat, MemberState
+
+# One reader may be cut off and one may be stopping; the third still tells.
+READERS = 3
+# Peers confirm the configuration more often than this; a host that hears no
+# word of the store for longer asks the store itself.
+TOLD_SECONDS = 2.2
+# How long such a host waits between its questions, so that an outage of the
+# store does not bring the calls of every host.
+ASK_ANYWAY_SECONDS = 1.5
+
+
+def choose_readers(beats: Sequence[Beat]) -> frozenset[str]:
+    """Return the hosts that read the store, of those heard lately.
+
+    The first hosts by a hash read, even while the store gives them no answer,
+    so that its return is seen; as many others stand in for them meanwhile.
+    """
+    ranked = sorted(
+        (beat for beat in beats if beat.state is not MemberState.LEAVING),
+        key=lambda beat: (zlib.crc32(beat.host.encode()), beat.host),
+    )
+    first = ranked[:READERS]
+    if not all(beat.is_store_answering for beat in first):
+        first = ranked[: 2 * READERS]
+    return frozenset(beat.host for beat in first)
+
+
+@define
+class ReadingDuty:
+    """Decide when a host asks the store about one table."""
+
+    host: str
+    chance: random.Random = field(factory=random.Random)
+    _ask_at: float = 0.0
+
+    def is_due(self, beats: Sequence[Beat], age: float | None, now: float) -> bool:
+        """Tell whether to ask now, by the age of the last confirmation."""
+        if age is None or self.host in choose_readers(beats):
+            return True
+        if age <= TOLD_SECONDS or now < self._ask_at:
+            return False
+        self._ask_at = now + ASK_ANYWAY_SECONDS * self.chance.uniform(0.7, 1.3)
+        return True
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -15,20 +15,21 @@
 
 from .applying import StoreApplier
 from .journal import Journal
-from .members import Member, Members
+from .members import Beat, Member, Members
+from .peers import TableChanges
 from .prefixes import PrefixBook, Reading
 from .rows import Page, Row
-from .tables import Table
+from .tables import FOLLOWED
 
 BELIEFS_PATH = "/beliefs"
 PREFIXES_PATH = "/prefixes"
-TABLES = (Table.OPERATOR, Table.ENGINES)
-# How often a host whose store gives no answer looks for a peer that knows
-# more, and how long that peer may take.
-ASK_SECONDS = 0.5
+# How often a host that knows nothing yet looks for a peer that does, and how
+# long a peer may take to answer.
+ASK_SECONDS = 0.3
 ANSWER_SECONDS = 0.5
-# A peer is asked when it was confirmed by the store this much later.
-NEWER_SECONDS = 0.3
+# A peer that tells of news is asked after this time, so that the news itself
+# can come before.
+NEWS_SECONDS = 0.02
 
 
 class PeerUnavailable(TeaselpondError):
@@ -45,10 +46,37 @@
     journal: Journal
     clock: Callable[[], float]
     peer_port: int
-    needs_help: Callable[[], bool]
     session: aiohttp.ClientSession
     knows_prefixes: bool = False
     chance: random.Random = field(factory=random.Random)
+    _is_behind: asyncio.Event = field(factory=asyncio.Event)
+
+    def hear_beat(self, beat: Beat, now: float) -> None:
+        """Take what a peer's beat says of the store."""
+        freshness = self.applier.beliefs.freshness
+        if beat.store_back_seconds:
+            at = freshness.local_time(beat.store_back_seconds)
+            self.applier.beliefs.take_store_back(now if at is None else min(at, now))
+        if beat.confirmed_store_seconds:
+            self.applier.take_confirmation(
+                beat.confirmed_store_seconds, beat.row_versions
+            )
+        if self._knows_more(beat):
+            self._is_behind.set()
+
+    def hear_changes(self, changes: TableChanges, now: float) -> None:
+        """Take rows of the store that a peer passes on."""
+        count = self.applier.apply_changes(
+            changes.table, changes.after, changes.page, now
+        )
+        if count:
+            self.journal.write(
+                "changes-from-peer",
+                now,
+                table=changes.table.value,
+                rows=count,
+                version=changes.page.version,
+            )
 
     async def handle(self, request: BaseRequest) -> web.Response:
         """Answer a peer."""
@@ -75,13 +103,13 @@
             versions = [int(each) for each in request.query["after"].split(",")]
         except (KeyError, ValueError):
             return web.Response(status=400)
-        if len(versions) != len(TABLES):
+        if len(versions) != len(FOLLOWED):
             return web.Response(status=400)
         if age is None:
             return web.Response(status=503)
         confirmed = self.applier.beliefs.freshness.confirmed_store_seconds
         tables = []
-        for table, after in zip(TABLES, versions, strict=True):
+        for table, after in zip(FOLLOWED, versions, strict=True):
             cache = self.applier.caches_by_table[table]
             rows = [
                 [row.key, row.value, row.version] for row in cache.newer_than(after)
@@ -90,23 +118,35 @@
         return web.Response(body=cbor2.dumps([age, confirmed, tables]))
 
     async def run(self) -> None:
-        """Ask peers while the store gives no answer, until cancelled."""
+        """Ask peers that know more than this host, until cancelled."""
         while True:
-            if self.needs_help():
-                peer = self._choose_peer()
-                if peer is not None:
-                    await self._ask(peer)
-            await asyncio.sleep(ASK_SECONDS * self.chance.uniform(0.8, 1.2))
+            try:
+                async with asyncio.timeout(ASK_SECONDS):
+                    await self._is_behind.wait()
+            except TimeoutError:
+                pass
+            self._is_behind.clear()
+            await asyncio.sleep(NEWS_SECONDS)
+            peer = self._choose_peer()
+            if peer is not None:
+                await self._ask(peer)
 
     def _choose_peer(self) -> Member | None:
-        own = self.applier.beliefs.freshness.confirmed_store_seconds or 0.0
         better = [
             member
             for member in self.members.heard(self.clock())
-            if member.beat.confirmed_store_seconds > own + NEWER_SECONDS
+            if self._knows_more(member.beat)
         ]
         return self.chance.choice(better) if better else None
 
+    def _knows_more(self, beat: Beat) -> bool:
+        if not beat.confirmed_store_seconds:
+            return False
+        if self.applier.beliefs.freshness.confirmed_store_seconds is None:
+            return True
+        versions = zip(beat.row_versions, self.applier.versions(), strict=True)
+        return any(theirs > own for theirs, own in versions)
+
     async def _ask(self, peer: Member) -> None:
         asked_at = self.clock()
         try:
@@ -117,11 +157,11 @@
             )
             return
         now = self.clock()
-        for table, (version, rows) in zip(TABLES, tables, strict=True):
+        for table, (version, rows) in zip(FOLLOWED, tables, strict=True):
             page = Page(tuple(rows), version, confirmed, False)
             self.applier.apply(table, page, False, asked_at - age, now)
         self.journal.write(
-            "confirmed-by-peer",
+            "beliefs-from-peer",
             now,
             peer=peer.beat.host,
             peer_age_seconds=round(age, 3),
@@ -143,8 +183,7 @@
         return len(rows)
 
     async def _fetch(self, peer: Member) -> tuple[float, float, list]:
-        caches = self.applier.caches_by_table
-        after = ",".join(str(caches[table].version) for table in TABLES)
+        after = ",".join(str(version) for version in self.applier.versions())
         answer = await self._get(peer, BELIEFS_PATH, {"after": after})
         try:
             age, confirmed, raw_tables = answer
--- a/packages/teaselpond/src/teaselpond/gateway/tables.py
+++ b/packages/teaselpond/src/teaselpond/gateway/tables.py
@@ -9,3 +9,7 @@
     OPERATOR = "operator"
     ENGINES = "engines"
     MEMBERS = "members"
+
+
+# The tables that every host must know, in the order in which peers name them.
+FOLLOWED = (Table.OPERATOR, Table.ENGINES)
--- a/packages/teaselpond/tests/gateway/test_beliefs.py
+++ b/packages/teaselpond/tests/gateway/test_beliefs.py
@@ -60,6 +60,13 @@
         self.beliefs.note_store_back(0.2, 10.0)
         self.assertTrue(self.beliefs.miss_engine("e1", 10.1))
 
+    def test_outage_that_a_peer_saw(self) -> None:
+        """A peer's word of an outage gives lapsed entries their time too."""
+        self.beliefs.take_store_back(10.0)
+        self.assertFalse(self.beliefs.miss_engine("e1", 10.1))
+        self.beliefs.take_store_back(3.0)
+        self.assertEqual([], self.beliefs.expire(10.0 + LAPSED_SECONDS - 0.1))
+
     def test_copy_source(self) -> None:
         """An upstream whose entry is gone can be copied from for a while."""
         self.beliefs.miss_engine("e1", 10.0)
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -21,6 +21,12 @@
     Members,
     MemberState,
 )
+from teaselpond.gateway.readers import (
+    READERS,
+    TOLD_SECONDS,
+    ReadingDuty,
+    choose_readers,
+)
 from teaselpond.gateway.replies import RULINGS, Refusal, retry_after
 from teaselpond_standins.testing.gateways import (
     make_configuration,
@@ -36,8 +42,10 @@
         "ip": f"ip-{host}",
         "availability_zone": "zone-a",
         "state": MemberState.SERVING,
-        "configuration_version": 1,
         "confirmed_store_seconds": 0.0,
+        "row_versions": (0, 0),
+        "is_store_answering": True,
+        "store_back_seconds": 0.0,
         "loads_by_engine": {},
         "ips_by_host": {},
         "engines_by_prefix_key": {},
@@ -225,6 +233,75 @@
         self.assertEqual({"g1": "ip-g1", "g2": "ip-g2"}, members.ips_by_host)
 
 
+class ReadersTests(testtools.TestCase):
+    """Choose who follows the store."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.beats = [make_beat(f"g{number}") for number in range(20)]
+
+    def test_few_hosts_read(self) -> None:
+        """All hosts that hear each other choose the same few."""
+        chosen = choose_readers(self.beats)
+        self.assertEqual(READERS, len(chosen))
+        self.assertEqual(chosen, choose_readers(self.beats[::-1]))
+
+    def test_small_fleet(self) -> None:
+        """Every host of a small fleet reads."""
+        self.assertEqual({"g0", "g1"}, choose_readers(self.beats[:2]))
+
+    def test_reader_without_the_store(self) -> None:
+        """Others stand in for a reader that the store does not answer."""
+        first = choose_readers(self.beats)
+        beats = [
+            make_beat(beat.host, is_store_answering=beat.host not in first)
+            for beat in self.beats
+        ]
+        chosen = choose_readers(beats)
+        self.assertTrue(first < chosen)
+        self.assertEqual(2 * READERS, len(chosen))
+
+    def test_leaving_reader(self) -> None:
+        """A host that leaves reads for nobody."""
+        leaving = choose_readers(self.beats)
+        beats = [
+            make_beat(beat.host, state=MemberState.LEAVING)
+            if beat.host in leaving
+            else beat
+            for beat in self.beats
+        ]
+        self.assertEqual(set(), leaving & choose_readers(beats))
+
+    def test_lonely_host(self) -> None:
+        """A host that hears nobody reads for itself."""
+        duty = ReadingDuty("g5")
+        self.assertTrue(duty.is_due([make_beat("g5")], 0.1, 0.0))
+
+    def test_host_that_is_not_told(self) -> None:
+        """A host that hears no word of the store asks, but not often."""
+        reader = next(iter(choose_readers(self.beats)))
+        host = next(b.host for b in self.beats if b.host not in self.chosen())
+        self.assertNotEqual(reader, host)
+        duty = ReadingDuty(host, random.Random(1))
+        self.assertFalse(duty.is_due(self.beats, TOLD_SECONDS, 0.0))
+        asked = [
+            tick / 10
+            for tick in range(100)
+            if duty.is_due(self.beats, TOLD_SECONDS + 0.1, tick / 10)
+        ]
+        self.assertEqual(0.0, asked[0])
+        self.assertTrue(4 <= len(asked) <= 11, asked)
+
+    def test_fresh_host(self) -> None:
+        """A host that knows nothing asks at once."""
+        host = next(b.host for b in self.beats if b.host not in self.chosen())
+        self.assertTrue(ReadingDuty(host).is_due(self.beats, None, 0.0))
+
+    def chosen(self) -> frozenset[str]:
+        """Return the readers."""
+        return choose_readers(self.beats)
+
+
 class ChooseHostsTests(testtools.TestCase):
     """Tell callers where to connect."""
 
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -6,7 +6,12 @@
 import testtools
 
 from teaselpond.gateway.journal import BURST_LINES, Journal
-from teaselpond.gateway.peers import decode_beat, encode_beat
+from teaselpond.gateway.peers import (
+    TableChanges,
+    decode_datagram,
+    encode_beat,
+    encode_changes,
+)
 from teaselpond.gateway.prefixes import (
     HELD_SECONDS,
     HOLDERS,
@@ -17,6 +22,7 @@
 )
 from teaselpond.gateway.rowcache import RowCache
 from teaselpond.gateway.rows import Page, Row
+from teaselpond.gateway.tables import Table
 from teaselpond.gateway.windows import SlidingCount
 
 from .test_decisions import make_beat
@@ -78,6 +84,15 @@
         )
         self.assertEqual(8, cache.version)
 
+    def test_changes_with_a_gap(self) -> None:
+        """Changes after an unknown version leave the known one as it was."""
+        cache = RowCache()
+        cache.take(Page((Row("a", b"1", 3),), 4, 0.0, False), True)
+        cache.take_changes(6, Page((Row("b", b"2", 7),), 7, 0.0, False))
+        self.assertEqual((4, 7), (cache.version, cache.newest_row))
+        cache.take_changes(4, Page((Row("c", b"3", 5),), 8, 0.0, False))
+        self.assertEqual(8, cache.version)
+
     def test_newer_rows(self) -> None:
         """A peer gets what it does not have, removals too."""
         cache = RowCache()
@@ -110,15 +125,29 @@
             ips_by_host={"g2": "10.0.0.2"},
             engines_by_prefix_key={b"12345678": "e1"},
         )
-        self.assertEqual(beat, decode_beat(encode_beat(beat)))
+        self.assertEqual(beat, decode_datagram(encode_beat(beat)))
+
+    def test_changes(self) -> None:
+        """Changed rows arrive as they were sent."""
+        page = Page((Row("a", b"1", 3), Row("b", None, 4)), 4, 12.5, False)
+        changes = TableChanges(Table.ENGINES, 2, page)
+        self.assertEqual(changes, decode_datagram(encode_changes(changes)))
 
     def test_hostile_datagrams(self) -> None:
-        """What is no beat is refused as such."""
-        whole = encode_beat(make_beat("g1"))
+        """What is no datagram of a peer is refused as such."""
+        page = Page((Row("a", b"1", 3),), 4, 12.5, False)
+        for whole in (
+            encode_beat(make_beat("g1")),
+            encode_changes(TableChanges(Table.OPERATOR, 2, page)),
+        ):
+            self.assert_refused(whole)
+
+    def assert_refused(self, whole: bytes) -> None:
+        """Demand that parts of a datagram, and rubbish, are refused."""
         hostile = [b"", b"\xff", b"GET / HTTP/1.1", whole[:-3], b"\x80", b"\xf6"]
         hostile += [whole[:size] for size in range(len(whole))]
         for content in hostile:
-            self.assertRaises(ValueError, decode_beat, content)
+            self.assertRaises(ValueError, decode_datagram, content)
 
 
 class JournalTests(testtools.TestCase):
--- a/packages/teaselpond/tests/platform/test_store.py
+++ b/packages/teaselpond/tests/platform/test_store.py
@@ -6,8 +6,9 @@
 import aiohttp
 
 from teaselpond.gateway.exceptions import HistoryLost
-from teaselpond.gateway.following import Follower
+from teaselpond.gateway.following import FOLLOW_SECONDS, Follower
 from teaselpond.gateway.journal import Journal
+from teaselpond.gateway.rowcache import UNKNOWN_VERSION
 from teaselpond.gateway.rows import Page
 from teaselpond.gateway.tables import Table
 from teaselpond.platform.store import open_store
@@ -85,6 +86,8 @@
         self.keys: list[str] = []
         self.wholes: list[bool] = []
         self.returns: list[float] = []
+        self.must_read = True
+        self.version = UNKNOWN_VERSION
         self.follower = Follower(
             Table.ENGINES,
             open_store(session, self.standin.address, SHORT_SECONDS),
@@ -92,6 +95,8 @@
             time.monotonic,
             self.apply,
             lambda seconds, now: self.returns.append(seconds),
+            lambda: self.must_read,
+            lambda: self.version,
         )
         task = asyncio.create_task(self.follower.run())
         self.addCleanup(task.cancel)
@@ -100,15 +105,31 @@
         """Note what came."""
         self.keys.extend(row.key for row in page.rows)
         self.wholes.append(is_whole)
+        self.version = page.version
 
     async def test_changes_come_in_order(self) -> None:
         """The whole table comes first, and each change after it."""
         await self.start()
         await self.rows.put("servers", "e1", b"{}")
         await self.wait_until(lambda: "e1" in self.keys)
+        wholes = self.wholes.count(True)
         await self.rows.put("servers", "e2", b"{}")
         await self.wait_until(lambda: "e2" in self.keys)
-        self.assertEqual(1, self.wholes.count(True))
+        self.assertEqual(wholes, self.wholes.count(True))
+
+    async def test_left_to_peers(self) -> None:
+        """A table that peers follow is not asked for."""
+        await self.start()
+        await self.rows.put("servers", "e1", b"{}")
+        await self.wait_until(lambda: "e1" in self.keys)
+        self.must_read = False
+        await asyncio.sleep(2 * FOLLOW_SECONDS)
+        calls = self.rows.calls
+        await self.rows.put("servers", "e2", b"{}")
+        await asyncio.sleep(SHORT_SECONDS)
+        self.assertEqual(calls, self.rows.calls)
+        self.must_read = True
+        await self.wait_until(lambda: "e2" in self.keys)
 
     async def test_outage(self) -> None:
         """A store that returns is followed again at once."""
