Count a request's own deaths beside others in its zone

A death among three in one zone within 10 s was laid to the zone, and the request's own victims were among the three: with the other zone out and one engine crashed, its second and later victims were never counted. Ruled out: news between daemons (facts with anti-entropy). Found beside it: the incarnation compared after a break was the newest that any answer had named, so a quick successor hid the death. Change: only deaths at which a request did not run excuse it; the incarnation is the one known when the request was sent.

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -142,6 +142,7 @@
         body = engine_body(self._call, progress.text.text, progress.text.tokens)
         progress.history.sending()
         self._sent_at = self._relay.clock()
+        incarnation = self._relay.deaths.incarnation_of(self._engine_id)
         self._opening = asyncio.create_task(
             self._relay.engines.open_stream(
                 self._address,
@@ -167,7 +168,7 @@
             raise self._failed(RetryReason.ANSWER_SILENT, Exit.ANSWER_SILENT) from None
         except UpstreamBroken as error:
             self._may_still_run = isinstance(error, UpstreamCrossed)
-            await self._relay.deaths.check(self._engine_id)
+            await self._relay.deaths.check(self._engine_id, incarnation)
             raise self._failed(RetryReason.ANSWER_CUT, Exit.ANSWER_BROKEN) from None
 
     def _refused(self, error: UpstreamRefused) -> AttemptFailed:
--- a/packages/teaselpond/src/teaselpond/delivery/deaths.py
+++ b/packages/teaselpond/src/teaselpond/delivery/deaths.py
@@ -39,12 +39,16 @@
         if incarnation:
             self._incarnations_by_engine[engine_id] = incarnation
 
-    async def check(self, engine_id: str, incarnation: str = "") -> bool:
+    def incarnation_of(self, engine_id: str) -> str:
+        """Return an engine's incarnation as last seen; empty if unknown."""
+        return self._incarnations_by_engine.get(engine_id, "")
+
+    async def check(self, engine_id: str, incarnation: str) -> bool:
         """Tell whether an engine died, and have it recorded if so.
 
-        ``incarnation`` is the one that was seen to run the request.
+        ``incarnation`` is the one that the request was sent to, as far as is
+        known: meanwhile another answer may name its successor.
         """
-        incarnation = incarnation or self._incarnations_by_engine.get(engine_id, "")
         if not await self._is_dead(engine_id, incarnation):
             return False
         calls = tuple(self._running_by_engine.get(engine_id, {}).values())
--- a/packages/teaselpond/src/teaselpond/delivery/poison.py
+++ b/packages/teaselpond/src/teaselpond/delivery/poison.py
@@ -42,6 +42,7 @@
     engine_id: str
     incarnation: str
     death_id: str
+    fingerprints: set[str] = field(factory=set)
 
 
 @frozen
@@ -183,13 +184,14 @@
         among many in one zone is laid to the zone, not to requests.
         """
         now = self._wall_clock()
-        death_id = self._note_death(death, zone, now)
-        if self._is_mass_death(zone, now):
-            return
+        seen = self._note_death(death, zone, now)
+        seen.fingerprints.update(fingerprint for _, fingerprint in fingerprints)
+        death_id = seen.death_id
         changed = tuple(
             self._learn(Suspicion(fingerprint, workspace, frozenset({death_id}), now))
             for workspace, fingerprint in fingerprints
             if not self._is_known_at(fingerprint, death_id)
+            and not self._is_mass_death(fingerprint, zone, now)
         )
         await self._tell(changed)
 
@@ -248,8 +250,8 @@
             return None
         return suspicion
 
-    def _note_death(self, death: EngineDeath, zone: str, now: float) -> str:
-        """Return the id of a death, the same one if it was seen before.
+    def _note_death(self, death: EngineDeath, zone: str, now: float) -> _SeenDeath:
+        """Return a death, the same one if it was seen before.
 
         A death whose incarnation isn't known is the engine's latest one.
         """
@@ -257,28 +259,34 @@
             if seen.engine_id != death.engine_id or now - seen.at > SAME_DEATH_SECONDS:
                 continue
             if not death.incarnation:
-                return seen.death_id
+                return seen
             if seen.incarnation in ("", death.incarnation):
                 seen.incarnation = death.incarnation
-                return seen.death_id
+                return seen
         incarnation = death.incarnation or f"at-{now:.3f}"
         death_id = f"{death.engine_id}/{incarnation}"
-        self._deaths.append(
-            _SeenDeath(now, zone, death.engine_id, death.incarnation, death_id)
-        )
-        return death_id
+        seen = _SeenDeath(now, zone, death.engine_id, death.incarnation, death_id)
+        self._deaths.append(seen)
+        return seen
 
     def _is_known_at(self, fingerprint: str, death_id: str) -> bool:
         suspicion = self._suspicions_by_fingerprint.get(fingerprint)
         return suspicion is not None and death_id in suspicion.death_ids
 
-    def _is_mass_death(self, zone: str, now: float) -> bool:
-        recent = [
+    def _is_mass_death(self, fingerprint: str, zone: str, now: float) -> bool:
+        """Tell whether enough other engines of a zone died lately.
+
+        The deaths at which a request ran itself don't excuse it: a request
+        that kills one engine after another would make its own excuse.
+        """
+        others = [
             seen
             for seen in self._deaths
-            if seen.zone == zone and now - seen.at <= MASS_SECONDS
+            if seen.zone == zone
+            and now - seen.at <= MASS_SECONDS
+            and fingerprint not in seen.fingerprints
         ]
-        return len(recent) >= MASS_DEATHS
+        return len(others) >= MASS_DEATHS - 1
 
     def _learn(self, suspicion: Suspicion) -> Suspicion:
         known = self._suspicions_by_fingerprint.get(suspicion.fingerprint)
--- a/packages/teaselpond/tests/delivery/test_poison.py
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -55,6 +55,18 @@
             self.assertEqual(["quarantined may-have-run"], seen[:1])
             self.assertEqual(["quarantined not-run"] * 4, seen[1:])
 
+    async def test_engines_that_are_back_at_once(self) -> None:
+        """Count the deaths of engines that are back before they are asked."""
+        at_once = evolve(ENGINE, restart_seconds=0.0)
+        async with RelayBench(engines=5, engine=at_once) as bench:
+            other = bench.make_relay("d2")
+            for relay in (bench.relay, other, bench.relay, other):
+                await bench.ask(make_call(POISON), relay=relay)
+                await other.quarantine.refresh()
+                await bench.relay.quarantine.refresh()
+            crashes = sum(len(each.records.crash_times) for each in bench.standins)
+            self.assertEqual(2, crashes)
+
     async def test_innocents_beside_it_are_served(self) -> None:
         """Retry what ran beside a poison prompt, and blame none of it."""
         async with RelayBench(
@@ -72,6 +84,24 @@
             self.assertEqual([2], [len(each.death_ids) for each in listed])
 
 
+class DeathWatchTests(AsyncTestCase):
+    """Find out that an engine died while a request ran on it."""
+
+    async def test_successor_that_answered_another_request(self) -> None:
+        """Count the death of the process that the request was sent to."""
+        async with RelayBench(engines=1) as bench:
+            deaths = bench.relay.deaths
+            call = make_call(POISON)
+            deaths.learn("e0", "before")
+            sent_to = deaths.incarnation_of("e0")
+            with deaths.running("e0", call):
+                # The engine is back, and has answered someone else.
+                deaths.learn("e0", bench.standins[0].engine.incarnation)
+                self.assertTrue(await deaths.check("e0", sent_to))
+            now = bench.relay.wall_clock()
+            self.assertTrue(bench.relay.quarantine.is_suspect(call.fingerprint, now))
+
+
 class QuarantineTests(AsyncTestCase):
     """Check what daemons know and tell of suspects."""
 
@@ -147,6 +177,15 @@
             await self.kill(one, f"e{number}")
         self.assertFalse(one.is_suspect("f", self.now))
 
+    async def test_poison_beside_a_crash_in_its_zone(self) -> None:
+        """Count a request's own deaths beside one of another cause."""
+        one = self.make()
+        await one.record_death(EngineDeath("x", "i"), (), zone="z")
+        for number in range(2):
+            self.now += 1.0
+            await self.kill(one, f"e{number}")
+        self.assertTrue(one.is_quarantined("f", self.now))
+
     async def test_suspicion_ends(self) -> None:
         """Forget one death after a time."""
         one = self.make()
