Refuse requests that break upstreams, and follow settings that change

Change: hosts tell each other which upstreams broke off which request, and one that broke three is refused; the settings file is looked at ten times a second; a fault of the gateway ends in a logged 502. The load limit comes from the deployment's cap; fields that nothing read are gone.

--- a/packages/teaselpond/src/teaselpond/gateway/answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/answers.py
@@ -10,7 +10,8 @@
 
     ``not_run`` is the upstream's word that it did not run the request;
     ``is_other_engine`` that another upstream has the address now.
-    ``is_signed`` tells whether the answer bears an upstream's signature.
+    ``is_signed`` tells whether the answer bears an upstream's signature,
+    ``cold_seconds`` how long the upstream bears little load, if it says so.
     """
 
     status: int
@@ -19,9 +20,6 @@
     is_encoded: bool
     not_run: bool
     is_other_engine: bool
-    is_leaving: bool
-    running: int | None
-    waiting: int | None
     cold_seconds: float | None
 
     @property
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -35,6 +35,7 @@
 from .metrics import Metrics
 from .peers import BEAT_SECONDS, BEATS_AT_ONCE, PeerExchange, TableChanges
 from .placement import Placer
+from .poison import PoisonBook
 from .prefixes import PrefixBook
 from .readers import TOLD_SECONDS, ReadingDuty
 from .relay import Relay
@@ -80,6 +81,9 @@
     def load_settings(self, environment: Mapping[str, str]) -> GatewaySettings:
         """Read the settings file; raise ImproperlyConfigured."""
 
+    def settings_stamp(self, environment: Mapping[str, str]) -> float:
+        """Return what changes with the settings file."""
+
     def decode_change(self, table: Table, row: Row) -> Change:
         """Return what a row of the store says."""
 
@@ -103,10 +107,12 @@
     loads: LoadBook = field(factory=LoadBook)
     health: HealthBook = field(factory=HealthBook)
     prefixes: PrefixBook = field(factory=PrefixBook)
+    poison: PoisonBook = field(factory=PoisonBook)
     applier: StoreApplier = field(init=False)
     members: Members = field(init=False)
     drain: Drain = field(init=False)
     followers: list[Follower] = field(factory=list)
+    _settings_stamp: float = 0.0
     admission: Admission = field(init=False)
     incarnation: int = field(factory=lambda: int.from_bytes(os.urandom(6), "big"))
 
@@ -127,6 +133,7 @@
     async def run(self) -> None:
         """Serve until the platform stops the process."""
         started_at = self.clock()
+        self._settings_stamp = self.adapter.settings_stamp(os.environ)
         if self.handles_signals:
             loop = asyncio.get_running_loop()
             loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
@@ -163,6 +170,7 @@
             self.members,
             self.loads,
             self.prefixes,
+            self.poison,
             self.journal,
             self.clock,
             self._beat,
@@ -298,6 +306,7 @@
             ColdBudget(bounds.cold_overage, bounds.cold_slack),
             self.prefixes,
             self.settings.availability_zone,
+            bounds.load_cap_factor,
         )
         relay = Relay(
             self.adapter.headers,
@@ -306,6 +315,7 @@
             sender,
             self.loads,
             self.health,
+            self.poison,
             self.journal,
             self.metrics,
             self.clock,
@@ -377,6 +387,7 @@
 
     def _beat(self, passed: Mapping[str, str]) -> Beat:
         now = self.clock()
+        since = now - self._spread_seconds(now)
         freshness = self.beliefs.freshness
         return Beat(
             host=self.settings.host,
@@ -392,8 +403,9 @@
             ips_by_host=passed,
             engines_by_prefix_key={
                 reading.key: reading.engine_id
-                for reading in self.prefixes.own_since(now - self._spread_seconds(now))
+                for reading in self.prefixes.own_since(since)
             },
+            engines_by_broken_request=self.poison.own_since(since),
         )
 
     def _store_back_seconds(self) -> float:
@@ -426,6 +438,7 @@
         state = None
         while True:
             now = self.clock()
+            self._reload_if_changed()
             for engine_id in self.beliefs.expire(now):
                 self.journal.write(
                     "engine-gone", now, engine=engine_id, reason="did not return"
@@ -461,16 +474,28 @@
         self.journal.write("stopping", now, running=self.drain.running)
 
     def reload(self) -> None:
-        """Read the settings file again."""
+        """Read the settings again, and put the bounds in force.
+
+        Addresses are those of the process's start; the platform starts
+        another process for new ones.
+        """
         now = self.clock()
         try:
             settings = self.adapter.load_settings(os.environ)
         except ImproperlyConfigured as error:
             self.journal.write("reload-refused", now, error=str(error))
             return
-        changed = settings != self.settings
-        self.journal.write("reload", now, changed=changed)
+        self.journal.write("reload", now, changed=settings != self.settings)
         self.settings = settings
+        self.drain.grace_seconds = settings.bounds.grace_seconds
+        self.admission.strict_revocation = settings.bounds.strict_revocation
+        self.admission.revoke_seconds = settings.bounds.revoke_seconds
+
+    def _reload_if_changed(self) -> None:
+        stamp = self.adapter.settings_stamp(os.environ)
+        if stamp != self._settings_stamp:
+            self._settings_stamp = stamp
+            self.reload()
 
 
 def serve(settings: GatewaySettings, adapter: Adapter) -> None:
--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -87,6 +87,14 @@
         except (asyncio.CancelledError, ConnectionError):
             self._note_end(call, "caller-gone")
             raise
+        except Exception as error:
+            # A fault of the gateway itself: the caller gets a true answer.
+            self._note_end(call, "internal-error", status=502, reason=repr(error))
+            if sink.has_begun:
+                raise ConnectionResetError(repr(error)) from error
+            reply = self.relay.refuse(Refusal.INTERNAL, call.head.request_id)
+            self.metrics.refused(Refusal.INTERNAL.value)
+            return respond(reply, close=True)
         if reply is None:
             self._note_end(call, "answered", status=sink.response.status)
             await sink.response.write_eof()
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -24,7 +24,7 @@
 
 @frozen
 class Beat:
-    """Hold what a host says of itself, and the hosts that it knows.
+    """Hold what a host says of itself, the hosts and upstreams it knows.
 
     ``incarnation`` is another one after each start of the host's process.
     ``confirmed_store_seconds`` is when, on the store's clock, the host's
@@ -46,6 +46,7 @@
     loads_by_engine: Mapping[str, int]
     ips_by_host: Mapping[str, str]
     engines_by_prefix_key: Mapping[bytes, str]
+    engines_by_broken_request: Mapping[bytes, tuple[str, ...]]
 
 
 @frozen
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -11,6 +11,7 @@
 from .journal import Journal
 from .loads import LoadBook
 from .members import Beat, Members, MemberState
+from .poison import Break, PoisonBook
 from .prefixes import PrefixBook, Reading
 from .rows import Page, Row
 from .tables import FOLLOWED, Table
@@ -57,6 +58,7 @@
             dict(beat.loads_by_engine),
             dict(beat.ips_by_host),
             dict(beat.engines_by_prefix_key),
+            {key: list(ids) for key, ids in beat.engines_by_broken_request.items()},
         ]
     )
 
@@ -97,7 +99,7 @@
 
 def _decode_beat(values: list) -> Beat:
     (host, incarnation, ip, zone, state, confirmed, versions) = values[:7]
-    (is_answering, back, loads, ips, engines) = values[7:12]
+    (is_answering, back, loads, ips, engines, broken) = values[7:13]
     return Beat(
         host=str(host),
         incarnation=int(incarnation),
@@ -111,6 +113,9 @@
         loads_by_engine={str(name): int(count) for name, count in loads.items()},
         ips_by_host={str(name): str(each) for name, each in ips.items()},
         engines_by_prefix_key={bytes(key): str(name) for key, name in engines.items()},
+        engines_by_broken_request={
+            bytes(key): tuple(map(str, names)) for key, names in broken.items()
+        },
     )
 
 
@@ -144,6 +149,7 @@
     members: Members
     loads: LoadBook
     prefixes: PrefixBook
+    poison: PoisonBook
     journal: Journal
     clock: Callable[[], float]
     make_beat: Callable[[dict[str, str]], Beat]
@@ -190,6 +196,9 @@
         self.loads.take_peer(beat.host, beat.loads_by_engine)
         for key, engine_id in beat.engines_by_prefix_key.items():
             self.prefixes.take(Reading(key, engine_id, now))
+        for fingerprint, engine_ids in beat.engines_by_broken_request.items():
+            for engine_id in engine_ids:
+                self.poison.take(Break(fingerprint, engine_id, now))
         self.hear_beat(beat, now)
         if before is None or before.beat.incarnation != beat.incarnation:
             # A process that has just started knows nobody yet.
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -15,10 +15,10 @@
 from .loads import LoadBook
 from .prefixes import PrefixBook, prefix_key
 
-# An upstream is passed over when it holds more than this multiple of the mean
-# and this many more. The deployment's cap is a multiple of 2 and 3 more; what
-# peers sent within the last beat is not known here.
-LOAD_FACTOR = 1.75
+# An upstream is passed over above this part of the deployment's load cap, and
+# this many more; what peers sent within the last beat is not known here, and
+# the cap itself allows three more.
+CAP_PART = 0.875
 LOAD_SLACK = 2
 
 
@@ -57,6 +57,7 @@
     cold_budget: ColdBudget
     prefixes: PrefixBook
     availability_zone: str
+    load_cap_factor: float
 
     def place(
         self, call: Call, tried: Collection[str], now: float, host_count: int
@@ -152,7 +153,7 @@
         if not candidates:
             return None
         loads_by_id = {_id_of(each): self.loads.of(_id_of(each)) for each in candidates}
-        limit = math.floor(LOAD_FACTOR * mean + LOAD_SLACK)
+        limit = math.floor(CAP_PART * self.load_cap_factor * mean + LOAD_SLACK)
         key = _affinity(call)
         holders = self.prefixes.holders(prefix_key(call.service, key), now)
         if key:
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -0,0 +1,79 @@
+"""Find requests that break the upstreams that run them."""
+
+import hashlib
+from collections import OrderedDict, deque
+
+from attrs import define, field, frozen
+
+from .calls import Call
+
+# A request at which this many upstreams broke off is not sent again; fewer
+# may be bad luck with the upstreams.
+MAX_BROKEN = 3
+# Callers that send such a request again do so within this time.
+REMEMBERED_SECONDS = 60.0
+# Bounds memory: some hundred bytes an entry.
+MAX_REQUESTS = 1024
+FINGERPRINT_BYTES = 8
+
+
+@frozen
+class Break:
+    """Hold that an upstream broke off a request; on the boot clock."""
+
+    fingerprint: bytes
+    engine_id: str
+    at: float
+
+
+def fingerprint_of(call: Call) -> bytes | None:
+    """Return what names a request when it comes again.
+
+    Requests without a body are asked again by many, so they have none.
+    """
+    if not call.body:
+        return None
+    workspace = call.workspace.name if call.workspace else ""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (workspace.encode(), call.head.target.encode(), call.body):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()
+
+
+@define
+class PoisonBook:
+    """Count the upstreams that broke off each request."""
+
+    _breaks_by_fingerprint: OrderedDict[bytes, dict[str, float]] = field(
+        factory=OrderedDict
+    )
+    _own_breaks: deque[Break] = field(factory=lambda: deque(maxlen=MAX_REQUESTS))
+
+    def note(self, fingerprint: bytes, engine_id: str, now: float) -> None:
+        """Take that an upstream broke off a request of this host."""
+        broken = Break(fingerprint, engine_id, now)
+        self.take(broken)
+        self._own_breaks.append(broken)
+
+    def take(self, broken: Break) -> None:
+        """Take a break, of this host or another."""
+        breaks = self._breaks_by_fingerprint.setdefault(broken.fingerprint, {})
+        breaks[broken.engine_id] = broken.at
+        self._breaks_by_fingerprint.move_to_end(broken.fingerprint)
+        while len(self._breaks_by_fingerprint) > MAX_REQUESTS:
+            self._breaks_by_fingerprint.popitem(last=False)
+
+    def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
+        """Tell whether a request broke too many upstreams."""
+        breaks = self._breaks_by_fingerprint.get(fingerprint, {})
+        lately = [at for at in breaks.values() if now - at < REMEMBERED_SECONDS]
+        return len(lately) >= MAX_BROKEN
+
+    def own_since(self, since: float) -> dict[bytes, tuple[str, ...]]:
+        """Return the upstreams that broke off requests after a time."""
+        lately: dict[bytes, tuple[str, ...]] = {}
+        for broken in self._own_breaks:
+            if broken.at >= since:
+                known = lately.get(broken.fingerprint, ())
+                lately[broken.fingerprint] = (*known, broken.engine_id)
+        return lately
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -21,6 +21,7 @@
 from .loads import LoadBook
 from .metrics import Metrics
 from .placement import NoPlacement, Placement, Placer
+from .poison import PoisonBook, fingerprint_of
 from .replies import RULINGS, Refusal, Reply, retry_after
 from .sending import (
     AttemptFailed,
@@ -82,6 +83,7 @@
     sender: Sender
     loads: LoadBook
     health: HealthBook
+    poison: PoisonBook
     journal: Journal
     metrics: Metrics
     clock: Callable[[], float]
@@ -124,10 +126,13 @@
     async def _run(
         self, call: Call, sink: EventSink, progress: Progress
     ) -> Reply | None:
+        fingerprint = fingerprint_of(call)
         while True:
             now = self.clock()
             if call.expires_at - now < MIN_LEFT_SECONDS:
                 raise TimeoutError
+            if fingerprint and self.poison.is_poisonous(fingerprint, now):
+                return self._give_up(call, sink, progress, Refusal.POISONOUS)
             placement = self.placer.place(
                 call, progress.tried_ids, now, self.host_count()
             )
@@ -202,6 +207,10 @@
                 )
                 try:
                     head = answer.head
+                    if head.cold_seconds is not None:
+                        self.beliefs.take_cold(
+                            engine.engine_id, head.cold_seconds, self.clock()
+                        )
                     if call.route.type is not RouteType.STREAM or not head.is_success:
                         body = await answer.read(MAX_ANSWER_BYTES)
                         whole = WholeAnswer(head, body)
@@ -286,6 +295,9 @@
             after_event=progress.last_event_id,
             engine_left_out=ejected,
         )
+        fingerprint = fingerprint_of(call)
+        if failed.result is Result.BROKEN and fingerprint:
+            self.poison.note(fingerprint, engine.engine_id, now)
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # The address belongs to another upstream now.
--- a/packages/teaselpond/src/teaselpond/gateway/replies.py
+++ b/packages/teaselpond/src/teaselpond/gateway/replies.py
@@ -25,8 +25,7 @@
     TIMEOUT_UNSENT = "timeout-unsent"
     TIMEOUT_SENT = "timeout-sent"
     BROKEN = "broken"
-    INTERNAL_UNSENT = "internal-unsent"
-    INTERNAL_SENT = "internal-sent"
+    INTERNAL = "internal"
 
 
 @frozen
@@ -60,8 +59,7 @@
     Refusal.TIMEOUT_UNSENT: Ruling(503),
     Refusal.TIMEOUT_SENT: Ruling(504),
     Refusal.BROKEN: Ruling(502),
-    Refusal.INTERNAL_UNSENT: Ruling(503, 0.2),
-    Refusal.INTERNAL_SENT: Ruling(502),
+    Refusal.INTERNAL: Ruling(502),
 }
 # Callers that are refused together come back spread over this part of the
 # time they are told.
--- a/packages/teaselpond/src/teaselpond/platform/headers.py
+++ b/packages/teaselpond/src/teaselpond/platform/headers.py
@@ -18,7 +18,6 @@
 SIGNATURE = "X-Teaselpond-Server-Seal"
 NOT_RUN = "X-Teaselpond-Not-Executed"
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
-LOAD = "X-Teaselpond-Instance-Load"
 COLD = "X-Teaselpond-Cold-Ms"
 URGENCY = "X-Teaselpond-Urgency-Class"
 LAST_EVENT_ID = "Last-Event-Id"
@@ -110,7 +109,6 @@
 
 def decode_answer(status: int, headers: CIMultiDictProxy[str]) -> AnswerHead:
     """Return what the head of an upstream's answer says."""
-    running, waiting = _decode_load(headers.get(LOAD))
     return AnswerHead(
         status=status,
         headers=_end_to_end(headers, frozenset()),
@@ -118,9 +116,6 @@
         is_encoded=headers.get("Content-Encoding", "identity") != "identity",
         not_run=NOT_RUN in headers or status == 421,
         is_other_engine=status == 421,
-        is_leaving="close" in headers.get("Connection", "").lower(),
-        running=running,
-        waiting=waiting,
         cold_seconds=_decode_milliseconds(headers.get(COLD)),
     )
 
@@ -191,12 +186,3 @@
     except ValueError as error:
         raise MalformedRequest(f"{PREFIX} or {TOKENS} cannot be read") from error
     return Prompt(parts, read, written)
-
-
-def _decode_load(value: str | None) -> tuple[int | None, int | None]:
-    # The header holds running, waiting and slots.
-    try:
-        running, waiting, _ = (value or "").split(",")
-        return int(running), int(waiting)
-    except ValueError:
-        return None, None
--- a/packages/teaselpond/src/teaselpond/platform/settings.py
+++ b/packages/teaselpond/src/teaselpond/platform/settings.py
@@ -28,6 +28,14 @@
     return decode_settings(raw)
 
 
+def settings_stamp(environment: Mapping[str, str]) -> float:
+    """Return the time of the file's last change, 0 where there is no file."""
+    try:
+        return Path(environment.get(SETTINGS_VARIABLE, "")).stat().st_mtime
+    except OSError:
+        return 0.0
+
+
 def decode_settings(raw: Mapping[str, Any]) -> GatewaySettings:
     """Return the settings in a file's tables; raise ImproperlyConfigured."""
     try:
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -194,6 +194,18 @@
         used = [each for each in fleet.models if each.seen_calls]
         self.assertEqual(1, len(used))
 
+    async def test_poisonous_request(self) -> None:
+        """A request that breaks upstreams reaches three of them at most."""
+        fleet = await self.enter(GatewayFleet(size=2, model_count=6))
+        for upstream in fleet.models:
+            upstream.add_fault(Kind.RUN_THEN_DROP, count=100)
+        for number in range(6):
+            async with fleet.call("/stream/x", number=number % 2) as response:
+                self.assertIn(response.status, (502, 503))
+            await asyncio.sleep(0.5)
+        reached = sum(bool(each.seen_calls) for each in fleet.models)
+        self.assertLessEqual(reached, 3)
+
     async def test_dead_upstreams(self) -> None:
         """Calls go on when all but one upstream cannot be reached."""
         fleet = await self.enter(GatewayFleet(plain_count=3))
--- a/packages/teaselpond/tests/gateway/test_placement.py
+++ b/packages/teaselpond/tests/gateway/test_placement.py
@@ -35,6 +35,7 @@
             ColdBudget(1.5, 5.0),
             self.prefixes,
             "zone-a",
+            2.0,
         )
         for number in range(6):
             self.beliefs.take_engine(make_engine(f"e{number}"), 0.0)
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -12,6 +12,12 @@
     encode_beat,
     encode_changes,
 )
+from teaselpond.gateway.poison import (
+    MAX_BROKEN,
+    REMEMBERED_SECONDS,
+    PoisonBook,
+    fingerprint_of,
+)
 from teaselpond.gateway.prefixes import (
     HELD_SECONDS,
     HOLDERS,
@@ -24,6 +30,7 @@
 from teaselpond.gateway.rows import Page, Row
 from teaselpond.gateway.tables import Table
 from teaselpond.gateway.windows import SlidingCount
+from teaselpond_standins.testing.gateways import make_call
 
 from .test_decisions import make_beat
 
@@ -65,6 +72,33 @@
         self.assertEqual([Reading(b"mine", "e1", 3.0)], list(book.own_since(1.5)))
 
 
+class PoisonBookTests(testtools.TestCase):
+    """Count the upstreams that broke off a request."""
+
+    def test_three_upstreams(self) -> None:
+        """A request that broke three upstreams is known, for a time."""
+        book = PoisonBook()
+        for number in range(MAX_BROKEN):
+            self.assertFalse(book.is_poisonous(b"f", 1.0))
+            book.note(b"f", f"e{number}", 1.0)
+        self.assertTrue(book.is_poisonous(b"f", 1.0))
+        self.assertFalse(book.is_poisonous(b"f", 1.0 + REMEMBERED_SECONDS))
+
+    def test_one_upstream(self) -> None:
+        """An upstream that breaks off again and again counts once."""
+        book = PoisonBook()
+        for number in range(10):
+            book.note(b"f", "e1", float(number))
+        self.assertFalse(book.is_poisonous(b"f", 9.0))
+
+    def test_fingerprints(self) -> None:
+        """The same request has one name, and those without a body none."""
+        call = make_call(body=b"x")
+        self.assertEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"x")))
+        self.assertNotEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"y")))
+        self.assertIsNone(fingerprint_of(make_call(body=b"")))
+
+
 class RowCacheTests(testtools.TestCase):
     """Keep rows to hand them on."""
 
@@ -124,6 +158,7 @@
             loads_by_engine={"e1": 3},
             ips_by_host={"g2": "10.0.0.2"},
             engines_by_prefix_key={b"12345678": "e1"},
+            engines_by_broken_request={b"12345678": ("e2", "e3")},
         )
         self.assertEqual(beat, decode_datagram(encode_beat(beat)))
 
