--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -225,7 +225,9 @@
         duty = ReadingDuty(self.settings.host)
 
         def apply(page: Page, is_whole: bool, asked_at: float, now: float) -> None:
-            after = cache.version
+            # All changes between the newest row known and the answer are in
+            # it; peers that know that row miss nothing.
+            after = cache.newest_row
             rows = self.applier.apply(table, page, is_whole, asked_at, now)
             answered.set()
             if rows and not is_whole:
