--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
@@ -25,6 +25,7 @@
 )
 from teaselpond.gateway.daemon import GatewayDaemon
 from teaselpond.gateway.engines import Engine, EngineState
+from teaselpond.gateway.host import GatewayHost
 from teaselpond.gateway.settings import Bounds, GatewaySettings, Listeners
 from teaselpond.platform.adapter import PlatformAdapter
 from teaselpond_model.contracts import Address
@@ -281,9 +282,8 @@
 
     async def start_gateway(self, number: int, **fields: Any) -> GatewayDaemon:
         """Start a gateway, and wait until it is ready."""
-        daemon = GatewayDaemon(
-            self.settings(number), PlatformAdapter(), handles_signals=False, **fields
-        )
+        host = GatewayHost(self.settings(number), PlatformAdapter(), **fields)
+        daemon = GatewayDaemon(host, handles_signals=False)
         self.daemons.append(daemon)
         self._tasks.append(asyncio.create_task(daemon.run()))
         await self.until_ready(number)
--- a/packages/teaselpond/src/teaselpond/gateway/health.py
+++ b/packages/teaselpond/src/teaselpond/gateway/health.py
@@ -1,6 +1,7 @@
 """Judge upstreams by the results of what was sent to them."""
 
 import enum
+from collections.abc import Container
 
 from attrs import define, field
 
@@ -83,9 +84,10 @@
         """Return an upstream's health."""
         return self.health_by_id.setdefault(engine_id, EngineHealth())
 
-    def forget(self, engine_id: str) -> None:
-        """Drop what is known of an upstream."""
-        self.health_by_id.pop(engine_id, None)
+    def keep(self, engine_ids: Container[str]) -> None:
+        """Forget all upstreams but these."""
+        for engine_id in [each for each in self.health_by_id if each not in engine_ids]:
+            del self.health_by_id[engine_id]
 
     def sound(self, engine_ids: list[str], now: float) -> list[str]:
         """Return the upstreams that are not left out.
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -0,0 +1,135 @@
+"""Hold what one host knows and is, and describe it to the others."""
+
+import math
+import os
+from collections.abc import Callable, Mapping
+
+from attrs import define, field
+
+from .adapters import Adapter
+from .admission import Admission
+from .applying import StoreApplier
+from .beliefs import Beliefs
+from .clocks import boot_time
+from .drain import Drain, Phase
+from .following import Follower
+from .health import HealthBook
+from .journal import Journal
+from .loads import LoadBook
+from .members import Beat, Members, MemberState
+from .metrics import Metrics
+from .peers import BEAT_SECONDS, BEATS_AT_ONCE
+from .poison import PoisonBook
+from .prefixes import PrefixBook
+from .readers import TOLD_SECONDS, ReadingDuty
+from .settings import GatewaySettings
+
+# What is spread goes into a beat more than is needed, for late beats.
+SPREAD_MARGIN = 1.3
+INCARNATION_BYTES = 6
+
+
+@define(eq=False)
+class GatewayHost:
+    """Hold the settings, the beliefs and the books of one process."""
+
+    settings: GatewaySettings
+    adapter: Adapter
+    clock: Callable[[], float] = boot_time
+    journal: Journal = field(init=False)
+    beliefs: Beliefs = field(factory=Beliefs)
+    metrics: Metrics = field(factory=Metrics)
+    loads: LoadBook = field(factory=LoadBook)
+    health: HealthBook = field(factory=HealthBook)
+    prefixes: PrefixBook = field(factory=PrefixBook)
+    poison: PoisonBook = field(factory=PoisonBook)
+    applier: StoreApplier = field(init=False)
+    members: Members = field(init=False)
+    drain: Drain = field(init=False)
+    admission: Admission = field(init=False)
+    followers: list[Follower] = field(factory=list)
+    incarnation: int = field(
+        factory=lambda: int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
+    )
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.journal = Journal(settings.host)
+        self.applier = StoreApplier(
+            self.beliefs, self.journal, self.adapter.decode_change
+        )
+        self.members = Members(settings.host)
+        self.drain = Drain(settings.bounds.grace_seconds)
+        self.admission = Admission(
+            self.beliefs,
+            settings.bounds.strict_revocation,
+            settings.bounds.revoke_seconds,
+        )
+
+    def state(self, now: float) -> MemberState:
+        """Tell whether this host takes callers."""
+        if self.drain.phase(now) is not Phase.SERVING:
+            return MemberState.LEAVING
+        if self.beliefs.configuration is None:
+            return MemberState.STARTING
+        if not self.admission.is_confirmed(now):
+            return MemberState.UNCONFIRMED
+        return MemberState.SERVING
+
+    def beat(self, passed: Mapping[str, str]) -> Beat:
+        """Describe this host, and pass some hosts' addresses on."""
+        now = self.clock()
+        since = now - self._spread_seconds(now)
+        freshness = self.beliefs.freshness
+        return Beat(
+            host=self.settings.host,
+            incarnation=self.incarnation,
+            ip=self.settings.ip,
+            availability_zone=self.settings.availability_zone,
+            state=self.state(now),
+            confirmed_store_seconds=freshness.confirmed_store_seconds or 0.0,
+            row_versions=self.applier.row_versions(),
+            is_store_answering=not any(each.is_failing for each in self.followers),
+            store_back_seconds=self._store_back_seconds(),
+            loads_by_engine=self.loads.own(),
+            ips_by_host=passed,
+            engines_by_prefix_key={
+                reading.key: reading.engine_id
+                for reading in self.prefixes.own_since(since)
+            },
+            engines_by_broken_request=self.poison.own_since(since),
+        )
+
+    def _store_back_seconds(self) -> float:
+        back_at = self.beliefs.store_back_at
+        if back_at is None:
+            return 0.0
+        return self.beliefs.freshness.store_time(back_at) or 0.0
+
+    def _spread_seconds(self, now: float) -> float:
+        """Return within how long every other host gets one of the beats."""
+        rounds = math.ceil(self.members.count(now) / BEATS_AT_ONCE)
+        return rounds * BEAT_SECONDS * SPREAD_MARGIN
+
+    def must_read(self, duty: ReadingDuty) -> bool:
+        """Tell whether this host follows a table of the store itself."""
+        now = self.clock()
+        age = self.beliefs.freshness.age(now)
+        beats = [self.beat({}), *(each.beat for each in self.members.heard(now))]
+        if duty.is_due(beats, age, now):
+            return True
+        if age is not None and age <= TOLD_SECONDS:
+            for follower in self.followers:
+                follower.forget_failure()
+        return False
+
+    def host_count(self) -> int:
+        """Return how many hosts share the fleet's budgets."""
+        return self.members.count(self.clock())
+
+    def put_in_force(self, settings: GatewaySettings) -> None:
+        """Take new settings, but for addresses, which a new process takes."""
+        self.settings = settings
+        self.drain.grace_seconds = settings.bounds.grace_seconds
+        self.admission.strict_revocation = settings.bounds.strict_revocation
+        self.admission.revoke_seconds = settings.bounds.revoke_seconds
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -64,6 +64,7 @@
     host: str
     members_by_host: dict[str, Member] = field(factory=dict)
     ips_by_host: dict[str, str] = field(factory=dict)
+    _learned_at_by_host: dict[str, float] = field(factory=dict)
 
     def take(self, beat: Beat, now: float) -> bool:
         """Take a beat of another host; tell if it is one."""
@@ -72,13 +73,14 @@
         self.members_by_host[beat.host] = Member(beat, now)
         self.ips_by_host[beat.host] = beat.ip
         for host, ip in beat.ips_by_host.items():
-            self.learn(host, ip)
+            self.learn(host, ip, now)
         return True
 
-    def learn(self, host: str, ip: str) -> None:
+    def learn(self, host: str, ip: str, now: float) -> None:
         """Take a host's address from elsewhere, if none is known."""
-        if host != self.host:
-            self.ips_by_host.setdefault(host, ip)
+        if host != self.host and host not in self.ips_by_host:
+            self.ips_by_host[host] = ip
+            self._learned_at_by_host[host] = now
 
     def heard(self, now: float) -> list[Member]:
         """Return the hosts heard of lately."""
@@ -107,4 +109,10 @@
         for host in gone:
             del self.members_by_host[host]
             self.ips_by_host.pop(host, None)
+        for host, learned_at in list(self._learned_at_by_host.items()):
+            if host in self.members_by_host or host in gone:
+                del self._learned_at_by_host[host]
+            elif now - learned_at >= COUNTED_SECONDS:
+                del self._learned_at_by_host[host]
+                self.ips_by_host.pop(host, None)
         return gone
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -225,8 +225,7 @@
             return
         known = self.members.ips_by_host
         hosts = list(known)
-        passed = self.chance.sample(hosts, min(PASSED_ADDRESSES, len(hosts)))
-        beat = self.make_beat({host: known[host] for host in passed})
+        beat = self.make_beat(self._passed_addresses())
         content = encode_beat(beat)
         ips = {known[host] for host in (hosts if to_all else self._next_hosts())}
         if not self.members.heard(self.clock()):
@@ -247,6 +246,12 @@
             beat = self.make_beat({})
             self._transport.sendto(encode_beat(beat), (ip, self.port))
 
+    def _passed_addresses(self) -> dict[str, str]:
+        # Hosts that are not heard would be passed on for ever.
+        heard = self.members.heard(self.clock())
+        passed = self.chance.sample(heard, min(PASSED_ADDRESSES, len(heard)))
+        return {member.beat.host: member.beat.ip for member in passed}
+
     def close(self) -> None:
         """Stop listening."""
         if self._transport is not None:
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -151,6 +151,11 @@
             _ = protocol.closed
         return opened
 
+    async def close(self) -> None:
+        """Close every connection."""
+        await self.kept.close()
+        await self.single.close()
+
     def finish(self, answer: OpenAnswer) -> None:
         """Free an answer's connection; close it if the answer is not read."""
         self.kept.finish(answer.response)
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -233,6 +233,15 @@
         members.take(beat, 0.0)
         self.assertEqual({"g1": "ip-g1", "g2": "ip-g2"}, members.ips_by_host)
 
+    def test_unheard_addresses_are_forgotten(self) -> None:
+        """An address from elsewhere that never answers is dropped."""
+        members = Members("me")
+        members.learn("g2", "ip-g2", 0.0)
+        members.learn("g3", "ip-g3", 0.0)
+        members.take(make_beat("g3"), 5.0)
+        members.forget(COUNTED_SECONDS)
+        self.assertEqual({"g3": "ip-g3"}, members.ips_by_host)
+
 
 class ReadersTests(testtools.TestCase):
     """Choose who follows the store."""
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -255,7 +255,7 @@
         fleet = await self.enter(GatewayFleet())
         leaving, staying = fleet.plains
         await fleet.list_upstream(leaving, "plain", State="draining")
-        beliefs = fleet.daemons[0].beliefs
+        beliefs = fleet.daemons[0].host.beliefs
         await self.wait_until(
             lambda: beliefs.engines_by_id["p0"].engine.state.value == "draining"
         )
@@ -279,7 +279,7 @@
         upstream.engine_id = "another"
         self.assertEqual(503, await self.status(fleet, "/orders/x"))
         self.assertEqual(0, upstream.runs_by_id.total())
-        self.assertNotIn("p0", fleet.daemons[0].beliefs.engines_by_id)
+        self.assertNotIn("p0", fleet.daemons[0].host.beliefs.engines_by_id)
 
 
 class StoreTroubleTests(AsyncTestCase):
@@ -303,13 +303,13 @@
         """A host that the store turns away lives on its peers' word."""
         fleet = await self.enter(GatewayFleet(size=2))
         helped = fleet.daemons[1]
-        for follower in helped.followers:
+        for follower in helped.host.followers:
             follower.store = _DeadStore()
         fleet.platform.server.abort_connections()
         tenants = [{"Name": "w2", "ApiKeys": ["key-2"]}]
         changed = wire_configuration(2, Tenants=tenants)
         await fleet.platform.rows.put_json("op", "config", changed)
-        await self.wait_until(lambda: helped.beliefs.configuration.version == 2)
+        await self.wait_until(lambda: helped.host.beliefs.configuration.version == 2)
         for _ in range(30):
             await asyncio.sleep(0.2)
             async with fleet.call("/orders/x", number=1, key="key-2") as response:
@@ -362,6 +362,14 @@
             await asyncio.sleep(0.05)
         self.fail(f"{ips} were not named")
 
+    async def test_host_leaves_the_store(self) -> None:
+        """A host is listed in the store until its planned stop."""
+        fleet = await self.enter(GatewayFleet())
+        rows = fleet.platform.rows
+        await self.wait_until(lambda: rows.value("members", "g0"))
+        fleet.daemons[0].begin_stop()
+        await self.wait_until(lambda: rows.value("members", "g0") is None)
+
     async def test_kept_connection_is_told(self) -> None:
         """A caller on a kept connection is served and told to go."""
         fleet = await self.enter(GatewayFleet())
@@ -384,8 +392,8 @@
         fleet.models[2].cached_parts = (("bb", 20),)
         fleet.is_first_start = False
         await self.enter(fleet)
-        daemon = fleet.daemons[0]
-        await self.wait_until(lambda: list(daemon.prefixes.all(daemon.clock())))
+        host = fleet.daemons[0].host
+        await self.wait_until(lambda: list(host.prefixes.all(host.clock())))
         prefix = {
             "X-Teaselpond-Prefix-Hash": "aa:10,bb:20,cc:5",
             "X-Teaselpond-Token-Count": "35,5",
