--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
@@ -1,6 +1,7 @@
 """Build the gateway's objects for tests, and run whole gateways."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -35,6 +36,7 @@
 
 KEY = "key-1"
 HOST = "site.example"
+PORT_NAMES = ("entry", "ready", "peers", "directory", "datagrams", "metrics")
 READY_SECONDS = 15.0
 POLL_SECONDS = 0.02
 _ids = itertools.count(1)
@@ -179,11 +181,14 @@
     }
 
 
-def free_port(ip: str) -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        # Each is held until all are chosen, or two could be the same one.
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 @define(eq=False)
@@ -219,8 +224,8 @@
                 await upstream.__aenter__()
                 await self.list_upstream(upstream, service)
         self.session = aiohttp.ClientSession()
-        for name in ("entry", "ready", "peers", "directory", "datagrams", "metrics"):
-            self.ports[name] = free_port(self.ip(0))
+        ports = free_ports(self.ip(0), len(PORT_NAMES))
+        self.ports = dict(zip(PORT_NAMES, ports, strict=True))
         for number in range(self.size):
             await self.start_gateway(number)
         return self
@@ -294,6 +299,9 @@
         for _ in range(round(READY_SECONDS / POLL_SECONDS)):
             if await self.ready_status(number) == status:
                 return
+            if self._tasks[number].done():
+                # Shows why the gateway ended.
+                await self._tasks[number]
             await asyncio.sleep(POLL_SECONDS)
         raise TimeoutError(f"gateway {number} did not answer {status}")
 
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -45,6 +45,7 @@
     async def run(self) -> None:
         """Serve until the platform stops the process."""
         host = self.host
+        host.journal.open()
         started_at = host.clock()
         self._settings_stamp = host.adapter.settings_stamp(os.environ)
         if self.handles_signals:
@@ -116,13 +117,15 @@
                 "tick": self._tick,
             }
         )
-        await self._until_ended(exchange)
-        for task in tasks:
-            task.cancel()
-        for door in doors:
-            await door.close()
-        exchange.close()
-        await sender.close()
+        try:
+            await self._until_ended(exchange)
+        finally:
+            for task in tasks:
+                task.cancel()
+            for door in doors:
+                await door.close()
+            exchange.close()
+            await sender.close()
 
     def _make_sharing(self, session: aiohttp.ClientSession) -> BeliefSharing:
         host = self.host
--- a/packages/teaselpond/src/teaselpond/gateway/journal.py
+++ b/packages/teaselpond/src/teaselpond/gateway/journal.py
@@ -33,6 +33,10 @@
     _waiting: bytearray = field(factory=bytearray)
     _is_scheduled: bool = False
 
+    def open(self) -> None:
+        """Keep a reader that takes nothing from blocking this process."""
+        os.set_blocking(self.descriptor, False)
+
     def write(self, event: str, now: float, /, **fields: Any) -> None:
         """Write one line, at a time of the boot clock."""
         self._fill(now)
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -226,7 +226,7 @@
 
     def test_reader_that_takes_nothing(self) -> None:
         """A full pipe neither blocks nor fills the memory."""
-        os.set_blocking(self.writer, False)
+        self.journal.open()
         for number in range(20_000):
             self.journal.write("flood", 100.0 + number, text="x" * 200)
         self.assertLess(len(self.journal._waiting), 300 * 1024)
