--- a/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
@@ -1,6 +1,7 @@
 """Start one process of a fleet and stop it by its id."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -87,7 +88,9 @@
     def send_signal(self, number: int) -> None:
         """Send a signal to the process if it still runs."""
         if self.running:
-            os.kill(self.pid, number)
+            # A process may have ended whose exit code is still on its way.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def kill(self) -> None:
         """End the process at once."""
