Learn an engine's incarnation before the first request to it

Cause: of the poison drill's failure beside load: a daemon that never had an answer of an engine did not know its incarnation, so an engine that was back before it was asked did not count as dead, and a busy machine asks late. Change: the first request to an engine asks for its load before, 0.3 s at most.

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -140,9 +140,9 @@
     async def _open(self, priority: int) -> EngineStream:
         progress = self._progress
         body = engine_body(self._call, progress.text.text, progress.text.tokens)
+        incarnation = await self._relay.deaths.meet(self._engine_id)
         progress.history.sending()
         self._sent_at = self._relay.clock()
-        incarnation = self._relay.deaths.incarnation_of(self._engine_id)
         self._opening = asyncio.create_task(
             self._relay.engines.open_stream(
                 self._address,
--- a/packages/teaselpond/src/teaselpond/delivery/deaths.py
+++ b/packages/teaselpond/src/teaselpond/delivery/deaths.py
@@ -1,5 +1,6 @@
 """Find out whether an engine's process ended while it ran requests."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -9,6 +10,9 @@
 from .poison import EngineDeath, Quarantine
 from .slots import EngineAddresses
 
+# A sound engine tells its load within this time; a request is not held longer.
+MEET_SECONDS = 0.3
+
 
 class DeathWatch:
     """Know what this daemon runs on each engine, and report deaths."""
@@ -39,9 +43,24 @@
         if incarnation:
             self._incarnations_by_engine[engine_id] = incarnation
 
-    def incarnation_of(self, engine_id: str) -> str:
-        """Return an engine's incarnation as last seen; empty if unknown."""
-        return self._incarnations_by_engine.get(engine_id, "")
+    async def meet(self, engine_id: str) -> str:
+        """Return an engine's incarnation; ask for it if none was seen yet.
+
+        Without it, an engine that is back before it is asked after a break
+        could not be told from one that never went. Empty if it is unknown.
+        """
+        known = self._incarnations_by_engine.get(engine_id, "")
+        address = self._addresses.address_of(engine_id)
+        if known or address is None:
+            return known
+        try:
+            async with asyncio.timeout(MEET_SECONDS):
+                report = await self._engines.load(address)
+        except (TeaselpondError, TimeoutError):
+            # The request goes on; its answer names the incarnation.
+            return ""
+        self.learn(engine_id, report.incarnation)
+        return report.incarnation
 
     async def check(self, engine_id: str, incarnation: str) -> bool:
         """Tell whether an engine died, and have it recorded if so.
--- a/packages/teaselpond/tests/delivery/test_poison.py
+++ b/packages/teaselpond/tests/delivery/test_poison.py
@@ -93,7 +93,7 @@
             deaths = bench.relay.deaths
             call = make_call(POISON)
             deaths.learn("e0", "before")
-            sent_to = deaths.incarnation_of("e0")
+            sent_to = await deaths.meet("e0")
             with deaths.running("e0", call):
                 # The engine is back, and has answered someone else.
                 deaths.learn("e0", bench.standins[0].engine.incarnation)
@@ -101,6 +101,18 @@
             now = bench.relay.wall_clock()
             self.assertTrue(bench.relay.quarantine.is_suspect(call.fingerprint, now))
 
+    async def test_engine_that_was_never_met(self) -> None:
+        """Count the death of an engine that had answered nobody here."""
+        async with RelayBench(engines=1) as bench:
+            deaths = bench.relay.deaths
+            call = make_call(POISON)
+            sent_to = await deaths.meet("e0")
+            with deaths.running("e0", call):
+                bench.standins[0].engine.crash()
+                # Long enough to be back, but that makes no difference.
+                await asyncio.sleep(0.5)
+                self.assertTrue(await deaths.check("e0", sent_to))
+
 
 class QuarantineTests(AsyncTestCase):
     """Check what daemons know and tell of suspects."""
