Catch up with a peer after a pause before chats are sent

Change: a guard notices that the process stood still for more than a second; a chat that has its slot waits until one neighbour was compared with, 2 s at most, and is checked against the quarantine again.

--- a/packages/teaselpond/src/teaselpond/assembly/parts.py
+++ b/packages/teaselpond/src/teaselpond/assembly/parts.py
@@ -15,6 +15,7 @@
 from ..delivery.expiry import LedgerSweeper
 from ..delivery.jobs import Jobs
 from ..delivery.ledger import Ledger
+from ..delivery.pauses import PauseGuard
 from ..delivery.plans import PlanRunner
 from ..delivery.poison import Quarantine
 from ..delivery.relay import ChatRelay
@@ -79,6 +80,7 @@
     leases: LeaseKeeper = field(init=False)
     orders: OrderKeeper = field(init=False)
     quarantine: Quarantine = field(init=False)
+    pauses: PauseGuard = field(init=False)
     relay: ChatRelay = field(init=False)
     ledger: Ledger = field(init=False)
     sweeper: LedgerSweeper = field(init=False)
@@ -173,6 +175,7 @@
         self.quarantine = Quarantine(self.platform.table, quarantine_links)
         quarantine_links.attach(self.quarantine)
         retries = RetryPolicy(counters=self.metrics)
+        self.pauses = PauseGuard(self.exchange.catch_up)
         self.relay = ChatRelay(
             slots=self.broker,
             addresses=self.broker,
@@ -181,6 +184,7 @@
             tokens=ResumeTokens(TokenSigner(self._signing_keys())),
             retries=retries,
             daemon=self.settings.daemon_id,
+            pauses=self.pauses,
             counters=self.metrics,
         )
         self.broker.follow_reports(
--- a/packages/teaselpond/src/teaselpond/daemon.py
+++ b/packages/teaselpond/src/teaselpond/daemon.py
@@ -106,6 +106,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(parts.keeper.run())
             group.create_task(parts.broker.run())
+            group.create_task(parts.pauses.run())
             group.create_task(parts.load_sums.run())
             group.create_task(parts.leases.run())
             group.create_task(parts.orders.run())
--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -13,6 +13,7 @@
 from .chats import ChatCall
 from .counters import Counters, NoCounters
 from .deaths import DeathWatch
+from .pauses import PauseGuard
 from .poison import Quarantine
 from .retries import RetryPolicy
 from .sinks import Sink, WholeAnswer
@@ -61,6 +62,7 @@
         tokens: ResumeTokens,
         retries: RetryPolicy,
         daemon: str,
+        pauses: PauseGuard | None = None,
         settings: RelaySettings | None = None,
         counters: Counters | None = None,
         clock: Callable[[], float] = time.monotonic,
@@ -78,6 +80,7 @@
         self._addresses = addresses
         self._retries = retries
         self._daemon = daemon
+        self.pauses = pauses
         self._cleanups: set[asyncio.Task] = set()
 
     async def run(self, call: ChatCall, sink: Sink) -> None:
@@ -184,6 +187,10 @@
             raise AttemptFailed(RetryReason.ENGINE_UNREACHABLE, Exit.CONNECT_FAILED, "")
         attempt = Attempt(self, grant.engine_id, address, sink, progress, call)
         try:
+            if self.pauses is not None:
+                # What came during a pause must not outrun the news of it.
+                await self.pauses.wait()
+            self._check_quarantine(call)
             with self.deaths.running(grant.engine_id, call):
                 await attempt.run(grant.priority)
             release = attempt.release(grant, Outcome.COMPLETED)
--- a/packages/teaselpond/src/teaselpond/links/exchange.py
+++ b/packages/teaselpond/src/teaselpond/links/exchange.py
@@ -37,6 +37,8 @@
 
 BATCH_LIMIT_BYTES = 256 * 1024
 CALL_SECONDS = 2.0
+# Requests wait for a daemon to catch up, so a silent neighbour is left soon.
+CATCH_UP_CALL_SECONDS = 0.5
 
 
 @frozen
@@ -106,6 +108,17 @@
             self._send_facts(peer_id, held, now)
             self._send_stops(peer_id)
 
+    async def catch_up(self) -> bool:
+        """Compare with one neighbour now; tell whether one answered."""
+        for daemon_id in sorted(self.links.linked_peers()):
+            try:
+                async with asyncio.timeout(CATCH_UP_CALL_SECONDS):
+                    await self.compare(daemon_id)
+                return True
+            except (LinkError, TimeoutError):
+                self.links.traffic.faults_by_reason["compare"] += 1
+        return False
+
     async def compare(self, daemon_id: str) -> None:
         """Find and repair differences with one daemon; raise LinkError."""
         digest = self.store.digest
--- /dev/null
+++ b/packages/teaselpond/tests/delivery/test_pauses.py
@@ -0,0 +1,79 @@
+"""Let a daemon stand still, and see what it does on waking."""
+
+import asyncio
+
+from teaselpond.delivery.pauses import CATCH_UP_SECONDS, PAUSE_SECONDS, PauseGuard
+from teaselpond_standins.testing import AsyncTestCase
+
+from .relays import RelayBench, make_call
+
+POISON = "please run poison-a"
+
+
+class Clock:
+    """Show a time that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+class PauseGuardTests(AsyncTestCase):
+    """Hold work after a pause."""
+
+    def make(self, answers: list[bool]) -> PauseGuard:
+        """Return a guard whose peers answer in turn as told."""
+        self.clock = Clock()
+        self.asked = 0
+
+        async def catch_up() -> bool:
+            self.asked += 1
+            return answers.pop(0) if answers else False
+
+        return PauseGuard(catch_up, self.clock)
+
+    async def test_no_pause(self) -> None:
+        """Hold nothing while the process runs."""
+        guard = self.make([True])
+        self.clock.now += PAUSE_SECONDS
+        await guard.wait()
+        self.assertEqual(0, self.asked)
+
+    async def test_waits_for_a_peer(self) -> None:
+        """Hold work until a peer has answered, and no longer."""
+        guard = self.make([False, False, True])
+        self.clock.now += PAUSE_SECONDS + 0.1
+        await asyncio.gather(guard.wait(), guard.wait())
+        self.assertEqual(3, self.asked)
+        await guard.wait()
+        self.assertEqual(3, self.asked)
+
+    async def test_no_peer(self) -> None:
+        """Hold work for a bounded time when nobody answers."""
+        guard = self.make([])
+        self.clock.now += PAUSE_SECONDS + 0.1
+        async with asyncio.timeout(CATCH_UP_SECONDS * 5):
+            await guard.wait()
+        self.assertGreater(self.asked, 1)
+
+    async def test_request_that_came_in_the_pause(self) -> None:
+        """Refuse a poison request whose quarantine was told in the pause."""
+        async with RelayBench(engines=3) as bench:
+            other = bench.make_relay("d2")
+
+            async def catch_up() -> bool:
+                await other.quarantine.refresh()
+                return True
+
+            clock = Clock()
+            other.pauses = PauseGuard(catch_up, clock)
+            await bench.ask(make_call(POISON))
+            before = sum(len(each.records.crash_times) for each in bench.standins)
+            clock.now += PAUSE_SECONDS + 0.1
+            seen = await bench.ask(make_call(POISON), relay=other)
+            crashes = sum(len(each.records.crash_times) for each in bench.standins)
+            self.assertEqual((2, 2), (before, crashes))
+            self.assertEqual("quarantined not-run", seen)
