--- a/packages/teaselpond/tests/delivery/test_fleet_faults.py
+++ b/packages/teaselpond/tests/delivery/test_fleet_faults.py
@@ -57,9 +57,12 @@
         if name != "data":
             return
         self.whole = value == DONE
-        if not self.whole:
-            delta = json.loads(value)["choices"][0]["delta"]
-            self.parts.append(delta.get("content", ""))
+        if self.whole:
+            return
+        event = json.loads(value)
+        if "choices" not in event:
+            raise AssertionError(f"the stream ended with a problem: {value}")
+        self.parts.append(event["choices"][0]["delta"].get("content", ""))
         self.begun.set()
 
     @property
