Soak gateway processes behind faulty proxies

Cause: the drill plays the product's own daemons only; nothing of the project's own judged the gateways as processes, under signals and broken connections.

Change: the command soak starts gateways as the platform does, behind loopback proxies that refuse, reset, silence, slow and cut ways one way or both, with kills, planned stops, pauses and reloads in series, store faults, lapsing entries, spoilt answers, revoked keys and configuration storms. Fifteen promises are judged from what callers and engines saw.

--- a/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
@@ -22,7 +22,7 @@
         self.listening: dict[str, str] = {}
         self.log_lines: list[str] = []
         self._process = process
-        self._drain = asyncio.create_task(self._read_log())
+        self._drains = [asyncio.create_task(self._read_log(process.stderr))]
 
     @classmethod
     async def start(
@@ -49,6 +49,9 @@
                 process.stdout.readline(), START_TIMEOUT_SECONDS
             )
             managed.listening = json.loads(line)
+            managed._drains.append(
+                asyncio.create_task(managed._read_log(process.stdout))
+            )
         except (TimeoutError, ValueError) as error:
             await managed.kill()
             raise TeaselpondError(
@@ -96,7 +99,7 @@
         """End the process at once."""
         self.send_signal(signal.SIGKILL)
         await self._process.wait()
-        await self._drain
+        await asyncio.gather(*self._drains)
 
     async def stop(self) -> int:
         """Ask the process to stop, and kill it when it does not in time."""
@@ -105,7 +108,7 @@
             await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_SECONDS)
         except TimeoutError:
             await self.kill()
-        await self._drain
+        await asyncio.gather(*self._drains)
         return self._process.returncode
 
     async def wait(self, seconds: float) -> int | None:
@@ -116,6 +119,6 @@
             return None
         return self._process.returncode
 
-    async def _read_log(self) -> None:
-        while line := await self._process.stderr.readline():
+    async def _read_log(self, output: asyncio.StreamReader) -> None:
+        while line := await output.readline():
             self.log_lines.append(line.decode(errors="replace").rstrip())
--- a/packages/teaselpond-standins/src/teaselpond_standins/platform/rows.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/platform/rows.py
@@ -20,12 +20,14 @@
     """Keep rows of tables, as the platform's row store does.
 
     ``is_down`` resets every call, ``is_silent`` answers none and
-    ``answer_delay_seconds`` makes answers slow. Changes before
-    ``oldest_version`` are forgotten.
+    ``answer_delay_seconds`` makes answers slow and ``loses_answers`` resets
+    calls after they were carried out. Changes before ``oldest_version`` are
+    forgotten.
     """
 
     is_down: bool = False
     is_silent: bool = False
+    loses_answers: bool = False
     answer_delay_seconds: float = 0.0
     oldest_version: int = 0
     version: int = 0
@@ -75,7 +77,7 @@
                 await asyncio.Event().wait()
             response = await handle(request)
             await asyncio.sleep(self.answer_delay_seconds)
-            if self.is_down:
+            if self.is_down or self.loses_answers:
                 return abort(request)
             return response
 
--- a/packages/teaselpond-standins/src/teaselpond_standins/server.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/server.py
@@ -1,6 +1,8 @@
 """Serve a stand-in on loopback, and let it vanish and come back."""
 
 import asyncio
+import contextlib
+import socket
 
 from aiohttp import web
 from attrs import define, field
@@ -92,6 +94,16 @@
         self.port = self._runner.addresses[-1][1]
 
 
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        # Each is held until all are chosen, or two could be the same one.
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
 def abort(request: web.Request) -> web.Response:
     """Reset a request's connection; the response returned is never sent."""
     if request.transport is not None:
--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -4,6 +4,7 @@
 import enum
 import socket
 import struct
+import time
 from collections import Counter
 
 from aiohttp import web
@@ -62,8 +63,9 @@
 
 @frozen
 class SeenCall:
-    """Hold a call as the upstream got it."""
+    """Hold a call as the upstream got it, ``at`` by the steady clock."""
 
+    at: float
     request_id: str
     method: str
     target: str
@@ -145,6 +147,7 @@
     async def _call(self, request: web.Request) -> web.StreamResponse:
         self.seen_calls.append(
             SeenCall(
+                time.monotonic(),
                 request.headers.get(REQUEST_ID, ""),
                 request.method,
                 request.raw_path,
@@ -165,6 +168,9 @@
         self.most_running = max(self.most_running, self.running)
         try:
             return await self._run(request, fault)
+        except ConnectionResetError:
+            # The caller left; there is nobody to answer.
+            return web.Response(status=500)
         finally:
             self.running -= 1
 
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/judges.py
@@ -0,0 +1,409 @@
+"""Judge each promise from what callers and engines saw."""
+
+import bisect
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+
+from ..drill.records import Ending
+from ..drill.verdicts import Verdict
+from ..platform.operator import KEY
+from ..service.listed import SeenCall
+from .records import CONTACT_SECONDS, Attempt, CallKind, SoakRecords
+from .site import GRACE_SECONDS, STREAM_EVENTS
+
+# The bounds are the largest that the platform's deployments state.
+DRAIN_SECONDS = 3.0
+REVOKE_SECONDS = 5.0
+APPLY_SECONDS = 3.0
+RETRY_RATIO = 0.2
+RETRY_WINDOW_SECONDS = 10.0
+RETRY_SLACK = 50.0
+# A caller is answered this soon after its deadline, and an engine is left
+# alone this soon after the caller is gone.
+LATE_SECONDS = 0.5
+ALLOWED_AFTER_GONE = 3
+ALLOWED_DEAD_ANSWERS = 3
+DENIED_BASE = 5
+DENIED_SHARE = 1 / 500
+STOP_MARGIN_SECONDS = 1.0
+WORTH_RETRYING_SECONDS = 0.5
+
+
+@define(eq=False)
+class Evidence:
+    """Hold what was recorded, by what the judges look it up by."""
+
+    records: SoakRecords
+    calls_by_engine: dict[str, list[SeenCall]]
+    runs_by_id: Counter[str]
+    attempts_by_id: dict[str, Attempt] = field(init=False)
+    calls_by_id: dict[str, list[tuple[str, SeenCall]]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.attempts_by_id = {
+            attempt.request_id: attempt for attempt in self.records.attempts
+        }
+        self.calls_by_id = defaultdict(list)
+        for engine_id, calls in self.calls_by_engine.items():
+            for call in calls:
+                if call.request_id:
+                    self.calls_by_id[call.request_id].append((engine_id, call))
+
+    def calls(self) -> Iterator[tuple[Attempt, str, SeenCall]]:
+        """Yield the engines' calls with the attempts they were made for."""
+        for request_id, calls in self.calls_by_id.items():
+            for engine_id, call in calls:
+                yield self.attempts_by_id[request_id], engine_id, call
+
+    def in_touch(self, attempt: Attempt, until: float) -> bool:
+        """Tell whether the attempt's gateway was calm from before it on."""
+        return self.records.is_in_touch(attempt.gateway, attempt.sent, until)
+
+
+def judge_asked(evidence: Evidence) -> Verdict:
+    """Demand that engines got only what callers sent, without their keys."""
+    breaches = []
+    cases = 0
+    for request_id, calls in evidence.calls_by_id.items():
+        attempt = evidence.attempts_by_id.get(request_id)
+        for engine_id, call in calls:
+            cases += 1
+            if attempt is None:
+                breaches.append(f"{engine_id} got {request_id}, which nobody sent")
+            elif wrong := _find_change(attempt, call):
+                breaches.append(f"{engine_id} got {request_id} with {wrong}")
+    return Verdict("engines get what callers sent", cases, tuple(breaches))
+
+
+def judge_answers(evidence: Evidence) -> Verdict:
+    """Demand that each success is one engine's whole own answer."""
+    successes = [each for each in evidence.records.attempts if each.is_success]
+    breaches = tuple(
+        f"{attempt.request_id} at {attempt.gateway}: {attempt.body[-60:]!r}"
+        for attempt in successes
+        if not _is_right(attempt)
+    )
+    return Verdict("a success is the engine's whole answer", len(successes), breaches)
+
+
+def judge_pieces(evidence: Evidence) -> Verdict:
+    """Demand that streams that were cut showed the start of the answer."""
+    cut = [
+        each
+        for each in evidence.records.attempts
+        if each.kind.is_stream and each.status == 200 and not each.is_success
+    ]
+    whole = _events(STREAM_EVENTS)
+    breaches = tuple(
+        f"{attempt.request_id}: {attempt.body!r}"
+        for attempt in cut
+        if not whole.startswith(attempt.body)
+    )
+    return Verdict("no event is missing or comes twice", len(cut), breaches)
+
+
+def judge_once(evidence: Evidence) -> Verdict:
+    """Demand that what can't be repeated runs once at most."""
+    single = _not_idempotent(evidence)
+    breaches = tuple(
+        f"{each.request_id} ran {evidence.runs_by_id[each.request_id]} times"
+        for each in single
+        if evidence.runs_by_id[each.request_id] > 1
+    )
+    return Verdict("requests that run once ran once at most", len(single), breaches)
+
+
+def judge_not_run(evidence: Evidence) -> Verdict:
+    """Demand that a refusal that says not run is true."""
+    refused = [each for each in _not_idempotent(evidence) if each.promises_not_run]
+    breaches = tuple(
+        f"{each.request_id} at {each.gateway}: {each.status}, but it ran"
+        for each in refused
+        if evidence.runs_by_id[each.request_id]
+    )
+    return Verdict("a refusal that says not run is true", len(refused), breaches)
+
+
+def judge_revoked(evidence: Evidence) -> Verdict:
+    """Demand that a key that was taken away runs nothing, at any gateway."""
+    late = [
+        each
+        for each in evidence.records.attempts
+        if each.sent
+        > evidence.records.revoked_at_by_key.get(each.key, each.sent) + REVOKE_SECONDS
+    ]
+    breaches = tuple(
+        f"{each.request_id} at {each.gateway} ran with {each.key}"
+        for each in late
+        if evidence.runs_by_id[each.request_id]
+    )
+    promise = f"a key taken away runs nothing after {REVOKE_SECONDS:g} s"
+    return Verdict(promise, len(late), breaches)
+
+
+def judge_denied(evidence: Evidence) -> Verdict:
+    """Demand that proper requests are not called wrong."""
+    records = evidence.records
+    proper = [
+        each
+        for each in records.attempts
+        if each.key == KEY
+        or (
+            each.key not in records.revoked_at_by_key
+            and each.sent > records.valid_from_by_key[each.key] + APPLY_SECONDS
+        )
+    ]
+    denied = [
+        f"{each.request_id} at {each.gateway}: {each.status} with {each.key}"
+        for each in proper
+        if 300 <= each.status < 500
+        and not each.promises_not_run
+        and evidence.in_touch(each, each.ended)
+    ]
+    allowed = DENIED_BASE + len(proper) * DENIED_SHARE
+    breaches = tuple(denied) if len(denied) > allowed else ()
+    return Verdict("proper requests are not denied", len(proper), breaches)
+
+
+def judge_leaving(evidence: Evidence) -> Verdict:
+    """Demand that an engine that left gets nothing new after some seconds."""
+    breaches = []
+    cases = 0
+    for attempt, engine_id, call in evidence.calls():
+        for left_at, back_at in evidence.records.left_at_by_engine.get(engine_id, ()):
+            if not left_at + DRAIN_SECONDS < call.at < back_at:
+                continue
+            cases += 1
+            in_touch = evidence.records.is_in_touch(attempt.gateway, left_at, call.at)
+            if in_touch and attempt.sent > left_at + DRAIN_SECONDS:
+                breaches.append(
+                    f"{attempt.request_id} of {attempt.gateway} reached {engine_id} "
+                    f"{call.at - left_at:.1f} s after it left"
+                )
+    promise = f"an engine that left gets nothing after {DRAIN_SECONDS:g} s"
+    return Verdict(promise, cases, tuple(breaches))
+
+
+def judge_in_time(evidence: Evidence) -> Verdict:
+    """Demand that no caller is held past its deadline."""
+    heard = [
+        each
+        for each in evidence.records.attempts
+        if each.gave_up_at is None
+        and evidence.in_touch(each, each.sent + each.deadline_seconds + LATE_SECONDS)
+    ]
+    breaches = tuple(
+        f"{each.request_id} at {each.gateway}: {each.ended - each.sent:.1f} s, "
+        f"{each.ending.value} {each.status}"
+        for each in heard
+        if each.ended - each.sent > each.deadline_seconds + LATE_SECONDS
+        and each.ending is not Ending.UNREACHABLE
+    )
+    return Verdict("every caller is answered by its deadline", len(heard), breaches)
+
+
+def judge_told_when(evidence: Evidence) -> Verdict:
+    """Demand that a refusal with time left says when to come back."""
+    refused = [
+        each
+        for each in evidence.records.attempts
+        if each.status in (429, 503)
+        and each.ended - each.sent < each.deadline_seconds - WORTH_RETRYING_SECONDS
+    ]
+    breaches = tuple(
+        f"{each.request_id} at {each.gateway}: {each.status}"
+        for each in refused
+        if each.retry_after is None
+    )
+    return Verdict("a refusal says when to come back", len(refused), breaches)
+
+
+def judge_budget(evidence: Evidence) -> Verdict:
+    """Demand that repeats stay within their share in every window."""
+    sent_by_kind: dict[CallKind, list[float]] = defaultdict(list)
+    repeats_by_kind: dict[CallKind, list[float]] = defaultdict(list)
+    for attempt in evidence.records.attempts:
+        sent_by_kind[attempt.kind].append(attempt.sent)
+        calls = evidence.calls_by_id.get(attempt.request_id, ())
+        times = sorted(call.at for _, call in calls)
+        repeats_by_kind[attempt.kind] += times[1:]
+    breaches = []
+    for service, kinds in (
+        ("model", (CallKind.STREAM, CallKind.SINGLE)),
+        ("plain", (CallKind.ORDER, CallKind.STOCK)),
+    ):
+        sent = sorted(at for kind in kinds for at in sent_by_kind[kind])
+        repeats = sorted(at for kind in kinds for at in repeats_by_kind[kind])
+        for number, start in enumerate(repeats):
+            end = start + RETRY_WINDOW_SECONDS
+            count = bisect.bisect_right(repeats, end) - number
+            allowed = RETRY_RATIO * _most_sent(sent, start) + RETRY_SLACK
+            if count > allowed:
+                breaches.append(f"{service}: {count} repeats, {allowed:.0f} allowed")
+    cases = sum(len(times) for times in repeats_by_kind.values())
+    return Verdict("repeats stay within the budget", cases, tuple(breaches))
+
+
+def judge_gone(evidence: Evidence) -> Verdict:
+    """Demand that engines get nothing for callers that are gone."""
+    gone = [
+        each
+        for each in evidence.records.attempts
+        if each.gave_up_at is not None
+        and evidence.in_touch(each, each.gave_up_at + LATE_SECONDS)
+    ]
+    late = [
+        f"{each.request_id} reached {engine_id}"
+        for each in gone
+        for engine_id, call in evidence.calls_by_id.get(each.request_id, ())
+        if call.at > each.gave_up_at + LATE_SECONDS
+    ]
+    breaches = tuple(late) if len(late) > ALLOWED_AFTER_GONE else ()
+    return Verdict("nothing is sent for callers that left", len(gone), breaches)
+
+
+def judge_stops(evidence: Evidence) -> Verdict:
+    """Demand that planned stops end in time, well, and cut nothing."""
+    records = evidence.records
+    breaches = []
+    for stop in records.stops:
+        took = stop.ended - stop.asked
+        if stop.exit_code != 0 or took > GRACE_SECONDS + STOP_MARGIN_SECONDS:
+            breaches.append(f"{stop.gateway} ended with {stop.exit_code} in {took:.1f}")
+        breaches += [
+            f"{each.request_id} was cut by the stop of {stop.gateway}"
+            for each in records.attempts
+            if each.gateway == stop.gateway
+            and each.ending is Ending.CUT
+            and each.gave_up_at is None
+            and stop.asked <= each.ended <= stop.ended + STOP_MARGIN_SECONDS
+            and evidence.calls_by_id.get(each.request_id)
+            and _is_undisturbed(evidence, each)
+        ]
+    return Verdict("a planned stop cuts nothing", len(records.stops), tuple(breaches))
+
+
+def judge_directory(evidence: Evidence) -> Verdict:
+    """Demand that the directory drops gateways that are dead."""
+    records = evidence.records
+    cases = 0
+    wrong = []
+    for answer in records.answers:
+        if not records.is_in_touch(answer.gateway, answer.at, answer.at):
+            continue
+        cases += 1
+        since = answer.at - 2 * CONTACT_SECONDS
+        dead = [
+            name
+            for name in answer.named
+            if records.gateway_down(name, since, answer.at)
+        ]
+        if dead and len(dead) < len(answer.named):
+            wrong.append(f"{answer.gateway} named {', '.join(sorted(dead))}")
+    breaches = tuple(wrong) if len(wrong) > ALLOWED_DEAD_ANSWERS else ()
+    return Verdict("the directory names no dead gateway", cases, breaches)
+
+
+def judge_recovery(evidence: Evidence) -> Verdict:
+    """Demand that everything serves again some time after all is calm."""
+    records = evidence.records
+    breaches = [f"{name} is not ready" for name in records.unready_at_end]
+    breaches += [
+        f"{each.request_id} at {each.gateway}: {each.ending.value} {each.status} "
+        f"{each.reason}"
+        for each in records.last_attempts
+        if not each.is_success
+    ]
+    promise = "all gateways serve once all is calm"
+    return Verdict(promise, len(records.last_attempts), tuple(breaches))
+
+
+JUDGES: tuple[Callable[[Evidence], Verdict], ...] = (
+    judge_asked,
+    judge_answers,
+    judge_pieces,
+    judge_once,
+    judge_not_run,
+    judge_revoked,
+    judge_denied,
+    judge_leaving,
+    judge_in_time,
+    judge_told_when,
+    judge_budget,
+    judge_gone,
+    judge_stops,
+    judge_directory,
+    judge_recovery,
+)
+
+
+def judge_all(evidence: Evidence) -> tuple[Verdict, ...]:
+    """Judge every promise."""
+    return tuple(judge(evidence) for judge in JUDGES)
+
+
+def _find_change(attempt: Attempt, call: SeenCall) -> str:
+    """Return what differs between what was sent and what arrived."""
+    method = "GET" if attempt.kind is CallKind.STOCK else "POST"
+    body = b"" if attempt.kind is CallKind.STOCK else attempt.request_id.encode()
+    workspace = "w1" if attempt.key == KEY else "w2"
+    if (call.method, call.target) != (method, attempt.target):
+        return f"{call.method} {call.target}"
+    if call.body != body:
+        return f"the body {call.body!r}"
+    if "Authorization" in call.headers:
+        return "the caller's key"
+    if call.headers.get("X-Teaselpond-Tenant") != workspace:
+        return f"workspace {call.headers.get('X-Teaselpond-Tenant')}"
+    for name, value in attempt.headers.items():
+        if call.headers.get(name) != value:
+            return f"{name}: {call.headers.get(name)}"
+    return ""
+
+
+def _is_right(attempt: Attempt) -> bool:
+    signer = attempt.seal.removeprefix("signed-by-")
+    if attempt.kind.is_stream:
+        return bool(signer) and attempt.body == _events(STREAM_EVENTS)
+    method = "GET" if attempt.kind is CallKind.STOCK else "POST"
+    return attempt.body == f"{method} {attempt.target} by {signer}".encode()
+
+
+def _events(count: int) -> bytes:
+    return b"".join(
+        f"id: {number}\ndata: event {number}\n\n".encode()
+        for number in range(1, count + 1)
+    )
+
+
+def _not_idempotent(evidence: Evidence) -> list[Attempt]:
+    return [each for each in evidence.records.attempts if not each.kind.is_idempotent]
+
+
+def _most_sent(sent: list[float], start: float) -> int:
+    """Return the most requests of a window, or of one somewhat before it."""
+    return max(
+        bisect.bisect_right(sent, begin + RETRY_WINDOW_SECONDS)
+        - bisect.bisect_left(sent, begin)
+        for begin in (
+            start,
+            start - RETRY_WINDOW_SECONDS / 2,
+            start - RETRY_WINDOW_SECONDS,
+        )
+    )
+
+
+def _is_undisturbed(evidence: Evidence, attempt: Attempt) -> bool:
+    """Tell whether nothing unplanned could have cut an attempt."""
+    start = attempt.sent - CONTACT_SECONDS
+    engines = {engine_id for engine_id, _ in evidence.calls_by_id[attempt.request_id]}
+    names = {attempt.gateway, *engines}
+    return not any(
+        trouble.name in names
+        and not trouble.is_planned
+        and trouble.start <= attempt.ended
+        and trouble.end >= start
+        for trouble in evidence.records.troubles
+    )
--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
@@ -1,11 +1,9 @@
 """Build the gateway's objects for tests, and run whole gateways."""
 
 import asyncio
-import contextlib
 import itertools
 import json
 import os
-import socket
 from typing import Any
 
 import aiohttp
@@ -32,10 +30,10 @@
 from teaselpond_model.contracts import Address
 
 from ..platform import PlatformStandin
+from ..platform.operator import HOST, KEY, wire_configuration
+from ..server import free_ports
 from ..service import ListedUpstream
 
-KEY = "key-1"
-HOST = "site.example"
 PORT_NAMES = ("entry", "ready", "peers", "directory", "datagrams", "metrics")
 READY_SECONDS = 15.0
 POLL_SECONDS = 0.02
@@ -137,60 +135,6 @@
     return Call(**{**values, **fields})
 
 
-def wire_configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
-    """Return a configuration as the operator writes it."""
-
-    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
-        return {
-            "Name": name,
-            "Host": HOST,
-            "Prefix": f"/{name}/",
-            "Type": kind,
-            "TimeoutMs": 3000,
-            "SloMs": 300,
-            "Priority": 1,
-            "Service": service,
-            "MaxAttempts": 2,
-            "Public": False,
-            "ItlTargetMs": 300,
-            **more,
-        }
-
-    service = {
-        "HealthPath": "/healthz",
-        "MaxConns": 100,
-        "ColdStartS": 0.0,
-        "ColdPerS": 0.0,
-    }
-    return {
-        "Version": version,
-        "Routes": [
-            route("stream", "stream", "model", Resumable=True),
-            route("single", "stream", "model", Resumable=False, MaxAttempts=1),
-            route("orders", "unsafe", "plain", MaxAttempts=1),
-            route("stock", "safe", "plain"),
-            route("open", "safe", "plain", Public=True),
-        ],
-        "Services": [
-            {"Name": "model", "Engine": {"Slots": 64, "KvCapacity": 9}, **service},
-            {"Name": "plain", **service},
-        ],
-        "Limits": {"MaxBodyBytes": 100_000},
-        "Tenants": [{"Name": "w1", "ApiKeys": [KEY]}],
-        **fields,
-    }
-
-
-def free_ports(ip: str, count: int) -> list[int]:
-    """Return different ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        # Each is held until all are chosen, or two could be the same one.
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((ip, 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 @define(eq=False)
 class GatewayFleet:
     """Run gateways and what they need, in this process, on loopback.
--- a/packages/teaselpond/tests/delivery/test_fleet_faults.py
+++ b/packages/teaselpond/tests/delivery/test_fleet_faults.py
@@ -5,6 +5,7 @@
 import signal
 
 import aiohttp
+from testtools import content
 
 from teaselpond_standins.engine import expected_answer
 from teaselpond_standins.fleet import Fleet, FleetPlan, ManagedProcess
@@ -81,8 +82,15 @@
         )
         self.fleet = await self.enter(Fleet(plan))
         self.session = await self.enter(aiohttp.ClientSession())
+        self.addOnException(lambda _: self.keep_logs())
         return list(self.fleet.daemons_by_id.values())
 
+    def keep_logs(self) -> None:
+        """Attach the daemons' logs to this test's report if it fails."""
+        for daemon in self.fleet.daemons_by_id.values():
+            lines = "\n".join(daemon.log_lines)
+            self.addDetail(daemon.name, content.text_content(lines))
+
     async def test_processes_end_in_the_middle(self) -> None:
         """Kill, pause and stop daemons of one fleet at the same time."""
         one, two, three, four, five = await self.start(5)
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -6,10 +6,11 @@
 from attrs import frozen
 
 from teaselpond_model.exceptions import StoreUnavailable
+from teaselpond_standins.platform.operator import wire_configuration
 from teaselpond_standins.service import ListedFault
 from teaselpond_standins.service import ListedFaultKind as Kind
 from teaselpond_standins.testing import AsyncTestCase
-from teaselpond_standins.testing.gateways import GatewayFleet, wire_configuration
+from teaselpond_standins.testing.gateways import GatewayFleet
 
 SIGNATURE = "X-Teaselpond-Server-Seal"
 REQUEST_ID = "X-Teaselpond-Attempt-Id"
--- a/packages/teaselpond/tests/platform/test_entries.py
+++ b/packages/teaselpond/tests/platform/test_entries.py
@@ -20,8 +20,8 @@
 from teaselpond.gateway.tables import Table
 from teaselpond.platform.caches import decode_cache
 from teaselpond.platform.entries import decode_change
+from teaselpond_standins.platform.operator import wire_configuration
 from teaselpond_standins.service import ListedUpstream
-from teaselpond_standins.testing.gateways import wire_configuration
 
 
 def decode(table: Table, key: str, value: object):
