Let a begun answer wait for engines whose owner is lost

Cause: with one owner killed, one paused and an engine crashed, no able engine is known for some seconds, until the other daemons take the engines over. A chat that was half shown was refused at once then ('engines unavailable'), or queued at an owner whose only engine it excludes until its 30 s had passed ('deadline out of reach'). Seen in test_processes_end_in_the_middle beside load, with each daemon's status traced.

Change: a chat that has begun asks again every half second, until its time to continue is over; a request that excludes all of an owner's able engines is refused there at once instead of queued. What has shown nothing yet is refused at once as before.

--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -8,6 +8,7 @@
 
 from ..exceptions import CallerGone, Refused
 from ..policy import Grant, Outcome, Release, RetryReason, SlotRequest
+from ..reasons import Reason
 from ..upstreams import EngineClient
 from .attempts import Attempt, AttemptFailed, Progress
 from .chats import ChatCall
@@ -26,6 +27,8 @@
 CALLER_SECONDS = 30.0
 CONTINUE_SECONDS = 30.0
 MAX_CONTINUATIONS = 8
+# Half a second is lost at most once an owner serves the engines again.
+REACQUIRE_SECONDS = 0.5
 HEAD_AFTER_CANCEL_SECONDS = 5.0
 ABANDONED_SECONDS = 2.0
 
@@ -153,7 +156,7 @@
             attempt += 1
             events_before = progress.events
             request = self._slot_request(call, attempt, excluded, deadline)
-            grant = await self._slots.acquire(request)
+            grant = await self._acquire(request, progress)
             try:
                 await self._attempt(call, grant, sink, progress)
                 return
@@ -177,6 +180,21 @@
                 raise refuse(exit_, peer=failure.peer, retry_after=1.0)
             await asyncio.sleep(retry.delay)
 
+    async def _acquire(self, request: SlotRequest, progress: Progress) -> Grant:
+        """Acquire a slot; wait for one if the caller has part of an answer.
+
+        Engines whose owner is lost are another daemon's within seconds.
+        """
+        while True:
+            try:
+                return await self._slots.acquire(request)
+            except Refused as refused:
+                is_over = self.clock() + REACQUIRE_SECONDS >= request.deadline
+                is_gone = refused.reason is not Reason.NO_UPSTREAM
+                if not progress.events or is_gone or is_over:
+                    raise
+            await asyncio.sleep(REACQUIRE_SECONDS)
+
     async def _attempt(
         self, call: ChatCall, grant: Grant, sink: Sink, progress: Progress
     ) -> None:
--- a/packages/teaselpond/src/teaselpond/policy/admission.py
+++ b/packages/teaselpond/src/teaselpond/policy/admission.py
@@ -181,7 +181,7 @@
     def _enqueue(
         self, pool: ModelPool, request: SlotRequest, now: float
     ) -> Queued | Refusal:
-        if not pool.able(now):
+        if not pool.may_serve(request, now):
             return refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
         ahead = pool.queue.ahead_of(request)
         wait = self._wait(pool, request, ahead, pool.queue.line_length(request), now)
@@ -276,7 +276,7 @@
         """Refuse a queued request as soon as it cannot be served in time."""
         if not pool.engines_by_id:
             return refuse(request, RefusalReason.NOT_OWNER)
-        if not pool.able(now):
+        if not pool.may_serve(request, now):
             return refuse(request, RefusalReason.ENGINES_UNAVAILABLE)
         if request.deadline <= now:
             return refuse(request, RefusalReason.DEADLINE_PASSED, wait)
--- a/packages/teaselpond/src/teaselpond/policy/pools.py
+++ b/packages/teaselpond/src/teaselpond/policy/pools.py
@@ -92,6 +92,12 @@
             )
         return self._able
 
+    def may_serve(self, request: SlotRequest, now: float) -> bool:
+        """Tell whether an able engine is left that was not excluded."""
+        return any(
+            each.engine.engine_id not in request.excluded for each in self.able(now)
+        )
+
     def take(self) -> None:
         """Count a slot that was granted on an able engine."""
         self._in_flight += 1
--- a/packages/teaselpond/tests/delivery/relays.py
+++ b/packages/teaselpond/tests/delivery/relays.py
@@ -40,9 +40,14 @@
         self.held_by_grant: dict[str, str] = {}
         self.requests: list[SlotRequest] = []
         self.releases: list[Release] = []
+        # How many requests find no engine, of those that exclude one.
+        self.refused_continuations = 0
 
     async def acquire(self, request: SlotRequest) -> Grant:
         self.requests.append(request)
+        if request.excluded and self.refused_continuations:
+            self.refused_continuations -= 1
+            raise refuse(Exit.NO_CANDIDATE, retry_after=1.0)
         for engine_id in self.standins_by_id:
             if engine_id not in request.excluded:
                 grant_id = f"g{len(self.requests)}"
--- a/packages/teaselpond/tests/delivery/test_relay.py
+++ b/packages/teaselpond/tests/delivery/test_relay.py
@@ -84,6 +84,21 @@
             failed, done = Outcome.FAILED, Outcome.COMPLETED
             self.assertEqual([failed, failed, done], outcomes)
 
+    async def test_engines_return_after_a_crash(self) -> None:
+        """Continue an answer when no engine is there for a moment."""
+        async with RelayBench() as bench:
+            bench.standins[0].add_fault(F.CRASH, event=4)
+            bench.slots.refused_continuations = 2
+            self.assertEqual("whole", await bench.ask(make_call()))
+
+    async def test_no_engine_before_the_first_event(self) -> None:
+        """Refuse at once what has shown nothing yet."""
+        async with RelayBench() as bench:
+            bench.standins[0].add_fault(F.REFUSE)
+            bench.slots.refused_continuations = 2
+            self.assertEqual("no-upstream not-run", await bench.ask(make_call()))
+            self.assertEqual(2, len(bench.slots.requests))
+
     async def test_limit_of_tokens_holds_over_engines(self) -> None:
         """Count what was sent against the caller's max_tokens."""
         async with RelayBench() as bench:
--- a/packages/teaselpond/tests/policy/test_dispatcher.py
+++ b/packages/teaselpond/tests/policy/test_dispatcher.py
@@ -55,6 +55,11 @@
             self.assertIsInstance(refusal, Refusal)
             self.assertEqual(reason, refusal.reason)
 
+    def test_refuses_at_once_what_excludes_every_engine(self):
+        owner = make_dispatcher(make_profile("e1"))
+        refusal = owner.request(make_request(1, excluded=("e1",)), 1.0)
+        self.assertEqual(RefusalReason.ENGINES_UNAVAILABLE, refusal.reason)
+
     def test_an_engine_out_of_service_gets_nothing_even_from_the_queue(self):
         owner = make_dispatcher(make_profile("e1"))
         grants = [owner.request(make_request(n), 1.0) for n in range(4)]
