Take keys away during a store outage in the soak

Cause: a trial gateway with a bound of 60 s for revoked keys passed the soak: no drawn outage of the store met a revocation.

Change: half of the store's faults come with a key that is taken away.

--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -59,9 +59,13 @@
 
 @frozen
 class SpoilStore(Disturbance):
-    """Spoil the platform's store for everybody."""
+    """Spoil the platform's store for everybody.
+
+    The operator, who has a way of his own, may take a key away meanwhile.
+    """
 
     how: str
+    revokes_key: bool
 
 
 @frozen
@@ -114,6 +118,7 @@
     """Write entries that nobody can read."""
 
 
+REVOKED_IN_OUTAGE_SHARE = 0.5
 STORE_WAYS = ("refuse", "reset", "silence", "slow", "cut", "cut-back")
 STORE_FAULTS = ("down", "silent", "slow", "forget", "lose-answers")
 ENGINE_WAYS = ("refuse", "reset", "silence", "slow", "cut", "cut-back")
@@ -152,7 +157,9 @@
 
     def spoil_store(self, at: float) -> Disturbance:
         """Draw a fault of the store."""
-        return SpoilStore(at, self._seconds(1, 8), self.random.choice(STORE_FAULTS))
+        how = self.random.choice(STORE_FAULTS)
+        revokes_key = self.random.random() < REVOKED_IN_OUTAGE_SHARE
+        return SpoilStore(at, self._seconds(1, 12), how, revokes_key)
 
     def crash_engine(self, at: float) -> Disturbance:
         """Draw an engine to crash."""
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
@@ -205,6 +205,8 @@
                     rows.loses_answers = True
                 case "forget":
                     rows.forget_history()
+            if disturbance.revokes_key:
+                await _revoke_key(arena)
             lapsed = disturbance.how in ("down", "silent")
             if lapsed and disturbance.seconds > LAPSE_SECONDS:
                 await _lapse_entries(arena, disturbance.seconds)
@@ -296,6 +298,10 @@
 
 @strike.register
 async def _(disturbance: schedule.RevokeKey, arena: Arena) -> None:
+    await _revoke_key(arena)
+
+
+async def _revoke_key(arena: Arena) -> None:
     keys = arena.records.valid_from_by_key
     old = list(keys)[-1]
     new = f"key-w2-{len(keys)}"
