Trace a request through gateways' collected lines

Cause: on-call engineers have the gateways' lines only; teaselpondctl asks the product's own daemons and knew nothing of gateways.

--- a/packages/teaselpond-ctl/src/teaselpond_ctl/commands/__init__.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/commands/__init__.py
@@ -7,6 +7,7 @@
 from .quarantine import QuarantineCommand
 from .rollout import RolloutCommand
 from .status import StatusCommand
+from .trace import TraceCommand
 from .why import WhyCommand
 from .zone import ZoneCommand
 
@@ -18,6 +19,7 @@
     "QuarantineCommand",
     "RolloutCommand",
     "StatusCommand",
+    "TraceCommand",
     "WhyCommand",
     "ZoneCommand",
 ]
--- a/packages/teaselpond-ctl/src/teaselpond_ctl/program.py
+++ b/packages/teaselpond-ctl/src/teaselpond_ctl/program.py
@@ -13,6 +13,7 @@
     QuarantineCommand,
     RolloutCommand,
     StatusCommand,
+    TraceCommand,
     WhyCommand,
     ZoneCommand,
 )
@@ -55,6 +56,7 @@
         self.locate = LocateCommand(settings, output).__call__
         self.counters = CountersCommand(settings, output).__call__
         self.why = WhyCommand(settings, output).__call__
+        self.trace = TraceCommand(settings, output).__call__
         self.rollout = RolloutCommand(settings, output)
         self.quarantine = QuarantineCommand(settings, output)
 
