End cut answers without tracebacks; log what libraries say as lines

Cause: a stream that is cut, or whose caller left, was ended by an exception that the HTTP library logged with its traceback on standard error: unbounded, not JSON, and some milliseconds of work each.

Change: the connection is closed and the handler returns.

Measured: the new test fails without the change; the gateway's tests pass.

--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Run one gateway process, from its start to a planned stop."""
 
 import asyncio
+import logging
 import os
 import signal
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
 from .doors import Door
 from .drain import Phase
 from .host import GatewayHost
+from .journal import JournalHandler
 from .peers import PeerExchange
 from .public import PublicViews
 from .sending import Sender
@@ -268,4 +270,6 @@
 
 def serve(settings: GatewaySettings, adapter: Adapter) -> None:
     """Run a gateway until the platform stops it."""
-    asyncio.run(GatewayDaemon(GatewayHost(settings, adapter)).run())
+    host = GatewayHost(settings, adapter)
+    logging.getLogger().addHandler(JournalHandler(host.journal, host.clock))
+    asyncio.run(GatewayDaemon(host).run())
--- a/packages/teaselpond/src/teaselpond/gateway/doors.py
+++ b/packages/teaselpond/src/teaselpond/gateway/doors.py
@@ -110,3 +110,12 @@
             self.response.enable_chunked_encoding()
             await self.response.prepare(self.request)
         await self.response.write(events)
+
+    def cut(self) -> web.StreamResponse:
+        """Close the caller's connection without the end of the answer.
+
+        What was written still goes out.
+        """
+        if self.request.transport is not None:
+            self.request.transport.close()
+        return self.response or web.Response(status=502)
--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -83,15 +83,18 @@
             reply = await self.relay.run(call, sink)
         except StreamCut as error:
             self._note_end(call, "cut", reason=str(error))
-            raise ConnectionResetError(str(error)) from error
-        except (asyncio.CancelledError, ConnectionError):
+            return sink.cut()
+        except asyncio.CancelledError:
             self._note_end(call, "caller-gone")
             raise
+        except ConnectionError:
+            self._note_end(call, "caller-gone")
+            return sink.cut()
         except Exception as error:
             # A fault of the gateway itself: the caller gets a true answer.
             self._note_end(call, "internal-error", status=502, reason=repr(error))
             if sink.has_begun:
-                raise ConnectionResetError(repr(error)) from error
+                return sink.cut()
             reply = self.relay.refuse(Refusal.INTERNAL, call.head.request_id)
             self.metrics.refused(Refusal.INTERNAL.value)
             return respond(reply, close=True)
--- a/packages/teaselpond/src/teaselpond/gateway/journal.py
+++ b/packages/teaselpond/src/teaselpond/gateway/journal.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import logging
 import os
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -15,6 +17,8 @@
 BURST_LINES = 600.0
 # Lines that wait while standard output takes none.
 WAITING_BYTES = 256 * 1024
+# A library's message may quote what a caller sent.
+MESSAGE_CHARACTERS = 300
 
 
 @define(eq=False)
@@ -80,3 +84,24 @@
             return
         self._is_scheduled = True
         loop.call_soon(self.flush)
+
+
+class JournalHandler(logging.Handler):
+    """Write what libraries log as lines of a journal."""
+
+    def __init__(self, journal: Journal, clock: Callable[[], float]) -> None:
+        super().__init__(logging.WARNING)
+        self._journal = journal
+        self._clock = clock
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, its error by name alone."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._journal.write(
+            "library-log",
+            self._clock(),
+            library=record.name,
+            level=record.levelname.lower(),
+            message=record.getMessage()[:MESSAGE_CHARACTERS],
+            error=repr(error)[:MESSAGE_CHARACTERS] if error else None,
+        )
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -182,6 +182,21 @@
             response.close()
         await self.wait_until(lambda: not any(each.running for each in fleet.models))
 
+    async def test_no_tracebacks_of_cut_streams(self) -> None:
+        """A stream that breaks off, or whose caller leaves, is no fault."""
+        fleet = await self.enter(GatewayFleet(model_count=1))
+        fleet.models[0].event_seconds = 0.05
+        fleet.models[0].add_fault(Kind.CUT_STREAM, events=2)
+        with self.assertNoLogs("aiohttp.server"):
+            async with fleet.call("/single/x") as response:
+                with self.assertRaises(aiohttp.ClientPayloadError):
+                    await response.read()
+            for _ in range(5):
+                async with fleet.call("/single/x") as response:
+                    await response.content.readany()
+                    response.close()
+            await self.wait_until(lambda: not fleet.models[0].running)
+
     async def test_prompts_stay_where_they_are(self) -> None:
         """Calls about one thing go to one engine, at all hosts."""
         fleet = await self.enter(GatewayFleet(size=2, model_count=4))
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -1,11 +1,12 @@
 """Check the gateway's books: prefixes, rows, windows and the journal."""
 
 import json
+import logging
 import os
 
 import testtools
 
-from teaselpond.gateway.journal import BURST_LINES, Journal
+from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
 from teaselpond.gateway.peers import (
     TableChanges,
     decode_datagram,
@@ -224,6 +225,21 @@
         (line,) = self.lines()
         self.assertEqual(100, line["left_out"])
 
+    def test_what_libraries_log(self) -> None:
+        """A library's warning is one line too, without its traceback."""
+        logger = logging.Logger("library")
+        logger.addHandler(JournalHandler(self.journal, lambda: 3.0))
+        logger.info("not told")
+        try:
+            raise ValueError("x" * 1000)
+        except ValueError:
+            logger.exception("bad request from %s", "10.0.0.1")
+        (line,) = self.lines()
+        self.assertEqual("library-log", line["event"])
+        self.assertEqual("bad request from 10.0.0.1", line["message"])
+        self.assertIn("ValueError", line["error"])
+        self.assertLess(len(json.dumps(line)), 600)
+
     def test_reader_that_takes_nothing(self) -> None:
         """A full pipe neither blocks nor fills the memory."""
         self.journal.open()
