Ask the owner of an engine that a request did not exclude

Cause: a chat whose home engine had died asked that engine's owner again and again; in a fleet with little load no other owner counts as having room, so that it was refused ('engines unavailable') until its 30 s were over.

Change: engines that a request excludes are passed over when its owner is chosen.

Measured: the new test is refused without the change.

--- a/packages/teaselpond/src/teaselpond/owner/broker.py
+++ b/packages/teaselpond/src/teaselpond/owner/broker.py
@@ -271,7 +271,9 @@
         )
         for engine_id in itertools.chain(self._hinted(request), candidates):
             home = directory.home_at(engine_id)
-            if home is not None and home.owner_id not in unreachable:
+            if home is None or engine_id in request.excluded:
+                continue
+            if home.owner_id not in unreachable:
                 return home
         return None
 
--- a/packages/teaselpond/tests/owner/test_broker.py
+++ b/packages/teaselpond/tests/owner/test_broker.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import time
 
 from attrs import frozen
 
@@ -19,6 +20,7 @@
 from teaselpond.policy import (
     Dispatcher,
     EngineProfile,
+    Outcome,
     PolicySettings,
     Release,
     RequestClass,
@@ -100,6 +102,29 @@
         )
         self.assertGreater(asked, 0)
 
+    async def test_an_excluded_home_is_passed_over(self) -> None:
+        """Ask the owner of another engine, also in a fleet without load."""
+        fleet = await self.enter(TestFleet())
+        (daemon, *_) = fleet.daemons_by_id.values()
+        broker = daemon.parts.broker
+        engine_ids = set(fleet.engines_by_id)
+        for number, excluded in itertools.product(range(CHATS), engine_ids):
+            request = SlotRequest(
+                request_id=f"r{number}",
+                workspace="axams",
+                chat=f"c{number}",
+                model="fitting",
+                request_class=RequestClass.INTERACTIVE,
+                prompt_tokens=10,
+                prefixes=(),
+                deadline=time.monotonic() + 5.0,
+                origin_daemon=daemon.settings.daemon_id,
+                excluded=(excluded,),
+            )
+            grant = await broker.acquire(request)
+            self.assertIn(grant.engine_id, engine_ids - {excluded})
+            await broker.release(Release(grant.grant_id, Outcome.COMPLETED))
+
     async def test_a_daemon_that_dies_gives_its_slots_back(self) -> None:
         """End a daemon at once while its callers' streams run."""
         fleet = await self.enter(TestFleet())
