Pack large configurations for peers; let large answers of the store come

Cause: a configuration of 1,560 routes is some 400 kB. A peer had half a second to hand it on, the store 0.8 s, on links of 5 Mbit/s that many share: asked again and again, in vain, until a host read the store itself 2.2 s later.

Change: values above 4 kB go packed to peers, once packed for all; silence is bounded as before, the whole transfer by two seconds more.

--- a/packages/teaselpond-model/src/teaselpond_model/store_calls.py
+++ b/packages/teaselpond-model/src/teaselpond_model/store_calls.py
@@ -35,17 +35,23 @@
 
 @frozen
 class PlatformConnection:
-    """Hold the session and the base URL that the platform's clients share."""
+    """Hold the session and the base URL that the platform's clients share.
+
+    ``timeout_seconds`` is how long the platform may be silent, and
+    ``transfer_seconds`` how much longer a large answer may take to come.
+    """
 
     session: aiohttp.ClientSession
     base_url: str
     timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS
+    transfer_seconds: float = 0.0
     _timeout: aiohttp.ClientTimeout = field(init=False)
 
     @_timeout.default
     def _make_timeout(self) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
-            total=self.timeout_seconds,
+            total=self.timeout_seconds + self.transfer_seconds,
+            sock_read=self.timeout_seconds,
             sock_connect=min(CONNECT_TIMEOUT_SECONDS, self.timeout_seconds),
         )
 
@@ -62,8 +68,10 @@
         """
         arguments: dict[str, Any] = {"params": params}
         if wait_seconds:
-            total = self.timeout_seconds + wait_seconds
-            arguments["timeout"] = attrs.evolve(self._timeout, total=total)
+            silence = self.timeout_seconds + wait_seconds
+            arguments["timeout"] = attrs.evolve(
+                self._timeout, total=silence + self.transfer_seconds, sock_read=silence
+            )
         try:
             answer = await self._send("GET", path, **arguments)
         except LOST_ERRORS as error:
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -26,12 +27,47 @@
 # How often a host that knows nothing yet looks for a peer that does, and how
 # long a peer may take to answer.
 ASK_SECONDS = 0.3
-ANSWER_SECONDS = 0.5
+SILENCE_SECONDS = 0.5
+# Several hosts may fetch a large configuration over one link of 5 Mbit/s, the
+# slowest of the deployments.
+ANSWER_SECONDS = 2.0
+# Larger values are packed: a configuration of a thousand routes is 300 kB and
+# shrinks to a tenth, while smaller ones fit into a packet or two.
+PACKED_BYTES = 4096
+# The fastest level: an answer is made while others wait for their events.
+PACKING_LEVEL = 1
 # A peer that tells of news is asked after this time, so that the news itself
 # can come before.
 NEWS_SECONDS = 0.02
 
 
+@define
+class PackedValues:
+    """Keep the large values of rows packed, the newest of each key."""
+
+    _packed_by_key: dict[str, tuple[int, bytes]] = field(factory=dict)
+
+    def pack(self, row: Row) -> list[Any]:
+        """Return a row for a peer, and whether its value is packed."""
+        if row.value is None or len(row.value) < PACKED_BYTES:
+            return [row.key, row.value, row.version, False]
+        version, packed = self._packed_by_key.get(row.key, (None, b""))
+        if version != row.version:
+            packed = zlib.compress(row.value, PACKING_LEVEL)
+            self._packed_by_key[row.key] = (row.version, packed)
+        return [row.key, packed, row.version, True]
+
+
+def unpack_row(key: str, value: bytes | None, version: int, is_packed: bool) -> Row:
+    """Return a row that a peer sent; raise ValueError."""
+    if is_packed:
+        try:
+            value = zlib.decompress(value)
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+    return Row(key, value, version)
+
+
 class PeerUnavailable(TeaselpondError):
     """Report a peer that did not hand on what it knows."""
 
@@ -50,6 +86,7 @@
     knows_prefixes: bool = False
     chance: random.Random = field(factory=random.Random)
     _is_behind: asyncio.Event = field(factory=asyncio.Event)
+    _packed: PackedValues = field(factory=PackedValues)
 
     def hear_beat(self, beat: Beat, now: float) -> None:
         """Take what a peer's beat says of the store."""
@@ -113,9 +150,7 @@
         tables = []
         for table, after in zip(FOLLOWED, versions, strict=True):
             cache = self.applier.caches_by_table[table]
-            rows = [
-                [row.key, row.value, row.version] for row in cache.newer_than(after)
-            ]
+            rows = [self._packed.pack(row) for row in cache.newer_than(after)]
             tables.append([cache.version, rows])
         return web.Response(body=cbor2.dumps([age, confirmed, tables]))
 
@@ -190,7 +225,7 @@
         try:
             age, confirmed, raw_tables = answer
             tables = [
-                (int(version), [Row(*row) for row in rows])
+                (int(version), [unpack_row(*row) for row in rows])
                 for version, rows in raw_tables
             ]
             return float(age), float(confirmed), tables
@@ -199,7 +234,11 @@
 
     async def _get(self, peer: Member, path: str, params: Mapping[str, str]) -> Any:
         url = f"http://{peer.beat.ip}:{self.peer_port}{path}"
-        timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS)
+        timeout = aiohttp.ClientTimeout(
+            total=ANSWER_SECONDS,
+            sock_connect=SILENCE_SECONDS,
+            sock_read=SILENCE_SECONDS,
+        )
         try:
             async with self.session.get(url, params=params, timeout=timeout) as answer:
                 content = await answer.read()
--- a/packages/teaselpond/src/teaselpond/platform/store.py
+++ b/packages/teaselpond/src/teaselpond/platform/store.py
@@ -15,6 +15,9 @@
 from ..gateway.tables import Table
 
 MILLISECONDS = 1000.0
+# A configuration of 1,500 routes is 0.7 MB of an answer, which takes this long
+# on the slowest host's link of 5 Mbit/s beside its other traffic.
+TRANSFER_SECONDS = 2.0
 # A table is read in pages of the largest size that the store gives.
 PAGE_ROWS = 500
 TABLE_NAMES = {
@@ -102,5 +105,7 @@
     session: aiohttp.ClientSession, address: Address, timeout_seconds: float
 ) -> RowStore:
     """Return a client of the store at an address."""
-    connection = PlatformConnection(session, f"http://{address}", timeout_seconds)
+    connection = PlatformConnection(
+        session, f"http://{address}", timeout_seconds, TRANSFER_SECONDS
+    )
     return RowStore(connection=connection)
