--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/judges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/judges.py
@@ -296,9 +296,7 @@
         cases += 1
         since = answer.at - 2 * CONTACT_SECONDS
         dead = [
-            name
-            for name in answer.named
-            if records.gateway_down(name, since, answer.at)
+            name for name in answer.named if records.was_down(name, since, answer.at)
         ]
         if dead and len(dead) < len(answer.named):
             wrong.append(f"{answer.gateway} named {', '.join(sorted(dead))}")
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/records.py
@@ -142,7 +142,7 @@
         """Tell whether a gateway and the store were calm long enough."""
         return self.is_calm((gateway, STORE), start - CONTACT_SECONDS, end)
 
-    def gateway_down(self, gateway: str, since: float, until: float) -> bool:
+    def was_down(self, gateway: str, since: float, until: float) -> bool:
         """Tell whether a gateway was killed and stayed down over a span."""
         return any(
             trouble.name == gateway
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -61,7 +61,7 @@
 class SpoilStore(Disturbance):
     """Spoil the platform's store for everybody.
 
-    The operator, who has a way of his own, may take a key away meanwhile.
+    The operator may take a key away meanwhile.
     """
 
     how: str
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
@@ -206,6 +206,7 @@
                 case "forget":
                     rows.forget_history()
             if disturbance.revokes_key:
+                # An operator's change is accepted where no host can read it.
                 await _revoke_key(arena)
             lapsed = disturbance.how in ("down", "silent")
             if lapsed and disturbance.seconds > LAPSE_SECONDS:
