--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/disturbances.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/disturbances.py
@@ -9,6 +9,7 @@
 from ..fleet import FleetPlan
 from ..platform import PlatformFaultKind
 from ..service import ServiceFaultKind
+from .playing import draw_in_turn
 
 # The drill's first seconds are calm, so that the engines warm up a little.
 CALM_SECONDS = 2.0
@@ -257,13 +258,4 @@
     drawing: Drawing, seconds: float, mean_gap_seconds: float
 ) -> tuple[Disturbance, ...]:
     """Return disturbances at random times, drawing all kinds in turn."""
-    schedule: list[Disturbance] = []
-    at = CALM_SECONDS
-    bag: list[Callable[[Drawing, float], Disturbance]] = []
-    while at < seconds:
-        if not bag:
-            bag = list(DRAWERS)
-            drawing.random.shuffle(bag)
-        schedule.append(bag.pop()(drawing, round(at, 2)))
-        at += drawing.random.uniform(0, 2 * mean_gap_seconds)
-    return tuple(schedule)
+    return draw_in_turn(drawing, DRAWERS, CALM_SECONDS, seconds, mean_gap_seconds)
--- a/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/drill.py
@@ -18,6 +18,7 @@
 from .calling import Client
 from .disturbances import Disturbance, Drawing, draw_schedule
 from .judges import judge_all
+from .playing import cancel, settle
 from .records import DrillRecords, WorkKind
 from .strikes import Arena, strike
 from .upstreams import UpstreamReports, read_upstreams
@@ -89,13 +90,15 @@
             for disturbance in self._schedule(fleet)
         ]
         try:
-            await self._settle([*work, *strikes])
+            self.records.failures += await settle(
+                [*work, *strikes], plan.seconds + SETTLE_SECONDS
+            )
             upstreams = await read_upstreams(fleet, session)
             if plan.dump:
                 self._dump(upstreams, fleet)
             return upstreams
         finally:
-            await _cancel([watch, *work, *strikes])
+            await cancel([watch, *work, *strikes])
 
     def _schedule(self, fleet: Fleet) -> tuple[Disturbance, ...]:
         drawing = Drawing(
@@ -128,16 +131,6 @@
             # An upstream that is down already can't be struck.
             self.tell(f"{time.time() - self._started:7.2f} s  missed: {error!r}")
 
-    async def _settle(self, tasks: list[asyncio.Task]) -> None:
-        """Wait for all work and strikes, and record those that failed."""
-        limit = self.plan.seconds + SETTLE_SECONDS
-        done, pending = await asyncio.wait(tasks, timeout=limit)
-        for task in done:
-            if task.exception() is not None:
-                self.records.failures.append(repr(task.exception()))
-        for task in pending:
-            self.records.failures.append(f"never ended: {task.get_coro()!r}")
-
     def _dump(self, upstreams: UpstreamReports, fleet: Fleet) -> None:
         content = {
             "records": make_converter().unstructure(self.records),
@@ -163,9 +156,3 @@
         for failure in self.records.failures:
             self.tell(f"FAILED    the drill itself: {failure}")
         self.tell(f"seed {self.plan.seed}")
-
-
-async def _cancel(tasks: list[asyncio.Task]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/teaselpond-standins/src/teaselpond_standins/drill/playing.py
@@ -0,0 +1,52 @@
+"""Draw what goes wrong at which time, and wait until all of it is over."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol, TypeVar
+
+
+class Drawing(Protocol):
+    """Draw from one seeded source."""
+
+    random: random.Random
+
+
+D = TypeVar("D", bound=Drawing)
+T = TypeVar("T")
+
+
+def draw_in_turn(
+    drawing: D,
+    drawers: Sequence[Callable[[D, float], T]],
+    start: float,
+    end: float,
+    mean_gap_seconds: float,
+) -> tuple[T, ...]:
+    """Draw at random times, from all drawers in turn."""
+    drawn: list[T] = []
+    at = start
+    bag: list[Callable[[D, float], T]] = []
+    while at < end:
+        if not bag:
+            bag = list(drawers)
+            drawing.random.shuffle(bag)
+        drawn.append(bag.pop()(drawing, round(at, 2)))
+        at += drawing.random.uniform(0, 2 * mean_gap_seconds)
+    return tuple(drawn)
+
+
+async def settle(tasks: Iterable[asyncio.Task], seconds: float) -> list[str]:
+    """Wait for tasks, and return what failed or never ended."""
+    done, pending = await asyncio.wait(tasks, timeout=seconds)
+    failures = [repr(task.exception()) for task in done if task.exception() is not None]
+    failures += [f"never ended: {task.get_coro()!r}" for task in pending]
+    return failures
+
+
+async def cancel(tasks: Iterable[asyncio.Task]) -> None:
+    """Cancel tasks, and wait until they have ended."""
+    tasks = list(tasks)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from ..drill.playing import draw_in_turn
 from ..service.listed import ListedFaultKind
 
 # The first seconds are calm, so that the gateways learn of each other.
@@ -237,13 +238,4 @@
     drawing: Drawing, seconds: float, mean_gap_seconds: float
 ) -> tuple[Disturbance, ...]:
     """Return disturbances at random times, drawing all kinds in turn."""
-    schedule: list[Disturbance] = []
-    at = CALM_SECONDS
-    bag: list[Callable[[Drawing, float], Disturbance]] = []
-    while at < seconds:
-        if not bag:
-            bag = list(DRAWERS)
-            drawing.random.shuffle(bag)
-        schedule.append(bag.pop()(drawing, round(at, 2)))
-        at += drawing.random.uniform(0, 2 * mean_gap_seconds)
-    return tuple(schedule)
+    return draw_in_turn(drawing, DRAWERS, CALM_SECONDS, seconds, mean_gap_seconds)
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
@@ -12,6 +12,7 @@
 import attrs
 from attrs import define, field
 
+from ..drill.playing import cancel, settle
 from ..drill.verdicts import Verdict
 from ..platform.operator import KEY
 from .callers import Caller
@@ -81,7 +82,9 @@
             asyncio.create_task(self._strike_at(disturbance, arena))
             for disturbance in self._schedule(site)
         ]
-        await self._settle([*work, *strikes])
+        tasks = [*work, *strikes]
+        records.failures += await settle(tasks, self.plan.seconds + SETTLE_SECONDS)
+        await cancel(tasks)
         await self._check_recovery(arena, ids)
 
     def _schedule(self, site: SoakSite) -> tuple[Disturbance, ...]:
@@ -97,18 +100,6 @@
         self.tell(f"{disturbance.at:7.2f} s  {disturbance}")
         await strike(disturbance, arena)
 
-    async def _settle(self, tasks: list[asyncio.Task]) -> None:
-        """Wait for all work and strikes, and record those that failed."""
-        limit = self.plan.seconds + SETTLE_SECONDS
-        done, pending = await asyncio.wait(tasks, timeout=limit)
-        for task in done:
-            if task.exception() is not None:
-                self.records.failures.append(repr(task.exception()))
-        for task in pending:
-            self.records.failures.append(f"never ended: {task.get_coro()!r}")
-            task.cancel()
-        await asyncio.gather(*pending, return_exceptions=True)
-
     async def _check_recovery(self, arena: Arena, ids: itertools.count) -> None:
         """Ask every gateway for everything once all is calm, and stop them."""
         site = arena.site
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
@@ -4,8 +4,9 @@
 import contextlib
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterable, Iterator
 from functools import singledispatch
+from typing import Any
 
 from attrs import define, field
 
@@ -86,12 +87,22 @@
     raise NotImplementedError(disturbance)
 
 
+async def _in_series(
+    strikes: Iterable[Coroutine[Any, Any, None]], gap_seconds: float = 0.0
+) -> None:
+    """Begin one strike after another, and wait for all."""
+    async with asyncio.TaskGroup() as group:
+        for each in strikes:
+            group.create_task(each)
+            await asyncio.sleep(gap_seconds)
+
+
 @strike.register
 async def _(disturbance: schedule.KillGateways, arena: Arena) -> None:
-    async with asyncio.TaskGroup() as group:
-        for name in disturbance.names:
-            group.create_task(_kill(arena, name, disturbance.seconds))
-            await asyncio.sleep(disturbance.gap_seconds)
+    await _in_series(
+        (_kill(arena, name, disturbance.seconds) for name in disturbance.names),
+        disturbance.gap_seconds,
+    )
 
 
 async def _kill(arena: Arena, name: str, seconds: float) -> None:
@@ -112,9 +123,9 @@
 
 @strike.register
 async def _(disturbance: schedule.PauseGateways, arena: Arena) -> None:
-    async with asyncio.TaskGroup() as group:
-        for name in disturbance.names:
-            group.create_task(_pause(arena, name, disturbance.seconds))
+    await _in_series(
+        _pause(arena, name, disturbance.seconds) for name in disturbance.names
+    )
 
 
 async def _pause(arena: Arena, name: str, seconds: float) -> None:
@@ -130,10 +141,10 @@
 
 @strike.register
 async def _(disturbance: schedule.StopGateways, arena: Arena) -> None:
-    async with asyncio.TaskGroup() as group:
-        for name in disturbance.names:
-            group.create_task(_stop(arena, name, disturbance.seconds))
-            await asyncio.sleep(disturbance.gap_seconds)
+    await _in_series(
+        (_stop(arena, name, disturbance.seconds) for name in disturbance.names),
+        disturbance.gap_seconds,
+    )
 
 
 async def _stop(arena: Arena, name: str, seconds: float) -> None:
@@ -171,9 +182,9 @@
 
 @strike.register
 async def _(disturbance: schedule.SpoilStoreWay, arena: Arena) -> None:
-    async with asyncio.TaskGroup() as group:
-        for name in disturbance.names:
-            group.create_task(_spoil_store_way(arena, name, disturbance))
+    await _in_series(
+        _spoil_store_way(arena, name, disturbance) for name in disturbance.names
+    )
 
 
 async def _spoil_store_way(
