--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/judges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/judges.py
@@ -170,12 +170,12 @@
 def judge_leaving(evidence: Evidence) -> Verdict:
     """Demand that an engine that left gets nothing new after some seconds."""
     breaches = []
-    cases = 0
+    left_at_by_engine = evidence.records.left_at_by_engine
+    cases = sum(len(times) for times in left_at_by_engine.values())
     for attempt, engine_id, call in evidence.calls():
-        for left_at, back_at in evidence.records.left_at_by_engine.get(engine_id, ()):
+        for left_at, back_at in left_at_by_engine.get(engine_id, ()):
             if not left_at + DRAIN_SECONDS < call.at < back_at:
                 continue
-            cases += 1
             in_touch = evidence.records.is_in_touch(attempt.gateway, left_at, call.at)
             if in_touch and attempt.sent > left_at + DRAIN_SECONDS:
                 breaches.append(
