--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
@@ -14,7 +14,7 @@
 
 from ..fleet.process import ManagedProcess
 from ..platform import PlatformStandin
-from ..platform.operator import wire_configuration
+from ..platform.operator import KEY, wire_configuration
 from ..server import free_ports
 from ..service import ListedUpstream
 from .proxy import FaultyProxy
@@ -168,6 +168,15 @@
             await self.platform.rows.put_json("op", "config", self.configuration)
             return time.monotonic()
 
+    async def give_key(self, key: str) -> float:
+        """Make a key the second workspace's only one; return since when."""
+        return await self.change_configuration(
+            Tenants=[
+                {"Name": "w1", "ApiKeys": [KEY]},
+                {"Name": "w2", "ApiKeys": [key]},
+            ]
+        )
+
     async def list_engine(self, engine: SoakEngine, **fields: object) -> None:
         """Write an engine's entry to the store."""
         await self.platform.rows.put_json(
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
@@ -14,7 +14,6 @@
 
 from ..drill.playing import cancel, settle
 from ..drill.verdicts import Verdict
-from ..platform.operator import KEY
 from .callers import Caller
 from .judges import Evidence, judge_all
 from .records import CallKind, SoakRecords
@@ -55,13 +54,7 @@
         arena = Arena(site, records)
         for name in await site.until_ready(START_SECONDS):
             records.failures.append(f"{name} was not ready at the start")
-        at = await site.change_configuration(
-            Tenants=[
-                {"Name": "w1", "ApiKeys": [KEY]},
-                {"Name": "w2", "ApiKeys": [FIRST_KEY]},
-            ]
-        )
-        records.valid_from_by_key[FIRST_KEY] = at
+        records.valid_from_by_key[FIRST_KEY] = await site.give_key(FIRST_KEY)
         records.started = time.monotonic()
         ids = itertools.count(1)
         callers = [
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
@@ -10,7 +10,6 @@
 
 from attrs import define, field
 
-from ..platform.operator import KEY
 from . import schedule
 from .proxy import Direction, FaultyProxy
 from .records import STORE, SoakRecords, Stop, Trouble
@@ -317,12 +316,7 @@
     keys = arena.records.valid_from_by_key
     old = list(keys)[-1]
     new = f"key-w2-{len(keys)}"
-    at = await arena.site.change_configuration(
-        Tenants=[
-            {"Name": "w1", "ApiKeys": [KEY]},
-            {"Name": "w2", "ApiKeys": [new]},
-        ]
-    )
+    at = await arena.site.give_key(new)
     arena.records.revoked_at_by_key[old] = at
     keys[new] = at
 
