Log and count a begun answer that waits for an engine

Change: a line with the request, its events and the refusal, and a counter.

Measured: the relay's tests pass.

--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from absl import logging
 from attrs import frozen
 
 from ..exceptions import CallerGone, Refused
@@ -189,10 +190,17 @@
             try:
                 return await self._slots.acquire(request)
             except Refused as refused:
-                is_over = self.clock() + REACQUIRE_SECONDS >= request.deadline
-                is_gone = refused.reason is not Reason.NO_UPSTREAM
-                if not progress.events or is_gone or is_over:
+                is_late = self.clock() + REACQUIRE_SECONDS >= request.deadline
+                may_return = refused.reason is Reason.NO_UPSTREAM and not is_late
+                if not progress.events or not may_return:
                     raise
+                logging.info(
+                    "request %s waits for an engine after %d events: %s",
+                    request.request_id,
+                    progress.events,
+                    refused,
+                )
+                self.counters.incr("streams.waited_for_engine")
             await asyncio.sleep(REACQUIRE_SECONDS)
 
     async def _attempt(
