--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/strikes.py
@@ -4,9 +4,8 @@
 import contextlib
 import signal
 import time
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from functools import singledispatch
-from typing import Any
 
 from attrs import define, field
 
@@ -86,33 +85,38 @@
     raise NotImplementedError(disturbance)
 
 
-async def _in_series(
-    strikes: Iterable[Coroutine[Any, Any, None]], gap_seconds: float = 0.0
+async def _strike_gateways(
+    arena: Arena,
+    names: Iterable[str],
+    act: Callable[[Arena, SoakGateway, float], Awaitable[None]],
+    seconds: float,
+    gap_seconds: float = 0.0,
 ) -> None:
-    """Begin one strike after another, and wait for all."""
+    """Strike those gateways that are free, one after another."""
+
+    async def strike_one(name: str) -> None:
+        with arena.hold(name) as is_free:
+            if is_free:
+                await act(arena, arena.site.gateways_by_name[name], seconds)
+
     async with asyncio.TaskGroup() as group:
-        for each in strikes:
-            group.create_task(each)
+        for name in names:
+            group.create_task(strike_one(name))
             await asyncio.sleep(gap_seconds)
 
 
 @strike.register
 async def _(disturbance: schedule.KillGateways, arena: Arena) -> None:
-    await _in_series(
-        (_kill(arena, name, disturbance.seconds) for name in disturbance.names),
-        disturbance.gap_seconds,
+    await _strike_gateways(
+        arena, disturbance.names, _kill, disturbance.seconds, disturbance.gap_seconds
     )
 
 
-async def _kill(arena: Arena, name: str, seconds: float) -> None:
-    gateway = arena.site.gateways_by_name[name]
-    with arena.hold(name) as is_free:
-        if not is_free:
-            return
-        with arena.trouble(name, "killed"):
-            await gateway.end()
-            await asyncio.sleep(seconds)
-            await _start(arena, gateway)
+async def _kill(arena: Arena, gateway: SoakGateway, seconds: float) -> None:
+    with arena.trouble(gateway.name, "killed"):
+        await gateway.end()
+        await asyncio.sleep(seconds)
+        await _start(arena, gateway)
 
 
 async def _start(arena: Arena, gateway: SoakGateway) -> None:
@@ -122,39 +126,28 @@
 
 @strike.register
 async def _(disturbance: schedule.PauseGateways, arena: Arena) -> None:
-    await _in_series(
-        _pause(arena, name, disturbance.seconds) for name in disturbance.names
-    )
+    await _strike_gateways(arena, disturbance.names, _pause, disturbance.seconds)
 
 
-async def _pause(arena: Arena, name: str, seconds: float) -> None:
-    gateway = arena.site.gateways_by_name[name]
-    with arena.hold(name) as is_free:
-        if not is_free:
-            return
-        with arena.trouble(name, "paused"):
-            gateway.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
-            gateway.process.send_signal(signal.SIGCONT)
+async def _pause(arena: Arena, gateway: SoakGateway, seconds: float) -> None:
+    with arena.trouble(gateway.name, "paused"):
+        gateway.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.process.send_signal(signal.SIGCONT)
 
 
 @strike.register
 async def _(disturbance: schedule.StopGateways, arena: Arena) -> None:
-    await _in_series(
-        (_stop(arena, name, disturbance.seconds) for name in disturbance.names),
-        disturbance.gap_seconds,
+    await _strike_gateways(
+        arena, disturbance.names, _stop, disturbance.seconds, disturbance.gap_seconds
     )
 
 
-async def _stop(arena: Arena, name: str, seconds: float) -> None:
-    gateway = arena.site.gateways_by_name[name]
-    with arena.hold(name) as is_free:
-        if not is_free:
-            return
-        await stop_gateway(arena, gateway)
-        with arena.trouble(name, "killed", is_planned=True):
-            await asyncio.sleep(seconds)
-            await _start(arena, gateway)
+async def _stop(arena: Arena, gateway: SoakGateway, seconds: float) -> None:
+    await stop_gateway(arena, gateway)
+    with arena.trouble(gateway.name, "killed", is_planned=True):
+        await asyncio.sleep(seconds)
+        await _start(arena, gateway)
 
 
 async def stop_gateway(arena: Arena, gateway: SoakGateway) -> None:
@@ -181,9 +174,9 @@
 
 @strike.register
 async def _(disturbance: schedule.SpoilStoreWay, arena: Arena) -> None:
-    await _in_series(
-        _spoil_store_way(arena, name, disturbance) for name in disturbance.names
-    )
+    async with asyncio.TaskGroup() as group:
+        for name in disturbance.names:
+            group.create_task(_spoil_store_way(arena, name, disturbance))
 
 
 async def _spoil_store_way(
