--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
@@ -25,6 +25,7 @@
 from teaselpond.gateway.daemon import GatewayDaemon
 from teaselpond.gateway.engines import Engine, EngineState
 from teaselpond.gateway.host import GatewayHost
+from teaselpond.gateway.members import Heartbeat, MemberState
 from teaselpond.gateway.settings import Bounds, GatewaySettings, Listeners
 from teaselpond.platform.adapter import PlatformAdapter
 from teaselpond_model.contracts import Address
@@ -135,6 +136,25 @@
     return Call(**{**values, **fields})
 
 
+def make_heartbeat(host: str, **fields: Any) -> Heartbeat:
+    """Return a heartbeat of a serving host."""
+    values: dict[str, Any] = {
+        "incarnation": 1,
+        "ip": f"ip-{host}",
+        "availability_zone": "zone-a",
+        "state": MemberState.SERVING,
+        "confirmed_store_seconds": 0.0,
+        "row_versions": (0, 0),
+        "is_store_answering": True,
+        "store_back_seconds": 0.0,
+        "loads_by_engine": {},
+        "ips_by_host": {},
+        "engines_by_prefix_key": {},
+        "engines_by_broken_request": {},
+    }
+    return Heartbeat(host=host, **{**values, **fields})
+
+
 @define(eq=False)
 class GatewayFleet:
     """Run gateways, their store and their upstreams in this process.
--- a/packages/teaselpond/src/teaselpond/gateway/answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/answers.py
@@ -12,7 +12,8 @@
     request, ``is_other_engine`` if another upstream has the address now.
     ``is_signed`` tells whether the answer has an upstream's signature.
     ``cold_seconds`` is how long the upstream can take only little load, None
-    if it does not report it.
+    if it does not report it. ``load`` is the number of its running and waiting
+    requests, None if it does not report them.
     """
 
     status: int
@@ -22,6 +23,7 @@
     not_run: bool
     is_other_engine: bool
     cold_seconds: float | None
+    load: int | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -245,7 +245,9 @@
         while True:
             now = host.clock()
             self._reload_if_changed()
-            host.health.retain(host.routing_state.engines_by_id)
+            engines_by_id = host.routing_state.engines_by_id
+            host.health.retain(engines_by_id)
+            host.loads.readings.expire(engines_by_id, now)
             for engine_id in host.routing_state.expire(now):
                 host.journal.write(
                     "engine-gone", now, engine=engine_id, reason="did not return"
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -1,7 +1,7 @@
 """Hold the state of one host, and report it to the peers in heartbeats."""
 
-import math
 import os
+import random
 from collections.abc import Callable, Mapping
 
 from attrs import define, field
@@ -15,17 +15,17 @@
 from .health import HealthTracker
 from .journal import Journal
 from .loads import LoadTracker
-from .members import Heartbeat, Members, MemberState
+from .members import Heartbeat, Introduction, Members, MemberState
 from .metrics import Metrics
-from .peers import HEARTBEAT_SECONDS, HEARTBEATS_PER_ROUND
 from .poison import PoisonTracker
 from .prefixes import PrefixTracker
-from .readers import CONFIRMATION_TIMEOUT_SECONDS, ReadScheduler
+from .readers import CONFIRMATION_TIMEOUT_SECONDS, Candidate, ReadScheduler
 from .routing_state import RoutingState
 from .settings import GatewaySettings
+from .sightings import pack_sightings
 
-# Each prefix use and broken request is repeated in heartbeats for this much
-# longer than one turn through all hosts takes, because heartbeats may be late.
+# Each prefix use is repeated in heartbeats for this much longer than one turn
+# through all hosts takes, because heartbeats may be late.
 PROPAGATION_MARGIN = 1.3
 INCARNATION_BYTES = 6
 
@@ -49,6 +49,7 @@
     drain: Drain = field(init=False)
     admission: Admission = field(init=False)
     followers: list[Follower] = field(factory=list)
+    rng: random.Random = field(factory=random.Random)
     incarnation: int = field(
         factory=lambda: int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
     )
@@ -80,40 +81,51 @@
             return MemberState.UNCONFIRMED
         return MemberState.SERVING
 
-    def heartbeat(self, ips_by_host: Mapping[str, str]) -> Heartbeat:
+    @property
+    def is_store_answering(self) -> bool:
+        """Return whether no request of this host to the store failed last."""
+        return not any(follower.is_failing for follower in self.followers)
+
+    def heartbeat(
+        self,
+        ips_by_host: Mapping[str, str],
+        introductions: tuple[Introduction, ...] = (),
+    ) -> Heartbeat:
         """Build this host's heartbeat.
 
         ``ips_by_host`` holds addresses of other hosts to share.
         """
         now = self.clock()
-        since = now - self._propagation_seconds(now)
-        freshness = self.routing_state.freshness
+        # Peers' counts are half as old on average as the oldest.
+        turn_seconds = 2 * self.loads.peer_age_seconds
+        since = now - turn_seconds * PROPAGATION_MARGIN
+        routing_state = self.routing_state
+        configuration = routing_state.configuration
         return Heartbeat(
             host=self.settings.host,
             incarnation=self.incarnation,
             ip=self.settings.ip,
             availability_zone=self.settings.availability_zone,
             state=self.state(now),
-            confirmed_store_seconds=freshness.confirmed_store_seconds or 0.0,
-            row_versions=self.applier.row_versions(),
-            is_store_answering=not any(
-                follower.is_failing for follower in self.followers
+            confirmed_store_seconds=(
+                routing_state.freshness.confirmed_store_seconds or 0.0
             ),
-            store_back_seconds=self.routing_state.outages.returned_at or 0.0,
+            row_versions=self.applier.row_versions(),
+            is_store_answering=self.is_store_answering,
+            store_back_seconds=routing_state.outages.returned_at or 0.0,
             loads_by_engine=self.loads.own_counts(),
             ips_by_host=ips_by_host,
             engines_by_prefix_key={
                 prefix_use.key: prefix_use.engine_id
                 for prefix_use in self.prefixes.own_since(since)
             },
-            engines_by_broken_request=self.poison.own_since(since),
+            engines_by_broken_request=self.poison.relayed(now),
+            configuration_version=configuration.version if configuration else 0,
+            introductions=introductions,
+            sightings=pack_sightings(self.members, now),
+            load_readings=self.loads.readings.pack(self.rng, now),
         )
 
-    def _propagation_seconds(self, now: float) -> float:
-        """Return the time in which every other host gets a heartbeat."""
-        rounds = math.ceil(self.members.count(now) / HEARTBEATS_PER_ROUND)
-        return rounds * HEARTBEAT_SECONDS * PROPAGATION_MARGIN
-
     def must_read(self, scheduler: ReadScheduler) -> bool:
         """Return whether this host reads a table from the store itself.
 
@@ -122,11 +134,8 @@
         """
         now = self.clock()
         age = self.routing_state.freshness.age(now)
-        heartbeats = [
-            self.heartbeat({}),
-            *(member.heartbeat for member in self.members.recent(now)),
-        ]
-        if scheduler.is_due(heartbeats, age, now):
+        own = Candidate(self.settings.host, self.state(now), self.is_store_answering)
+        if scheduler.is_due([own, *self.members.recent(now)], age, now):
             return True
         if age is not None and age <= CONFIRMATION_TIMEOUT_SECONDS:
             for follower in self.followers:
--- a/packages/teaselpond/src/teaselpond/gateway/locating.py
+++ b/packages/teaselpond/src/teaselpond/gateway/locating.py
@@ -19,9 +19,10 @@
     these are too few. Hosts that cannot confirm their configuration are
     returned only if no host is serving.
     """
-    heartbeats = [own, *(member.heartbeat for member in peers)]
     for state in (MemberState.SERVING, MemberState.UNCONFIRMED):
-        usable = [heartbeat for heartbeat in heartbeats if heartbeat.state is state]
+        usable = [member.heartbeat for member in peers if member.state is state]
+        if own.state is state:
+            usable.insert(0, own)
         if usable:
             return _nearest(usable, caller_zone)
     return []
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -1,17 +1,21 @@
 """Track the other hosts of the fleet by their heartbeats."""
 
 import enum
-from collections.abc import Mapping
+import zlib
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field, frozen
 
 # A host counts as recent, and callers may be sent to it, for this long after
-# its last heartbeat. One lost datagram does not remove the host, because this
+# it was last seen. One lost datagram does not remove the host, because this
 # is several intervals.
 ADVERTISED_SECONDS = 1.4
 # A silent host keeps its share of the fleet's budgets for this long, because
 # it may be disconnected from this host and still send requests.
 MEMBER_EXPIRY_SECONDS = 12.0
+# How long the number of hosts is reused; counting them for every request
+# would cost more than placing it.
+COUNT_CACHE_SECONDS = 0.1
 
 
 class MemberState(enum.IntEnum):
@@ -23,6 +27,21 @@
     LEAVING = 3
 
 
+@frozen
+class Introduction:
+    """Describe a host that joined the fleet, as passed on by others.
+
+    ``age_seconds`` is how long ago the host was last seen.
+    """
+
+    host: str
+    incarnation: int
+    ip: str
+    availability_zone: str
+    state: MemberState
+    age_seconds: float
+
+
 @frozen
 class Heartbeat:
     """Describe a host, and the hosts and upstreams that it knows.
@@ -30,10 +49,13 @@
     ``incarnation`` changes with each start of the host's process.
     ``confirmed_store_seconds`` is when, on the store's clock, the host's
     configuration was last confirmed; ``row_versions`` are the versions of the
-    newest rows that the host has of each followed table.
-    ``is_store_answering`` is false while the host asks the store and gets no
-    answer, and ``store_back_seconds`` is when, on the store's clock, the
-    store's last outage ended, 0 if none was observed.
+    newest rows that the host has of each followed table, which the store gave
+    out in ``era``. ``configuration_version`` is that of the configuration in
+    force, 0 if there is none. ``is_store_answering`` is false while the host
+    asks the store and gets no answer, and ``store_back_seconds`` is when, on
+    the store's clock, the store's last outage ended, 0 if none was observed.
+    ``sightings`` and ``load_readings`` are packed by the modules of these
+    names; they pass on what the host heard from others.
     """
 
     host: str
@@ -49,17 +71,57 @@
     ips_by_host: Mapping[str, str]
     engines_by_prefix_key: Mapping[bytes, str]
     engines_by_broken_request: Mapping[bytes, tuple[str, ...]]
+    era: int = 0
+    configuration_version: int = 0
+    introductions: tuple[Introduction, ...] = ()
+    sightings: bytes = b""
+    load_readings: bytes = b""
 
 
-@frozen
+def member_id(host: str, incarnation: int) -> int:
+    """Return a number of 32 bits that identifies a process of a host."""
+    return zlib.crc32(f"{host} {incarnation}".encode())
+
+
+@define(eq=False)
 class Member:
-    """Hold a host's last heartbeat.
+    """Hold what is known about a host.
 
-    ``received_at`` is on the boot clock.
+    ``heartbeat`` is the last one received; for a host that was only
+    introduced, it holds just the host's addresses. ``received_at`` and
+    ``seen_at`` are on the boot clock: the latter also counts what other hosts
+    saw, as do ``state`` and ``is_store_answering``.
     """
 
     heartbeat: Heartbeat
     received_at: float
+    is_introduced: bool = False
+    seen_at: float = field()
+    learnt_at: float = field()
+    state: MemberState = field()
+    is_store_answering: bool = field()
+    host: str = field(init=False)
+    id: int = field(init=False)
+
+    @seen_at.default
+    def _default_seen_at(self) -> float:
+        return self.received_at
+
+    @learnt_at.default
+    def _default_learnt_at(self) -> float:
+        return self.received_at
+
+    @state.default
+    def _default_state(self) -> MemberState:
+        return self.heartbeat.state
+
+    @is_store_answering.default
+    def _default_is_store_answering(self) -> bool:
+        return self.heartbeat.is_store_answering
+
+    def __attrs_post_init__(self) -> None:
+        self.host = self.heartbeat.host
+        self.id = member_id(self.host, self.heartbeat.incarnation)
 
 
 @define
@@ -68,19 +130,53 @@
 
     host: str
     members_by_host: dict[str, Member] = field(factory=dict)
+    members_by_id: dict[int, Member] = field(factory=dict)
     ips_by_host: dict[str, str] = field(factory=dict)
     _added_at_by_host: dict[str, float] = field(factory=dict)
+    _count: int = 1
+    _counted_at: float = -1.0
 
     def update(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat; return False if it is this host's own."""
         if heartbeat.host == self.host:
             return False
-        self.members_by_host[heartbeat.host] = Member(heartbeat, now)
-        self.ips_by_host[heartbeat.host] = heartbeat.ip
+        member = self.members_by_host.get(heartbeat.host)
+        if member is None or member.heartbeat.incarnation != heartbeat.incarnation:
+            self._add(Member(heartbeat, now))
+        else:
+            member.heartbeat = heartbeat
+            member.received_at = member.seen_at = now
+            member.state = heartbeat.state
+            member.is_store_answering = heartbeat.is_store_answering
+            member.is_introduced = False
+            self.ips_by_host[heartbeat.host] = heartbeat.ip
         for host, ip in heartbeat.ips_by_host.items():
             self.add_address(host, ip, now)
         return True
 
+    def introduce(self, introductions: Iterable[Introduction], now: float) -> None:
+        """Add hosts that a peer knows, and new processes of known hosts."""
+        for each in introductions:
+            seen_at = now - each.age_seconds
+            member = self.members_by_host.get(each.host)
+            if each.host == self.host or each.age_seconds >= ADVERTISED_SECONDS:
+                continue
+            if member is not None and (
+                member.heartbeat.incarnation == each.incarnation
+                or seen_at <= member.seen_at
+            ):
+                continue
+            heartbeat = _heartbeat_of(each)
+            self._add(
+                Member(
+                    heartbeat,
+                    received_at=now,
+                    is_introduced=True,
+                    seen_at=seen_at,
+                    learnt_at=now,
+                )
+            )
+
     def add_address(self, host: str, ip: str, now: float) -> None:
         """Add a host's address from another source than the host itself.
 
@@ -91,31 +187,34 @@
             self._added_at_by_host[host] = now
 
     def recent(self, now: float) -> list[Member]:
-        """Return the hosts whose last heartbeat is recent."""
+        """Return the hosts that were seen recently."""
+        oldest = now - ADVERTISED_SECONDS
         return [
             member
             for member in self.members_by_host.values()
-            if now - member.received_at < ADVERTISED_SECONDS
+            if member.seen_at > oldest
         ]
 
     def count(self, now: float) -> int:
         """Return how many hosts share the budgets, including this one."""
-        sharing = sum(
-            member.heartbeat.state is not MemberState.LEAVING
-            and now - member.received_at < MEMBER_EXPIRY_SECONDS
-            for member in self.members_by_host.values()
-        )
-        return 1 + sharing
+        if not 0 <= now - self._counted_at < COUNT_CACHE_SECONDS:
+            oldest = now - MEMBER_EXPIRY_SECONDS
+            self._counted_at = now
+            self._count = 1 + sum(
+                member.state is not MemberState.LEAVING and member.seen_at > oldest
+                for member in self.members_by_host.values()
+            )
+        return self._count
 
     def remove_expired(self, now: float) -> list[str]:
         """Remove hosts and addresses that expired; return the hosts' names."""
         expired = [
             host
             for host, member in self.members_by_host.items()
-            if now - member.received_at >= MEMBER_EXPIRY_SECONDS
+            if now - member.seen_at >= MEMBER_EXPIRY_SECONDS
         ]
         for host in expired:
-            del self.members_by_host[host]
+            self.members_by_id.pop(self.members_by_host.pop(host).id, None)
             self.ips_by_host.pop(host, None)
         for host, added_at in list(self._added_at_by_host.items()):
             if host in self.members_by_host or host in expired:
@@ -123,4 +222,34 @@
             elif now - added_at >= MEMBER_EXPIRY_SECONDS:
                 del self._added_at_by_host[host]
                 self.ips_by_host.pop(host, None)
+        if expired:
+            self._counted_at = -1.0
         return expired
+
+    def _add(self, member: Member) -> None:
+        previous = self.members_by_host.get(member.host)
+        if previous is not None:
+            self.members_by_id.pop(previous.id, None)
+        self.members_by_host[member.host] = member
+        self.members_by_id[member.id] = member
+        self.ips_by_host[member.host] = member.heartbeat.ip
+        self._counted_at = -1.0
+
+
+def _heartbeat_of(introduction: Introduction) -> Heartbeat:
+    """Return a heartbeat without any knowledge of the store or upstreams."""
+    return Heartbeat(
+        host=introduction.host,
+        incarnation=introduction.incarnation,
+        ip=introduction.ip,
+        availability_zone=introduction.availability_zone,
+        state=introduction.state,
+        confirmed_store_seconds=0.0,
+        row_versions=(),
+        is_store_answering=True,
+        store_back_seconds=0.0,
+        loads_by_engine={},
+        ips_by_host={},
+        engines_by_prefix_key={},
+        engines_by_broken_request={},
+    )
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -1,29 +1,45 @@
 """Exchange heartbeats and row changes with peers in CBOR datagrams."""
 
 import asyncio
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import cbor2
 from attrs import define, field, frozen
 
 from .journal import Journal
+from .load_readings import READING, engine_key
 from .loads import LoadTracker
-from .members import Heartbeat, Members, MemberState
+from .members import (
+    ADVERTISED_SECONDS,
+    Heartbeat,
+    Introduction,
+    Member,
+    Members,
+    MemberState,
+)
 from .poison import BrokenAttempt, PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
 from .rows import Page, Row
+from .sightings import (
+    SIGHTING,
+    apply_sightings,
+    choose_introductions,
+    introduction_of,
+)
 from .tables import FOLLOWED_TABLES, Table
 
 HEARTBEAT_SECONDS = 0.2
 # In a larger fleet each round goes to the next hosts in rotation. This bounds
-# a host's control traffic whatever the number of hosts.
-HEARTBEATS_PER_ROUND = 12
-# Peer addresses in each heartbeat, by which hosts discover one another.
-SHARED_ADDRESSES = 3
-# Loads last reported by a peer longer ago than this are dropped.
-STALE_LOAD_SECONDS = 1.5
+# a host's control traffic whatever the number of hosts. What must be known
+# sooner than a turn through all hosts takes is passed on by the receivers.
+HEARTBEATS_PER_ROUND = 6
+# Peer addresses in each heartbeat, for hosts that read no introductions.
+SHARED_ADDRESSES = 2
+# A starting process is told of this many hosts at once.
+WELCOME_INTRODUCTIONS = 16
 PROTOCOL_VERSION = 1
 HEARTBEAT_KIND = 0
 CHANGES_KIND = 1
@@ -62,6 +78,22 @@
                 key: list(ids)
                 for key, ids in heartbeat.engines_by_broken_request.items()
             },
+            # Older builds ignore what follows.
+            heartbeat.era,
+            heartbeat.configuration_version,
+            [
+                [
+                    each.host,
+                    each.incarnation,
+                    each.ip,
+                    each.availability_zone,
+                    int(each.state),
+                    each.age_seconds,
+                ]
+                for each in heartbeat.introductions
+            ],
+            heartbeat.sightings,
+            heartbeat.load_readings,
         ]
     )
 
@@ -107,6 +139,10 @@
 def _decode_heartbeat(values: list) -> Heartbeat:
     (host, incarnation, own_ip, zone, state, confirmed, versions) = values[:7]
     (is_answering, returned_at, loads, ips, engines, broken) = values[7:13]
+    # Older builds send none of these.
+    era, configuration_version, introductions, sightings, readings = (
+        values[13:18] if len(values) >= 18 else (0, 0, [], b"", b"")
+    )
     return Heartbeat(
         host=str(host),
         incarnation=int(incarnation),
@@ -123,6 +159,27 @@
         engines_by_broken_request={
             bytes(key): tuple(map(str, names)) for key, names in broken.items()
         },
+        era=int(era),
+        configuration_version=int(configuration_version),
+        introductions=tuple(_decode_introduction(*each) for each in introductions),
+        sightings=_check_size("sightings", bytes(sightings), SIGHTING.size),
+        load_readings=_check_size("load readings", bytes(readings), READING.size),
+    )
+
+
+def _check_size(name: str, packed: bytes, item_size: int) -> bytes:
+    if len(packed) % item_size:
+        raise ValueError(
+            f"expected {name} of {item_size} bytes each, got {len(packed)} bytes"
+        )
+    return packed
+
+
+def _decode_introduction(
+    host: str, incarnation: int, ip: str, zone: str, state: int, age: float
+) -> Introduction:
+    return Introduction(
+        str(host), int(incarnation), str(ip), str(zone), MemberState(state), float(age)
     )
 
 
@@ -163,7 +220,7 @@
     poison: PoisonTracker
     journal: Journal
     clock: Callable[[], float]
-    make_heartbeat: Callable[[dict[str, str]], Heartbeat]
+    make_heartbeat: Callable[[dict[str, str], tuple[Introduction, ...]], Heartbeat]
     receive_heartbeat: Callable[[Heartbeat, float], None]
     receive_changes: Callable[[TableChanges, float], None]
     port: int
@@ -202,8 +259,21 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         before = self.members.members_by_host.get(heartbeat.host)
+        is_first = (
+            before is None
+            or before.is_introduced
+            or before.heartbeat.incarnation != heartbeat.incarnation
+        )
+        state_before = before.heartbeat.state if before is not None else None
         if not self.members.update(heartbeat, now):
             return
+        self.members.introduce(heartbeat.introductions, now)
+        apply_sightings(self.members, heartbeat.sightings, now)
+        own_by_key = {
+            engine_key(engine_id): count
+            for engine_id, count in self.loads.own_counts().items()
+        }
+        self.loads.readings.merge(heartbeat.load_readings, own_by_key, now)
         self.loads.set_peer_loads(heartbeat.host, heartbeat.loads_by_engine)
         for key, engine_id in heartbeat.engines_by_prefix_key.items():
             self.prefixes.record(PrefixUse(key, engine_id, now))
@@ -211,25 +281,31 @@
             for engine_id in engine_ids:
                 self.poison.record(BrokenAttempt(fingerprint, engine_id, now))
         self.receive_heartbeat(heartbeat, now)
-        if before is None or before.heartbeat.incarnation != heartbeat.incarnation:
-            # Answer a newly started process at once: it knows no peers yet.
-            self._send_heartbeat(heartbeat.ip)
-        if before is None or before.heartbeat.state is not heartbeat.state:
+        if is_first and heartbeat.state is MemberState.STARTING:
+            # A process that has just started knows no peers yet.
+            self._welcome(heartbeat.ip, now)
+        if is_first or state_before is not heartbeat.state:
             self.journal.write(
                 "peer-heard",
                 now,
                 peer=heartbeat.host,
                 state=heartbeat.state.name.lower(),
-                was=before.heartbeat.state.name.lower() if before else None,
+                was=state_before.name.lower() if state_before is not None else None,
             )
 
     async def run(self) -> None:
         """Send heartbeats periodically until cancelled."""
         while True:
-            self.send_heartbeats()
-            self._remove_expired()
+            self.run_round()
             await asyncio.sleep(HEARTBEAT_SECONDS * self.rng.uniform(0.9, 1.1))
 
+    def run_round(self) -> None:
+        """Send one round of heartbeats, and forget hosts that expired."""
+        self.send_heartbeats()
+        self._remove_expired()
+        rounds = math.ceil(len(self.members.members_by_host) / HEARTBEATS_PER_ROUND)
+        self.loads.peer_age_seconds = rounds * HEARTBEAT_SECONDS / 2
+
     def send_heartbeats(self, *, to_all: bool = False) -> None:
         """Send a heartbeat to the next hosts in the rotation, or to all.
 
@@ -237,12 +313,16 @@
         """
         if self._transport is None:
             return
+        now = self.clock()
         known = self.members.ips_by_host
-        hosts = list(known)
-        heartbeat = self.make_heartbeat(self._sample_addresses())
+        recent = self.members.recent(now)
+        heartbeat = self.make_heartbeat(
+            self._sample_addresses(recent),
+            choose_introductions(recent, self.rng, now),
+        )
         content = encode_heartbeat(heartbeat)
-        ips = {known[host] for host in (hosts if to_all else self._next_hosts())}
-        if not self.members.recent(self.clock()):
+        ips = {known[host] for host in (list(known) if to_all else self._next_hosts())}
+        if not recent:
             ips.update(self.seed_ips)
         for ip in ips - {heartbeat.ip}:
             self._transport.sendto(content, (ip, self.port))
@@ -258,17 +338,21 @@
         for ip in set(self.members.ips_by_host.values()):
             self._transport.sendto(content, (ip, self.port))
 
-    def _send_heartbeat(self, ip: str) -> None:
-        if self._transport is not None:
-            heartbeat = self.make_heartbeat({})
-            self._transport.sendto(encode_heartbeat(heartbeat), (ip, self.port))
+    def _welcome(self, ip: str, now: float) -> None:
+        """Send a heartbeat that introduces many hosts to a new process."""
+        if self._transport is None:
+            return
+        recent = self.members.recent(now)
+        chosen = self.rng.sample(recent, min(len(recent), WELCOME_INTRODUCTIONS))
+        introductions = tuple(introduction_of(member, now) for member in chosen)
+        heartbeat = self.make_heartbeat({}, introductions)
+        self._transport.sendto(encode_heartbeat(heartbeat), (ip, self.port))
 
-    def _sample_addresses(self) -> dict[str, str]:
+    def _sample_addresses(self, recent: Sequence[Member]) -> dict[str, str]:
         # Only recently seen hosts: otherwise the peers would pass the address
         # of a stopped host back and forth for ever.
-        recent = self.members.recent(self.clock())
         chosen = self.rng.sample(recent, min(SHARED_ADDRESSES, len(recent)))
-        return {member.heartbeat.host: member.heartbeat.ip for member in chosen}
+        return {member.host: member.heartbeat.ip for member in chosen}
 
     def close(self) -> None:
         """Stop listening."""
@@ -276,12 +360,21 @@
             self._transport.close()
 
     def _next_hosts(self) -> list[str]:
+        """Return the hosts of the next round, in random turns through all.
+
+        Hosts know one another in similar orders. In that order, all would
+        send to the same few at the same time.
+        """
         known = self.members.ips_by_host
-        self._rotation = [host for host in self._rotation if host in known]
-        rotating = set(self._rotation)
-        self._rotation.extend(host for host in known if host not in rotating)
-        selected = self._rotation[:HEARTBEATS_PER_ROUND]
-        self._rotation = self._rotation[HEARTBEATS_PER_ROUND:] + selected
+        count = min(HEARTBEATS_PER_ROUND, len(known))
+        selected: list[str] = []
+        while len(selected) < count:
+            if not self._rotation:
+                self._rotation = [host for host in known if host not in selected]
+                self.rng.shuffle(self._rotation)
+            host = self._rotation.pop()
+            if host in known and host not in selected:
+                selected.append(host)
         return selected
 
     def _remove_expired(self) -> None:
@@ -289,6 +382,7 @@
         for host in self.members.remove_expired(now):
             self.loads.remove_peer(host)
             self.journal.write("peer-forgotten", now, peer=host)
+        oldest = now - ADVERTISED_SECONDS
         for member in self.members.members_by_host.values():
-            if now - member.received_at > STALE_LOAD_SECONDS:
-                self.loads.remove_peer(member.heartbeat.host)
+            if member.seen_at < oldest:
+                self.loads.remove_peer(member.host)
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -2,9 +2,10 @@
 
 import hashlib
 import math
+import random
 from collections.abc import Collection, Mapping, Sequence
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from .budgets import ColdBudget
 from .calls import Call
@@ -21,6 +22,12 @@
 # three extra requests.
 LOAD_CAP_RATIO = 0.875
 LOAD_SLACK = 2
+# Requests last about this long, so that an upstream with a load of n gets
+# about n requests in this time.
+REQUEST_SECONDS = 1.0
+# An engine that was listed for less time than this got few prompts yet. Those
+# that it is now the first choice for are held by the first choice before it.
+NEW_ENGINE_SECONDS = 20.0
 
 
 @frozen
@@ -30,6 +37,8 @@
     ``rank`` is its position in the order of preference, starting at 0.
     ``is_held`` tells whether its cache should contain the prompt's shared
     prefix. If not, ``copy_from`` is an upstream to copy the prefix from.
+    ``is_default`` tells whether all hosts would choose this upstream for the
+    prefix while none is overloaded.
     """
 
     record: EngineRecord
@@ -39,6 +48,7 @@
     rank: int
     is_held: bool = False
     copy_from: Engine | None = None
+    is_default: bool = False
 
 
 @frozen
@@ -64,6 +74,7 @@
     prefixes: PrefixTracker
     availability_zone: str
     load_cap_factor: float
+    rng: random.Random = field(factory=random.Random)
 
     def place(
         self, call: Call, tried: Collection[str], now: float, host_count: int
@@ -78,18 +89,26 @@
             for record in self.routing_state.engines_by_id.values()
             if record.engine.service == call.service
         ]
-        mean = self._mean_load(service_records)
+        loads_by_id = {
+            _id_of(record): self.loads.count(_id_of(record), now)
+            for record in service_records
+        }
+        # Unavailable upstreams count too, because the deployment's load cap
+        # includes those of an evacuated zone.
+        mean = sum(loads_by_id.values()) / max(1, len(loads_by_id))
         listed = self._available(service_records)
         untried = [record for record in listed if record.engine.engine_id not in tried]
         if not untried:
             return NoPlacement("all-tried" if listed else "none-listed", len(listed))
-        healthy_ids = self.health.healthy([_id_of(record) for record in untried], now)
-        healthy = [record for record in untried if _id_of(record) in set(healthy_ids)]
+        healthy_ids = set(
+            self.health.healthy([_id_of(record) for record in untried], now)
+        )
+        healthy = [record for record in untried if _id_of(record) in healthy_ids]
         if not healthy:
             return NoPlacement("all-unreachable", len(listed))
         service = self._service(call)
         warm = [record for record in healthy if record.cold_until <= now]
-        placement = self._choose(call, warm, mean, now)
+        placement = self._choose(call, warm, loads_by_id, mean, now)
         if placement is None:
             cold = [
                 record
@@ -97,15 +116,16 @@
                 if record.cold_until > now
                 and self._may_send_cold(record, service, now, host_count)
             ]
-            placement = self._choose(call, cold, mean, now)
+            placement = self._choose(call, cold, loads_by_id, mean, now)
         if placement is None:
             return NoPlacement("all-full" if warm else "all-cold", len(listed))
         return placement
 
     def record_sent(
-        self, call: Call, engine_id: str, now: float, host_count: int
+        self, call: Call, placement: Placement, now: float, host_count: int
     ) -> None:
         """Record that a call is being sent to an upstream."""
+        engine_id = _id_of(placement.record)
         service = self._service(call)
         if service is not None and service.cold_per_second > 0:
             self.cold_budget.record_sent(
@@ -113,18 +133,12 @@
             )
         key = _affinity_key(call)
         if key:
-            self.prefixes.record_own(prefix_key(call.service, key), engine_id, now)
-
-    def _mean_load(self, service_records: Sequence[EngineRecord]) -> float:
-        """Return the mean load of all upstreams of a service.
-
-        Unavailable upstreams count too, because the deployment's load cap
-        includes those of an evacuated zone.
-        """
-        if not service_records:
-            return 0.0
-        total = sum(self.loads.count(_id_of(record)) for record in service_records)
-        return total / len(service_records)
+            self.prefixes.record_own(
+                prefix_key(call.service, key),
+                engine_id,
+                now,
+                is_default=placement.is_default,
+            )
 
     def _available(self, service_records: Sequence[EngineRecord]) -> list[EngineRecord]:
         evacuated = self.routing_state.evacuated_zones
@@ -158,35 +172,31 @@
         self,
         call: Call,
         candidates: Sequence[EngineRecord],
+        loads_by_id: Mapping[str, int],
         mean: float,
         now: float,
     ) -> Placement | None:
         if not candidates:
             return None
-        loads_by_id = {
-            _id_of(each): self.loads.count(_id_of(each)) for each in candidates
-        }
-        limit = math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
         key = _affinity_key(call)
         holders = self.prefixes.holders(prefix_key(call.service, key), now)
+        first: EngineRecord | None = None
         if key:
-            order = _order_by_affinity(key, candidates, holders)
+            by_hash = _order_by_hash(key, candidates)
+            first = by_hash[0]
+            # The hash also orders upstreams that have the prefix, so that all
+            # hosts prefer the same one.
+            order = sorted(by_hash, key=lambda record: _id_of(record) not in holders)
         else:
             order = self._order_by_load(call, candidates, loads_by_id)
-        rank = next(
-            (
-                rank
-                for rank, record in enumerate(order)
-                if loads_by_id[_id_of(record)] <= limit
-            ),
-            None,
-        )
-        if rank is None:
-            rank = min(
-                range(len(order)), key=lambda each: loads_by_id[_id_of(order[each])]
-            )
+        rank = self._choose_rank(order, loads_by_id, mean, now)
         chosen = order[rank]
         is_held = _id_of(chosen) in holders
+        copy_from = None
+        if key and not is_held:
+            copy_from = self._choose_copy_source(holders, now)
+            if copy_from is None:
+                copy_from = self._presumed_holder(by_hash, chosen, now)
         return Placement(
             chosen,
             loads_by_id[_id_of(chosen)],
@@ -194,9 +204,37 @@
             len(candidates),
             rank,
             is_held,
-            None if is_held or not key else self._choose_copy_source(holders, now),
+            copy_from,
+            is_default=chosen is first,
         )
 
+    def _choose_rank(
+        self,
+        order: Sequence[EngineRecord],
+        loads_by_id: Mapping[str, int],
+        mean: float,
+        now: float,
+    ) -> int:
+        """Return the position of the first upstream below the load limit.
+
+        Without one, return that of the least loaded upstream. An upstream is
+        passed over more often the nearer its load is to the limit and the
+        older that load is: all hosts see the same loads, and would otherwise
+        send the requests for a popular prefix to one upstream until the next
+        loads arrive.
+        """
+        limit = math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
+        for rank, record in enumerate(order):
+            engine_id = _id_of(record)
+            load = loads_by_id[engine_id]
+            if load > limit:
+                continue
+            age = self.loads.age_seconds(engine_id, now)
+            unseen = load * age / REQUEST_SECONDS
+            if unseen <= limit - load or self.rng.random() * unseen < limit - load:
+                return rank
+        return min(range(len(order)), key=lambda each: loads_by_id[_id_of(order[each])])
+
     def _choose_copy_source(self, holders: Sequence[str], now: float) -> Engine | None:
         """Return an upstream to copy a prompt prefix from, if there is one."""
         for engine_id in holders:
@@ -205,6 +243,19 @@
                 return engine
         return None
 
+    def _presumed_holder(
+        self, by_hash: Sequence[EngineRecord], chosen: EngineRecord, now: float
+    ) -> Engine | None:
+        """Return the upstream that probably holds a prefix of other hosts.
+
+        It is the first choice of all hosts, or was before new upstreams came.
+        Return None if that is the chosen upstream.
+        """
+        for record in by_hash:
+            if now - record.listed_at >= NEW_ENGINE_SECONDS:
+                return record.engine if record is not chosen else None
+        return None
+
     def _order_by_load(
         self,
         call: Call,
@@ -226,19 +277,10 @@
     return prompt.affinity_key if prompt is not None else ""
 
 
-def _order_by_affinity(
-    key: str, candidates: Sequence[EngineRecord], holders: Sequence[str]
-) -> list[EngineRecord]:
-    """Sort upstreams with a cached prefix first, then by rendezvous hash.
-
-    The hash also orders upstreams that have the prefix, so that all hosts
-    prefer the same one.
-    """
-    held = set(holders)
+def _order_by_hash(key: str, candidates: Sequence[EngineRecord]) -> list[EngineRecord]:
+    """Sort upstreams by rendezvous hash of a prompt prefix."""
     return sorted(
-        candidates,
-        key=lambda record: (_id_of(record) in held, _score(key, _id_of(record))),
-        reverse=True,
+        candidates, key=lambda record: _score(key, _id_of(record)), reverse=True
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -10,6 +10,12 @@
 # A request that this many upstreams broke off is not sent again; fewer may be
 # coincidental failures of the upstreams.
 POISON_THRESHOLD = 3
+# A broken attempt is passed on to peers for this long after it became known,
+# in which most hosts of a large fleet hear of it.
+RELAYED_SECONDS = 1.5
+# The same attempt is passed on again only after this time, when no copy of it
+# is on its way any more.
+REPEATED_SECONDS = 10.0
 # Callers that retry such a request do so within this time.
 POISON_SECONDS = 60.0
 # Bounds memory: some hundred bytes per entry.
@@ -50,22 +56,22 @@
     _broken_at_by_fingerprint: OrderedDict[bytes, dict[str, float]] = field(
         factory=OrderedDict
     )
-    _own_attempts: deque[BrokenAttempt] = field(
-        factory=lambda: deque(maxlen=MAX_REQUESTS)
-    )
+    _attempts: deque[BrokenAttempt] = field(factory=lambda: deque(maxlen=MAX_REQUESTS))
 
     def record_own(self, fingerprint: bytes, engine_id: str, now: float) -> None:
         """Record that an upstream broke off a request of this host."""
-        attempt = BrokenAttempt(fingerprint, engine_id, now)
-        self.record(attempt)
-        self._own_attempts.append(attempt)
+        self.record(BrokenAttempt(fingerprint, engine_id, now))
 
     def record(self, attempt: BrokenAttempt) -> None:
         """Record a broken attempt of this host or a peer."""
         broken_at_by_engine = self._broken_at_by_fingerprint.setdefault(
             attempt.fingerprint, {}
         )
+        known_at = broken_at_by_engine.get(attempt.engine_id)
+        if known_at is not None and attempt.at - known_at < REPEATED_SECONDS:
+            return
         broken_at_by_engine[attempt.engine_id] = attempt.at
+        self._attempts.append(attempt)
         self._broken_at_by_fingerprint.move_to_end(attempt.fingerprint)
         while len(self._broken_at_by_fingerprint) > MAX_REQUESTS:
             self._broken_at_by_fingerprint.popitem(last=False)
@@ -78,11 +84,12 @@
         ]
         return len(recent) >= POISON_THRESHOLD
 
-    def own_since(self, since: float) -> dict[bytes, tuple[str, ...]]:
-        """Return this host's broken requests since a time, with upstreams."""
-        recent: dict[bytes, tuple[str, ...]] = {}
-        for attempt in self._own_attempts:
-            if attempt.at >= since:
-                known = recent.get(attempt.fingerprint, ())
-                recent[attempt.fingerprint] = (*known, attempt.engine_id)
-        return recent
+    def relayed(self, now: float) -> dict[bytes, tuple[str, ...]]:
+        """Return the requests to tell peers of, with their upstreams."""
+        engines_by_fingerprint: dict[bytes, tuple[str, ...]] = {}
+        for attempt in reversed(self._attempts):
+            if now - attempt.at >= RELAYED_SECONDS:
+                break
+            known = engines_by_fingerprint.get(attempt.fingerprint, ())
+            engines_by_fingerprint[attempt.fingerprint] = (*known, attempt.engine_id)
+        return engines_by_fingerprint
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -187,7 +187,7 @@
             heard_seconds=round(now - placement.record.received_at, 3),
             after_event=progress.last_event_id,
         )
-        self.placer.record_sent(call, engine.engine_id, now, self.host_count())
+        self.placer.record_sent(call, placement, now, self.host_count())
         with self.loads.track(engine.engine_id):
             may_run_before = progress.may_run
             progress.may_run = True
@@ -221,6 +221,10 @@
                 )
                 try:
                     head = answer.head
+                    if head.load is not None:
+                        self.loads.record_reading(
+                            engine.engine_id, head.load, self.clock()
+                        )
                     if head.cold_seconds is not None:
                         self.routing_state.update_cold_time(
                             engine.engine_id, head.cold_seconds, self.clock()
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -1,6 +1,6 @@
 """Keep the configuration and the upstreams that calls are routed by."""
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from .configuration import Configuration
 from .engines import Engine, EngineState
@@ -20,13 +20,15 @@
     """Hold an upstream's last known state; times are on the boot clock.
 
     ``missing_since`` is when its entry was found missing after an outage of
-    the store, None if the entry exists.
+    the store, None if the entry exists. ``listed_at`` is when this host first
+    saw the entry of this process.
     """
 
     engine: Engine
     cold_until: float
     received_at: float
     missing_since: float | None = None
+    listed_at: float = 0.0
 
 
 @define
@@ -62,27 +64,29 @@
                 continue
             cold_seconds = self._cold_seconds(record.engine.service)
             cold_until = max(record.cold_until, now + cold_seconds)
-            self.engines_by_id[engine_id] = EngineRecord(
-                record.engine, cold_until, record.received_at, record.missing_since
-            )
+            self.engines_by_id[engine_id] = evolve(record, cold_until=cold_until)
         return returned
 
     def update_engine(self, engine: Engine, now: float) -> EngineRecord | None:
         """Update an upstream from its entry; return its previous record."""
         previous = self.engines_by_id.get(engine.engine_id)
         cold_until = now + engine.cold_seconds
+        listed_at = now
         if previous is not None and previous.engine.born_ms == engine.born_ms:
             # The entry's cold time may be outdated: it was written earlier.
             cold_until = max(previous.cold_until, cold_until)
-        self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
+            listed_at = previous.listed_at
+        self.engines_by_id[engine.engine_id] = EngineRecord(
+            engine, cold_until, now, listed_at=listed_at
+        )
         return previous
 
     def update_cold_time(self, engine_id: str, seconds: float, now: float) -> None:
         """Set how long an upstream stays cold, as it reported itself."""
         record = self.engines_by_id.get(engine_id)
         if record is not None:
-            self.engines_by_id[engine_id] = EngineRecord(
-                record.engine, now + seconds, now, record.missing_since
+            self.engines_by_id[engine_id] = evolve(
+                record, cold_until=now + seconds, received_at=now
             )
 
     def mark_engine_missing(self, engine_id: str, now: float) -> bool:
@@ -95,11 +99,8 @@
         if record is None:
             return False
         if self._is_recovering(now) and record.engine.state is EngineState.READY:
-            self.engines_by_id[engine_id] = EngineRecord(
-                record.engine,
-                record.cold_until,
-                record.received_at,
-                record.missing_since or now,
+            self.engines_by_id[engine_id] = evolve(
+                record, missing_since=record.missing_since or now
             )
             return False
         self._removed_by_id[engine_id] = (record.engine, now)
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -81,7 +81,7 @@
         peers = [
             member
             for member in self.members.recent(self.clock())
-            if member.heartbeat.state in (MemberState.SERVING, MemberState.UNCONFIRMED)
+            if member.state in (MemberState.SERVING, MemberState.UNCONFIRMED)
         ]
         self.rng.shuffle(peers)
         for peer in peers[:2]:
--- a/packages/teaselpond/src/teaselpond/platform/headers.py
+++ b/packages/teaselpond/src/teaselpond/platform/headers.py
@@ -19,6 +19,8 @@
 NOT_EXECUTED = "X-Teaselpond-Not-Executed"
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
 COLD_MILLISECONDS = "X-Teaselpond-Cold-Ms"
+# The running requests, the waiting requests and the slots of an upstream.
+LOAD = "X-Teaselpond-Instance-Load"
 URGENCY_CLASS = "X-Teaselpond-Urgency-Class"
 LAST_EVENT_ID = "Last-Event-Id"
 # The address of the upstream to copy cached parts of the prompt from.
@@ -120,6 +122,7 @@
         not_run=NOT_EXECUTED in headers or status == 421,
         is_other_engine=status == 421,
         cold_seconds=_milliseconds_to_seconds(headers.get(COLD_MILLISECONDS)),
+        load=_decode_load(headers.get(LOAD)),
     )
 
 
@@ -177,6 +180,14 @@
     return seconds
 
 
+def _decode_load(value: str | None) -> int | None:
+    try:
+        running, waiting, _ = (int(count) for count in (value or "").split(","))
+    except ValueError:
+        return None
+    return max(0, running) + max(0, waiting)
+
+
 def _milliseconds_to_seconds(value: str | None) -> float | None:
     try:
         return float(value) / MILLISECONDS_PER_SECOND if value is not None else None
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -35,29 +35,11 @@
 from teaselpond_standins.testing.gateways import (
     make_configuration,
     make_head,
+    make_heartbeat,
     make_route,
 )
 
 
-def make_heartbeat(host: str, **fields) -> Heartbeat:
-    """Return a heartbeat of a serving host."""
-    values = {
-        "incarnation": 1,
-        "ip": f"ip-{host}",
-        "availability_zone": "zone-a",
-        "state": MemberState.SERVING,
-        "confirmed_store_seconds": 0.0,
-        "row_versions": (0, 0),
-        "is_store_answering": True,
-        "store_back_seconds": 0.0,
-        "loads_by_engine": {},
-        "ips_by_host": {},
-        "engines_by_prefix_key": {},
-        "engines_by_broken_request": {},
-    }
-    return Heartbeat(host=host, **{**values, **fields})
-
-
 class RetryBudgetTests(testtools.TestCase):
     """Limit retries."""
 
@@ -160,10 +142,10 @@
         loads.set_peer_loads("g1", {"e1": 3})
         loads.set_peer_loads("g1", {"e1": 1, "e2": 2})
         with loads.track("e1"):
-            self.assertEqual(2, loads.count("e1"))
+            self.assertEqual(2, loads.count("e1", 0.0))
             self.assertEqual({"e1": 1}, loads.own_counts())
         loads.remove_peer("g1")
-        self.assertEqual(0, loads.count("e1"))
+        self.assertEqual(0, loads.count("e1", 0.0))
         self.assertEqual({}, loads.own_counts())
 
 
--- /dev/null
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -0,0 +1,216 @@
+"""Test what each host of a large fleet knows of the others."""
+
+import random
+
+import testtools
+
+from teaselpond.gateway.ages import HOP_SECONDS
+from teaselpond.gateway.load_readings import LoadReadings, engine_key
+from teaselpond.gateway.loads import LoadTracker
+from teaselpond.gateway.members import (
+    Introduction,
+    Members,
+    MemberState,
+    member_id,
+)
+from teaselpond.gateway.poison import (
+    POISON_THRESHOLD,
+    BrokenAttempt,
+    PoisonTracker,
+)
+from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
+from teaselpond_standins.testing.exchanges import SimulatedFleet, SimulatedPeer
+from teaselpond_standins.testing.gateways import make_heartbeat
+
+FLEET_SIZE = 195
+# Time in which the ages of what hosts know of one another become steady.
+SETTLE_SECONDS = 2.0
+# A dead host is named to callers no longer than this.
+NAMED_SECONDS = 1.6
+# Callers must be able to reach nearly all hosts that live.
+MIN_NAMED_SHARE = 0.97
+
+
+class LargeFleetTests(testtools.TestCase):
+    """Exchange heartbeats in a fleet where one turn through all is slow."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = SimulatedFleet(FLEET_SIZE)
+        self.fleet.meet()
+        self.fleet.run(SETTLE_SECONDS)
+
+    def naming(self, peer: SimulatedPeer) -> int:
+        """Return how many hosts name a host to callers."""
+        return sum(
+            member.host == peer.name
+            for other in self.fleet.live_peers
+            for member in other.host.members.recent(self.fleet.now)
+        )
+
+    def test_hosts_are_known(self) -> None:
+        """Nearly all live hosts are known, and a dead one soon is not."""
+        self.assertGreater(self.fleet.named_share(), MIN_NAMED_SHARE)
+        dead = self.fleet.live_peers[7]
+        dead.is_dead = True
+        self.fleet.run(NAMED_SECONDS)
+        self.assertEqual(0, self.naming(dead))
+
+    def test_common_start(self) -> None:
+        """Hosts that start together find one another."""
+        fleet = SimulatedFleet(FLEET_SIZE // 3)
+        fleet.run(2.0)
+        self.assertGreater(fleet.named_share(), MIN_NAMED_SHARE)
+
+    def test_zones_that_cannot_reach_each_other(self) -> None:
+        """Two zones learn of each other through a third."""
+        cut = {"zone-0", "zone-1"}
+        self.fleet.is_cut = lambda sender, to: {sender.zone, to.zone} == cut
+        self.fleet.run(3.0)
+        self.assertGreater(self.fleet.named_share(), MIN_NAMED_SHARE)
+
+    def test_lost_zone(self) -> None:
+        """Hosts of a zone that is cut off are not named by the others."""
+        self.fleet.is_cut = lambda sender, to: (
+            (sender.zone == "zone-0") != (to.zone == "zone-0")
+        )
+        self.fleet.run(NAMED_SECONDS)
+        lost = [peer for peer in self.fleet.live_peers if peer.zone == "zone-0"]
+        self.assertEqual(
+            0,
+            sum(
+                member.heartbeat.availability_zone == "zone-0"
+                for peer in self.fleet.live_peers
+                if peer.zone != "zone-0"
+                for member in peer.host.members.recent(self.fleet.now)
+            ),
+            len(lost),
+        )
+
+    def test_restarted_host(self) -> None:
+        """A restarted host is known again, and knows the others."""
+        restarted = self.fleet.restart(self.fleet.live_peers[9])
+        self.fleet.run(2.0)
+        known = len(restarted.host.members.recent(self.fleet.now))
+        self.assertGreater(known, MIN_NAMED_SHARE * (FLEET_SIZE - 1))
+        self.assertGreater(self.naming(restarted), MIN_NAMED_SHARE * FLEET_SIZE - 1)
+
+    def test_broken_request(self) -> None:
+        """All hosts hear of a request that breaks upstreams."""
+        first = self.fleet.live_peers[3]
+        for number in range(POISON_THRESHOLD):
+            first.host.poison.record_own(b"12345678", f"e{number}", self.fleet.now)
+        self.fleet.run(2.0)
+        heard = sum(
+            peer.host.poison.is_poisonous(b"12345678", self.fleet.now)
+            for peer in self.fleet.live_peers
+        )
+        self.assertGreater(heard, MIN_NAMED_SHARE * FLEET_SIZE)
+
+    def test_load_readings(self) -> None:
+        """An upstream's answer to one host tells nearly all its load."""
+        first = self.fleet.live_peers[3]
+        first.host.loads.record_reading("e1", 17, self.fleet.now)
+        self.fleet.run(1.0)
+        heard = sum(
+            peer.host.loads.count("e1", self.fleet.now) == 17
+            for peer in self.fleet.live_peers
+        )
+        self.assertGreater(heard, MIN_NAMED_SHARE * FLEET_SIZE)
+
+
+class SightingsTests(testtools.TestCase):
+    """Pass on when other hosts were seen."""
+
+    def test_round_trip(self) -> None:
+        """A host that was seen through another is recent, with its state."""
+        ours, theirs = Members("me"), Members("g2")
+        for members, now in ((ours, 0.0), (theirs, 5.0)):
+            members.update(make_heartbeat("g1"), now)
+        theirs.update(make_heartbeat("g1", state=MemberState.LEAVING), 5.0)
+        self.assertEqual([], ours.recent(5.0))
+        apply_sightings(ours, pack_sightings(theirs, 5.1), 5.1)
+        (member,) = ours.recent(5.2)
+        self.assertEqual(MemberState.LEAVING, member.state)
+
+    def test_sighting_ages_on_its_way(self) -> None:
+        """A sighting that is passed back and forth gets older."""
+        ours, theirs = Members("me"), Members("g2")
+        for members in (ours, theirs):
+            members.update(make_heartbeat("g1"), 0.0)
+        for step in range(20):
+            now = step * 0.01
+            apply_sightings(theirs, pack_sightings(ours, now), now)
+            apply_sightings(ours, pack_sightings(theirs, now), now)
+        self.assertEqual(0.0, ours.members_by_host["g1"].seen_at)
+
+    def test_unknown_process(self) -> None:
+        """Sightings of unknown processes are ignored."""
+        members = Members("me")
+        members.update(make_heartbeat("g1", incarnation=2), 0.0)
+        packed = SIGHTING.pack(member_id("g1", 1), MemberState.SERVING, 0)
+        apply_sightings(members, packed, 9.0)
+        self.assertEqual([], members.recent(9.0))
+
+    def test_introduction_of_an_old_process(self) -> None:
+        """An introduction does not replace a process that was seen later."""
+        members = Members("me")
+        members.update(make_heartbeat("g1", incarnation=2), 1.0)
+        old = Introduction("g1", 1, "ip-g1", "zone-a", MemberState.SERVING, 0.5)
+        members.introduce([old], 1.2)
+        self.assertEqual(2, members.members_by_host["g1"].heartbeat.incarnation)
+        newer = Introduction("g1", 3, "ip-g1", "zone-a", MemberState.SERVING, 0.1)
+        members.introduce([newer], 1.4)
+        self.assertEqual(3, members.members_by_host["g1"].heartbeat.incarnation)
+
+
+class LoadReadingsTests(testtools.TestCase):
+    """Estimate loads from upstreams' answers and from heartbeats."""
+
+    def test_newer_source_counts(self) -> None:
+        """A reading counts while it is newer than heartbeats are."""
+        loads = LoadTracker(peer_age_seconds=1.0)
+        loads.set_peer_loads("g1", {"e1": 3})
+        loads.record_reading("e1", 8, 5.0)
+        self.assertEqual(8, loads.count("e1", 5.5))
+        self.assertEqual(0.5, loads.age_seconds("e1", 5.5))
+        self.assertEqual(3, loads.count("e1", 6.5))
+        self.assertEqual(1.0, loads.age_seconds("e1", 6.5))
+
+    def test_own_requests_since_the_reading(self) -> None:
+        """This host's own requests since a reading are added to it."""
+        loads = LoadTracker(peer_age_seconds=1.0)
+        with loads.track("e1"):
+            loads.record_reading("e1", 8, 5.0)
+            with loads.track("e1"):
+                self.assertEqual(9, loads.count("e1", 5.1))
+        self.assertEqual(7, loads.count("e1", 5.1))
+
+    def test_older_reading_of_a_peer(self) -> None:
+        """A peer's reading replaces an older one only."""
+        ours, theirs = LoadReadings(), LoadReadings()
+        theirs.record("e1", 4, 0, 1.0)
+        ours.record("e1", 9, 0, 2.0)
+        ours.merge(theirs.pack(random.Random(1), 2.0), {}, 2.0)
+        self.assertEqual(9, ours.newest("e1").load)
+        theirs.record("e1", 5, 0, 3.0)
+        ours.merge(theirs.pack(random.Random(1), 3.0), {engine_key("e1"): 2}, 3.0)
+        self.assertEqual((5, 2), (ours.newest("e1").load, ours.newest("e1").own_count))
+        self.assertLessEqual(ours.newest("e1").read_at, 3.0 - HOP_SECONDS)
+
+
+class RelayedAttemptsTests(testtools.TestCase):
+    """Pass on which requests broke upstreams."""
+
+    def test_attempt_is_passed_on_once(self) -> None:
+        """An attempt that two hosts tell each other of is not kept alive."""
+        ours, theirs = PoisonTracker(), PoisonTracker()
+        ours.record_own(b"f", "e1", 0.0)
+        for step in range(1, 50):
+            now = step * 0.1
+            for source, target in ((ours, theirs), (theirs, ours)):
+                for fingerprint, engine_ids in source.relayed(now).items():
+                    for engine_id in engine_ids:
+                        target.record(BrokenAttempt(fingerprint, engine_id, now))
+        self.assertEqual({}, ours.relayed(5.0))
+        self.assertEqual({}, theirs.relayed(5.0))
--- a/packages/teaselpond/tests/gateway/test_placement.py
+++ b/packages/teaselpond/tests/gateway/test_placement.py
@@ -171,8 +171,7 @@
                 self.assertEqual("all-cold", result.reason)
                 break
             placed += 1
-            engine_id = result.record.engine.engine_id
-            self.placer.record_sent(make_call(), engine_id, 1.0, 7)
+            self.placer.record_sent(make_call(), result, 1.0, 7)
         # Two per second and engine, this host's share of seven hosts' 20.
         self.assertEqual(12, placed)
 
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -31,9 +31,7 @@
 from teaselpond.gateway.rows import Page, Row
 from teaselpond.gateway.tables import Table
 from teaselpond.gateway.windows import SlidingWindowCounter
-from teaselpond_standins.testing.gateways import make_call
-
-from .test_decisions import make_heartbeat
+from teaselpond_standins.testing.gateways import make_call, make_heartbeat
 
 
 class PrefixTrackerTests(testtools.TestCase):
