Let a starting host ask its peers, and read the store less in a large fleet

Cause: each starting host read both followed tables and all registered hosts, five calls a host and a table of all hosts to each; without confirmations each host read the store every 1.5 s, whatever their number. Change: a starting host waits for its peers' state unless it is a reader or hears no peer in time; registered hosts are read only while no peer is known; reads without confirmation get rarer as the number of recent hosts grows.

--- a/packages/teaselpond/src/teaselpond/gateway/applying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/applying.py
@@ -1,5 +1,6 @@
 """Apply rows of the platform's store to this host's routing state."""
 
+import asyncio
 import functools
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
@@ -19,19 +20,23 @@
 from .engines import EngineState
 from .journal import Journal
 from .routing_state import RoutingState
-from .rowcache import RowCache
+from .rowcache import UNKNOWN_VERSION, RowCache
 from .rows import Page, Row
 from .tables import FOLLOWED_TABLES, Table
 
 
 @define(eq=False)
 class StoreApplier:
-    """Apply rows of the store to the routing state, and log each change."""
+    """Apply rows of the store to the routing state, and log each change.
+
+    ``completed`` is set once every followed table is known.
+    """
 
     routing_state: RoutingState
     journal: Journal
     decode: Callable[[Table, Row], Change]
     caches_by_table: dict[Table, RowCache] = field(init=False)
+    completed: asyncio.Event = field(factory=asyncio.Event)
     _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -51,6 +56,8 @@
         self.routing_state.freshness.update_offset(asked_at, page.store_seconds)
         if table is Table.OPERATOR and is_readable:
             self.routing_state.freshness.confirm(page.store_seconds)
+        if UNKNOWN_VERSION not in self.versions():
+            self.completed.set()
         return rows
 
     def apply_changes(self, table: Table, after: int, page: Page, now: float) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -1,6 +1,5 @@
 """Build the objects that handle requests and follow the store."""
 
-import asyncio
 from typing import Any
 
 from ..upstreams.connections import UpstreamClient
@@ -92,12 +91,8 @@
     table: Table,
     store: Store,
     exchange: PeerExchange,
-    answered_event: asyncio.Event,
 ) -> Follower:
-    """Build the follower of a table, which forwards its changes to peers.
-
-    ``answered_event`` is set once an answer of the store was applied.
-    """
+    """Build the follower of a table, which forwards its changes to peers."""
     cache = host.applier.caches_by_table[table]
     scheduler = ReadScheduler(host.settings.host)
 
@@ -107,7 +102,6 @@
         newest_before = cache.newest_row_version
         returned_at_before = host.routing_state.outages.returned_at
         rows = host.applier.apply(table, page, is_whole, asked_at, now)
-        answered_event.set()
         if host.routing_state.outages.returned_at != returned_at_before:
             # Peers must learn that the store has returned before they receive
             # the removal of expired entries.
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -32,6 +32,10 @@
 STORE_TIMEOUT_SECONDS = 0.8
 STORE_KEEPALIVE_SECONDS = 30.0
 TICK_SECONDS = 0.1
+# The seeds usually answer long before. Without this, all hosts of a fleet
+# would read the addresses of all others when they start.
+FIND_PEERS_FIRST_SECONDS = 1.0
+FIND_PEERS_SECONDS = 5.0
 # Heartbeats that announce a stop to all peers; some datagrams may be lost.
 LEAVING_HEARTBEATS = 3
 
@@ -103,14 +107,11 @@
         )
         sharing = self._make_sharing(session)
         exchange = self._make_exchange(sharing)
-        events_by_table = {table: asyncio.Event() for table in FOLLOWED_TABLES}
         host.followers = [
-            make_follower(host, table, store, exchange, event)
-            for table, event in events_by_table.items()
+            make_follower(host, table, store, exchange) for table in FOLLOWED_TABLES
         ]
         sender = make_sender(host.adapter)
-        answered_events = tuple(events_by_table.values())
-        survey = self._make_survey(sender, sharing, answered_events)
+        survey = self._make_survey(sender, sharing)
         servers = await self._open_servers(sender, sharing)
         await exchange.start(host.settings.ip)
         tasks = self._start_tasks(
@@ -163,10 +164,7 @@
         )
 
     def _make_survey(
-        self,
-        sender: Sender,
-        sharing: RoutingStateSharing,
-        answered_events: tuple[asyncio.Event, ...],
+        self, sender: Sender, sharing: RoutingStateSharing
     ) -> PrefixSurvey:
         host = self.host
         return PrefixSurvey(
@@ -179,7 +177,6 @@
             host.journal,
             host.clock,
             host.settings.is_first_start,
-            answered_events,
         )
 
     async def _open_servers(
@@ -212,15 +209,13 @@
         ]
 
     async def _register(self, store: Store) -> None:
-        """Register this host in the store, and unregister it when it stops.
-
-        The registered hosts' addresses are added to the known ones.
-        """
+        """Register this host in the store, and unregister it when it stops."""
         host = self.host
         try:
             if not self._is_stopping.is_set():
-                await self._put_host(store)
-                await self._is_stopping.wait()
+                address = host.settings.ip.encode()
+                await store.put(Table.MEMBERS, host.settings.host, address)
+                await self._find_peers(store)
             await store.remove(Table.MEMBERS, host.settings.host)
         except StoreUnavailable as error:
             host.journal.write("not-registered", host.clock(), error=str(error))
@@ -228,12 +223,23 @@
         # ``keep_running`` would run this task again if it returned.
         await asyncio.Event().wait()
 
-    async def _put_host(self, store: Store) -> None:
+    async def _find_peers(self, store: Store) -> None:
+        """Read the registered hosts while no peer is known, until a stop."""
         host = self.host
-        await store.put(Table.MEMBERS, host.settings.host, host.settings.ip.encode())
-        page = await store.read(Table.MEMBERS)
-        for row in page.rows:
-            host.members.add_address(row.key, (row.value or b"").decode(), host.clock())
+        pause = FIND_PEERS_FIRST_SECONDS
+        while True:
+            try:
+                async with asyncio.timeout(pause):
+                    await self._is_stopping.wait()
+                return
+            except TimeoutError:
+                pause = FIND_PEERS_SECONDS
+            if host.members.recent(host.clock()):
+                continue
+            page = await store.read(Table.MEMBERS)
+            for row in page.rows:
+                address = (row.value or b"").decode()
+                host.members.add_address(row.key, address, host.clock())
 
     async def _tick(self) -> None:
         """Expire engines, reload changed settings and log state changes.
--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -75,7 +75,7 @@
         """Read and follow the table until cancelled."""
         delay = RETRY_MIN_SECONDS
         while True:
-            if self._needs_whole_table() or self.must_read():
+            if self._is_history_lost or self.must_read():
                 delay = await self._poll_or_back_off(delay)
             else:
                 delay = RETRY_MIN_SECONDS
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -25,9 +25,6 @@
 # Requests last about this long, so that an upstream with a load of n gets
 # about n requests in this time.
 REQUEST_SECONDS = 1.0
-# An engine that was listed for less time than this got few prompts yet. Those
-# that it is now the first choice for are held by the first choice before it.
-NEW_ENGINE_SECONDS = 20.0
 
 
 @frozen
@@ -173,20 +170,12 @@
         key = _affinity_key(call)
         holders = self.prefixes.holders(prefix_key(call.service, key), now)
         if key:
-            by_hash = _order_by_hash(key, candidates)
-            # The hash also orders upstreams that have the prefix, so that all
-            # hosts prefer the same one.
-            order = sorted(by_hash, key=lambda record: _id_of(record) not in holders)
+            order = _order_by_affinity(key, candidates, holders)
         else:
             order = self._order_by_load(call, candidates, loads_by_id)
         rank = self._choose_rank(order, loads_by_id, mean, now)
         chosen = order[rank]
         is_held = _id_of(chosen) in holders
-        copy_from = None
-        if key and not is_held:
-            copy_from = self._choose_copy_source(holders, now)
-            if copy_from is None:
-                copy_from = self._presumed_holder(by_hash, chosen, now)
         return Placement(
             chosen,
             loads_by_id[_id_of(chosen)],
@@ -194,7 +183,7 @@
             len(candidates),
             rank,
             is_held,
-            copy_from,
+            None if is_held or not key else self._choose_copy_source(holders, now),
         )
 
     def _choose_rank(
@@ -232,19 +221,6 @@
                 return engine
         return None
 
-    def _presumed_holder(
-        self, by_hash: Sequence[EngineRecord], chosen: EngineRecord, now: float
-    ) -> Engine | None:
-        """Return the upstream that probably holds a prefix of other hosts.
-
-        It is the first choice of all hosts, or was before new upstreams came.
-        Return None if that is the chosen upstream.
-        """
-        for record in by_hash:
-            if now - record.listed_at >= NEW_ENGINE_SECONDS:
-                return record.engine if record is not chosen else None
-        return None
-
     def _order_by_load(
         self,
         call: Call,
@@ -266,10 +242,19 @@
     return prompt.affinity_key if prompt is not None else ""
 
 
-def _order_by_hash(key: str, candidates: Sequence[EngineRecord]) -> list[EngineRecord]:
-    """Sort upstreams by rendezvous hash of a prompt prefix."""
+def _order_by_affinity(
+    key: str, candidates: Sequence[EngineRecord], holders: Sequence[str]
+) -> list[EngineRecord]:
+    """Sort upstreams with a cached prefix first, then by rendezvous hash.
+
+    The hash also orders upstreams that have the prefix, so that all hosts
+    prefer the same one.
+    """
+    held = set(holders)
     return sorted(
-        candidates, key=lambda record: _score(key, _id_of(record)), reverse=True
+        candidates,
+        key=lambda record: (_id_of(record) in held, _score(key, _id_of(record))),
+        reverse=True,
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/readers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/readers.py
@@ -15,9 +15,17 @@
 # Peers confirm the configuration more often than this. A host that receives
 # no confirmation for longer reads the store itself.
 CONFIRMATION_TIMEOUT_SECONDS = 2.8
-# Mean pause between the reads of such a host. It limits the calls in an outage
-# of the store, when no host receives a confirmation.
+# Mean pause between the reads of such a host in a fleet of up to
+# FALLBACK_HOSTS hosts. It grows with the number of hosts that were seen
+# recently, which limits the fleet's calls in an outage of the store: then no
+# host receives a confirmation, and the readers detect the store's return.
 FALLBACK_READ_SECONDS = 1.5
+FALLBACK_HOSTS = 12
+# A host that has just started asks its peers first. Running seeds answer its
+# first heartbeat within this time.
+MEETING_SECONDS = 0.1
+# If no peer has sent it the routing state by then, it reads the store itself.
+PEER_STATE_SECONDS = 1.2
 
 
 @frozen
@@ -65,6 +73,7 @@
     host: str
     rng: random.Random = field(factory=random.Random)
     _next_read_at: float = 0.0
+    _started_at: float | None = None
 
     def is_due(
         self,
@@ -75,13 +84,27 @@
         """Return whether to read now.
 
         ``hosts`` are those that were seen recently, with this one. ``age`` is
-        that of the last confirmation, None if there is none. A host that is no
-        reader waits for its peers until the age exceeds
-        ``CONFIRMATION_TIMEOUT_SECONDS``.
+        that of the last confirmation, None if there is none: a host that has
+        just started asks its peers first. A host that is no reader waits for
+        its peers until the age exceeds ``CONFIRMATION_TIMEOUT_SECONDS``.
         """
+        if age is None and not self._has_waited(hosts, now):
+            return False
         if age is None or self.host in choose_readers(hosts):
             return True
         if age <= CONFIRMATION_TIMEOUT_SECONDS or now < self._next_read_at:
             return False
-        self._next_read_at = now + FALLBACK_READ_SECONDS * self.rng.uniform(0.7, 1.3)
+        pause = FALLBACK_READ_SECONDS * max(1.0, len(hosts) / FALLBACK_HOSTS)
+        self._next_read_at = now + pause * self.rng.uniform(0.7, 1.3)
         return True
+
+    def _has_waited(
+        self, hosts: Sequence[Candidate | Member | Heartbeat], now: float
+    ) -> bool:
+        """Return whether a host without any state should read the store."""
+        if self._started_at is None:
+            self._started_at = now
+        waited = now - self._started_at
+        if waited < MEETING_SECONDS:
+            return False
+        return self.host in choose_readers(hosts) or waited >= PEER_STATE_SECONDS
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -20,15 +20,13 @@
     """Hold an upstream's last known state; times are on the boot clock.
 
     ``missing_since`` is when its entry was found missing after an outage of
-    the store, None if the entry exists. ``listed_at`` is when this host first
-    saw the entry of this process.
+    the store, None if the entry exists.
     """
 
     engine: Engine
     cold_until: float
     received_at: float
     missing_since: float | None = None
-    listed_at: float = 0.0
 
 
 @define
@@ -71,14 +69,10 @@
         """Update an upstream from its entry; return its previous record."""
         previous = self.engines_by_id.get(engine.engine_id)
         cold_until = now + engine.cold_seconds
-        listed_at = now
         if previous is not None and previous.engine.born_ms == engine.born_ms:
             # The entry's cold time may be outdated: it was written earlier.
             cold_until = max(previous.cold_until, cold_until)
-            listed_at = previous.listed_at
-        self.engines_by_id[engine.engine_id] = EngineRecord(
-            engine, cold_until, now, listed_at=listed_at
-        )
+        self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
         return previous
 
     def update_cold_time(self, engine_id: str, seconds: float, now: float) -> None:
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -35,8 +35,7 @@
     """Ask peers for the engines' cached prefixes, or the engines themselves.
 
     Engines are asked if no peer knows a prefix. The first start of a host
-    skips the survey. Each event of ``answered_events`` is set after the
-    store's first answer for one table.
+    skips the survey.
     """
 
     routing_state: RoutingState
@@ -48,7 +47,6 @@
     journal: Journal
     clock: Callable[[], float]
     is_first_start: bool
-    answered_events: tuple[asyncio.Event, ...]
     rng: random.Random = field(factory=random.Random)
 
     async def run(self) -> None:
@@ -60,8 +58,7 @@
         await asyncio.Event().wait()
 
     async def _survey(self) -> None:
-        for event in self.answered_events:
-            await event.wait()
+        await self.sharing.applier.completed.wait()
         await asyncio.sleep(PEER_WAIT_SECONDS)
         if await self._query_peers():
             return
