Follow a store that returns from an older copy

Cause: versions were kept at their highest for ever. After a restore, which gives versions out again, a cache kept lost rows and ignored new ones of lower versions; through peers the whole fleet did. Change: pages, caches, datagrams, heartbeats and look-ups among hosts carry the store's era. In a new era each table is read whole and replaced; answers of earlier eras are ignored. Confirmations keep their age. Hosts register again. The stand-in store can be restored.

--- a/packages/teaselpond-model/src/teaselpond_model/store_calls.py
+++ b/packages/teaselpond-model/src/teaselpond_model/store_calls.py
@@ -23,10 +23,11 @@
 
 @frozen
 class PlatformAnswer:
-    """Hold the status and the body of a complete answer."""
+    """Hold the status, the body and the headers of a complete answer."""
 
     status: int
     content: bytes
+    headers: Mapping[str, str] = field(factory=dict)
 
     def expect_status(self, status: int) -> None:
         """Raise ValueError when the answer has another status."""
@@ -112,7 +113,8 @@
         async with self.session.request(
             method, self.base_url + path, allow_redirects=False, **arguments
         ) as response:
-            return PlatformAnswer(response.status, await response.read())
+            content = await response.read()
+            return PlatformAnswer(response.status, content, response.headers)
 
     def unavailable(self, step: str, cause: object) -> StoreUnavailable:
         """Return the error for a call that wrote nothing."""
--- a/packages/teaselpond-standins/src/teaselpond_standins/platform/rows.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/platform/rows.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from aiohttp import web
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..server import abort
 
@@ -15,6 +15,14 @@
 PAGE_ROWS = 500
 
 
+@frozen
+class StoreCopy:
+    """Hold the rows of a store as of a version."""
+
+    rows_by_table_and_key: dict[tuple[str, str], dict[str, Any]]
+    version: int
+
+
 @define(eq=False)
 class MemoryRows:
     """Stand in for the platform's row store, with injectable faults.
@@ -22,7 +30,9 @@
     While ``is_down`` is set, every connection is reset; while ``is_silent``
     is set, no call is answered. ``answer_delay_seconds`` delays each answer.
     ``loses_answers`` resets the connection after the call has run. The feed
-    refuses requests for changes before ``oldest_version`` with status 410.
+    refuses requests for changes before ``oldest_version`` with status 410, as
+    it does those after a version that the store does not have. ``era`` counts
+    the restores.
     """
 
     is_down: bool = False
@@ -31,6 +41,7 @@
     answer_delay_seconds: float = 0.0
     oldest_version: int = 0
     version: int = 0
+    era: int = 1
     calls: int = 0
     _rows_by_table_and_key: dict[tuple[str, str], dict[str, Any]] = field(factory=dict)
     _changed: asyncio.Condition = field(factory=asyncio.Condition)
@@ -61,6 +72,24 @@
         """Discard the history of the feed up to the current version."""
         self.oldest_version = self.version
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of all rows, to restore later."""
+        rows = {key: dict(row) for key, row in self._rows_by_table_and_key.items()}
+        return StoreCopy(rows, self.version)
+
+    async def restore(self, copy: "StoreCopy") -> None:
+        """Return to a copy: what was written since is lost.
+
+        Versions are given out again, and the history is gone.
+        """
+        self._rows_by_table_and_key = {
+            key: dict(row) for key, row in copy.rows_by_table_and_key.items()
+        }
+        self.version = self.oldest_version = copy.version
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     def value(self, table: str, key: str) -> bytes | None:
         """Return a row's value, or None if it is absent or removed."""
         row = self._rows_by_table_and_key.get((table, key))
@@ -98,8 +127,8 @@
     async def _feed(self, request: web.Request) -> web.Response:
         table = request.query["Table"]
         after = int(request.query["After"])
-        if after < self.oldest_version:
-            return web.Response(status=410)
+        if not self.oldest_version <= after <= self.version:
+            return web.Response(status=410, headers=self._headers)
         seconds = int(request.query.get("WaitMs", 0)) / 1000
         try:
             async with asyncio.timeout(seconds), self._changed:
@@ -143,5 +172,10 @@
     def _answer(self, rows: list[dict[str, Any]], **fields: Any) -> web.Response:
         now_ms = time.monotonic() * 1000
         return web.json_response(
-            {"Rows": rows, "Ver": self.version, "NowMs": now_ms, **fields}
+            {"Rows": rows, "Ver": self.version, "NowMs": now_ms, **fields},
+            headers=self._headers,
         )
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
--- a/packages/teaselpond/src/teaselpond/gateway/applying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/applying.py
@@ -29,7 +29,10 @@
 class StoreApplier:
     """Apply rows of the store to the routing state, and log each change.
 
-    ``completed`` is set once every followed table is known.
+    ``completed`` is set once every followed table is known. ``restores``
+    counts the returns of the store from an older copy.
+    ``newest_configuration_row`` holds the configuration in force, also if a
+    restored store has lost it.
     """
 
     routing_state: RoutingState
@@ -37,6 +40,9 @@
     decode: Callable[[Table, Row], Change]
     caches_by_table: dict[Table, RowCache] = field(init=False)
     completed: asyncio.Event = field(factory=asyncio.Event)
+    era: int = 0
+    restores: int = 0
+    newest_configuration_row: Row | None = None
     _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -48,11 +54,20 @@
         """Apply a response of the store; return the rows that changed.
 
         A response for the operator's table confirms the configuration as of
-        its ``store_seconds``. ``asked_at`` is when it was requested.
+        its ``store_seconds``. ``asked_at`` is when it was requested. Ignore
+        responses of an earlier era of the store.
         """
+        if page.era < self.era:
+            return []
+        cache = self.caches_by_table[table]
+        is_restored = page.era > cache.era and cache.version != UNKNOWN_VERSION
+        if page.era > self.era:
+            self._start_era(page, now)
         self.record_store_answer(page.store_seconds, now)
-        rows = self.caches_by_table[table].merge_page(page, is_whole)
-        is_readable = self._apply_rows(table, rows, now)
+        rows = cache.merge_page(page, is_whole)
+        if cache.era != page.era:
+            return []
+        is_readable = self._apply_rows(table, rows, now, is_restored=is_restored)
         self.routing_state.freshness.update_offset(asked_at, page.store_seconds)
         if table is Table.OPERATOR and is_readable:
             self.routing_state.freshness.confirm(page.store_seconds)
@@ -61,12 +76,40 @@
         return rows
 
     def apply_changes(self, table: Table, after: int, page: Page, now: float) -> int:
-        """Apply changes sent by a peer; return the number of changed rows."""
+        """Apply changes sent by a peer; return the number of changed rows.
+
+        Changes of another era than the known one are ignored.
+        """
+        if page.era != self.era:
+            return 0
         self.record_store_answer(page.store_seconds, now)
         rows = self.caches_by_table[table].merge_changes(after, page)
         self._apply_rows(table, rows, now)
         return len(rows)
 
+    def apply_configuration_row(self, row: Row, now: float) -> None:
+        """Apply the newest configuration that a peer has, if it is newer.
+
+        The store may have lost it in a restore.
+        """
+        apply_change(self.decode(Table.OPERATOR, row), self, now, row=row)
+
+    def _start_era(self, page: Page, now: float) -> None:
+        """Begin a new era of the store, unless it is the first one known."""
+        if any(version != UNKNOWN_VERSION for version in self.versions()):
+            self.restores += 1
+            self.routing_state.freshness.start_era()
+            self.routing_state.outages.record_restore(page.store_seconds)
+            self.log_change(
+                "store-restored",
+                now,
+                era=page.era,
+                was_era=self.era,
+                version=page.version,
+                was_versions=list(self.versions()),
+            )
+        self.era = page.era
+
     def record_store_answer(self, store_seconds: float, now: float) -> None:
         """Record that the store responded to some host at a time of its clock.
 
@@ -103,14 +146,35 @@
         """
         return tuple(self.caches_by_table[table].version for table in FOLLOWED_TABLES)
 
-    def _apply_rows(self, table: Table, rows: Iterable[Row], now: float) -> bool:
+    def _apply_rows(
+        self,
+        table: Table,
+        rows: Iterable[Row],
+        now: float,
+        *,
+        is_restored: bool = False,
+    ) -> bool:
         is_readable = True
         for row in rows:
             change = self.decode(table, row)
             is_readable &= not isinstance(change, EntryUnreadable)
-            apply_change(change, self, now)
+            if is_restored and self._is_outdated(change):
+                continue
+            apply_change(change, self, now, row=row)
         return is_readable
 
+    def _is_outdated(self, change: Change) -> bool:
+        """Return whether a restored store only lacks what was known since.
+
+        Its writers write it again.
+        """
+        if isinstance(change, ZoneReturned):
+            self.routing_state.lapse_evacuation(change.availability_zone)
+            return True
+        return isinstance(change, EngineListed) and self.routing_state.has_departed(
+            change.engine
+        )
+
     def log_change(self, event: str, now: float, **fields: Any) -> None:
         """Log a change of the routing state."""
         self.journal.write(event, now, **fields)
@@ -125,15 +189,27 @@
 
 
 @functools.singledispatch
-def apply_change(change: Change, applier: StoreApplier, now: float) -> None:
-    """Apply one change to the routing state."""
+def apply_change(
+    change: Change, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
+    """Apply one change to the routing state.
+
+    ``row`` is the one that the change was decoded from.
+    """
     raise TypeError(f"expected a Change, got {change!r}")
 
 
 @apply_change.register
-def _(change: ConfigurationWritten, applier: StoreApplier, now: float) -> None:
+def _(
+    change: ConfigurationWritten,
+    applier: StoreApplier,
+    now: float,
+    row: Row | None = None,
+) -> None:
     configuration = change.configuration
     is_newer = applier.routing_state.update_configuration(configuration)
+    if is_newer:
+        applier.newest_configuration_row = row
     applier.log_change(
         "configuration-in-force" if is_newer else "configuration-not-newer",
         now,
@@ -144,15 +220,20 @@
 
 
 @apply_change.register
-def _(change: ZoneEvacuated, applier: StoreApplier, now: float) -> None:
+def _(
+    change: ZoneEvacuated, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     routing_state = applier.routing_state
     zones = routing_state.evacuated_zones | {change.availability_zone}
     routing_state.update_evacuated_zones(zones, now)
+    routing_state.confirm_evacuation(change.availability_zone)
     applier.log_change("zone-evacuated", now, zone=change.availability_zone)
 
 
 @apply_change.register
-def _(change: ZoneReturned, applier: StoreApplier, now: float) -> None:
+def _(
+    change: ZoneReturned, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     routing_state = applier.routing_state
     zones = routing_state.evacuated_zones - {change.availability_zone}
     if routing_state.update_evacuated_zones(zones, now):
@@ -160,7 +241,9 @@
 
 
 @apply_change.register
-def _(change: EngineListed, applier: StoreApplier, now: float) -> None:
+def _(
+    change: EngineListed, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     engine = change.engine
     before = applier.routing_state.update_engine(engine, now)
     if before is None or before.engine != engine or before.missing_since is not None:
@@ -178,7 +261,9 @@
 
 
 @apply_change.register
-def _(change: EngineMissing, applier: StoreApplier, now: float) -> None:
+def _(
+    change: EngineMissing, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     record = applier.routing_state.engines_by_id.get(change.engine_id)
     if record is None:
         return
@@ -192,12 +277,16 @@
 
 
 @apply_change.register
-def _(change: EntryUnreadable, applier: StoreApplier, now: float) -> None:
+def _(
+    change: EntryUnreadable, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     applier.log_unreadable(change, now)
     if change.key in applier.routing_state.engines_by_id:
         apply_change(EngineMissing(change.key), applier, now)
 
 
 @apply_change.register
-def _(change: EntryIgnored, applier: StoreApplier, now: float) -> None:
+def _(
+    change: EntryIgnored, applier: StoreApplier, now: float, row: Row | None = None
+) -> None:
     return
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -108,7 +108,7 @@
             exchange.send_heartbeats(to_all=True)
         if rows and not is_whole:
             new_rows = tuple(row for row in page.rows if row.version > newest_before)
-            update = Page(new_rows, page.version, page.store_seconds, False)
+            update = Page(new_rows, page.version, page.store_seconds, False, page.era)
             exchange.send_changes(TableChanges(table, newest_before, update))
 
     return Follower(
@@ -119,4 +119,5 @@
         apply,
         lambda: host.must_read(scheduler),
         lambda: cache.version,
+        lambda: cache.era,
     )
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -34,8 +34,7 @@
 TICK_SECONDS = 0.1
 # The seeds usually answer long before. Without this, all hosts of a fleet
 # would read the addresses of all others when they start.
-FIND_PEERS_FIRST_SECONDS = 1.0
-FIND_PEERS_SECONDS = 5.0
+FIND_PEERS_SECONDS = 1.0
 # Heartbeats that announce a stop to all peers; some datagrams may be lost.
 LEAVING_HEARTBEATS = 3
 
@@ -212,10 +211,13 @@
         """Register this host in the store, and unregister it when it stops."""
         host = self.host
         try:
-            if not self._is_stopping.is_set():
+            while not self._is_stopping.is_set():
+                restores = host.applier.restores
                 address = host.settings.ip.encode()
                 await store.put(Table.MEMBERS, host.settings.host, address)
-                await self._find_peers(store)
+                while host.applier.restores == restores:
+                    if not await self._find_peers(store):
+                        break
             await store.remove(Table.MEMBERS, host.settings.host)
         except StoreUnavailable as error:
             host.journal.write("not-registered", host.clock(), error=str(error))
@@ -223,23 +225,24 @@
         # ``keep_running`` would run this task again if it returned.
         await asyncio.Event().wait()
 
-    async def _find_peers(self, store: Store) -> None:
-        """Read the registered hosts while no peer is known, until a stop."""
+    async def _find_peers(self, store: Store) -> bool:
+        """Read the registered hosts if no peer is known for a while.
+
+        Return whether the host goes on running.
+        """
         host = self.host
-        pause = FIND_PEERS_FIRST_SECONDS
-        while True:
-            try:
-                async with asyncio.timeout(pause):
-                    await self._is_stopping.wait()
-                return
-            except TimeoutError:
-                pause = FIND_PEERS_SECONDS
+        try:
+            async with asyncio.timeout(FIND_PEERS_SECONDS):
+                await self._is_stopping.wait()
+            return False
+        except TimeoutError:
             if host.members.recent(host.clock()):
-                continue
-            page = await store.read(Table.MEMBERS)
-            for row in page.rows:
-                address = (row.value or b"").decode()
-                host.members.add_address(row.key, address, host.clock())
+                return True
+        page = await store.read(Table.MEMBERS)
+        for row in page.rows:
+            address = (row.value or b"").decode()
+            host.members.add_address(row.key, address, host.clock())
+        return True
 
     async def _tick(self) -> None:
         """Expire engines, reload changed settings and log state changes.
--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -51,8 +51,8 @@
     ``apply`` is called with the response, whether it is the whole table, and
     the times of request and response. ``must_read`` returns whether this host
     reads the table instead of relying on its peers. ``known_version`` returns
-    the version up to which all changes are known. Times are on the boot
-    clock.
+    the version up to which all changes are known, ``known_era`` the era of the
+    store that gave it out. Times are on the boot clock.
     """
 
     table: Table
@@ -62,6 +62,7 @@
     apply: Callable[[Page, bool, float, float], None]
     must_read: Callable[[], bool]
     known_version: Callable[[], int]
+    known_era: Callable[[], int]
     answered_at: float | None = None
     _failing_since: float | None = None
     _is_history_lost: bool = False
@@ -116,6 +117,13 @@
             page = await self.store.follow(self.table, version, wait_seconds)
         now = self.clock()
         self._record_success(now)
+        if not is_whole and page.era != self.known_era():
+            # The store was restored: versions after the known one may have
+            # been given out again before this request.
+            raise HistoryLost(
+                f"expected an answer of era {self.known_era()}, got {page.era}",
+                step="follow",
+            )
         self._is_history_lost = False
         self.answered_at = now
         self.apply(page, is_whole, asked_at, now)
@@ -125,10 +133,15 @@
         rows: list[Row] = list(page.rows)
         while page.has_more and page.rows:
             page = await self.store.read(self.table, page.rows[-1].key + "\0")
+            if page.era != first.era:
+                raise HistoryLost(
+                    f"the era changed from {first.era} to {page.era} between pages",
+                    step="read",
+                )
             rows.extend(page.rows)
         # Rows may change between two pages. Following from the first page's
         # version returns these changes again.
-        return Page(tuple(rows), first.version, first.store_seconds, False)
+        return Page(tuple(rows), first.version, first.store_seconds, False, first.era)
 
     def _record_failure(self, error: StoreUnavailable, now: float) -> None:
         if self._failing_since is not None:
--- a/packages/teaselpond/src/teaselpond/gateway/freshness.py
+++ b/packages/teaselpond/src/teaselpond/gateway/freshness.py
@@ -14,6 +14,17 @@
 
     _offset: float | None = None
     confirmed_store_seconds: float | None = None
+    _confirmed_before: float | None = None
+
+    def start_era(self) -> None:
+        """Forget the store's clock, which may differ after a restore.
+
+        What was confirmed before keeps its age.
+        """
+        confirmed = self.confirmed_store_seconds
+        if confirmed is not None:
+            self._confirmed_before = self.local_time(confirmed)
+        self._offset = self.confirmed_store_seconds = None
 
     def update_offset(self, asked_at: float, store_seconds: float) -> None:
         """Improve the clock offset by an answer of the store.
@@ -37,6 +48,7 @@
 
     def age(self, now: float) -> float | None:
         """Return the state's maximum age; None before it is confirmed."""
-        if self._offset is None or self.confirmed_store_seconds is None:
-            return None
-        return now - (self._offset + self.confirmed_store_seconds)
+        confirmed_at = self._confirmed_before
+        if self._offset is not None and self.confirmed_store_seconds is not None:
+            confirmed_at = self._offset + self.confirmed_store_seconds
+        return None if confirmed_at is None else now - confirmed_at
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -120,6 +120,7 @@
                 for prefix_use in self.prefixes.own_since(since)
             },
             engines_by_broken_request=self.poison.relayed(now),
+            era=self.applier.era,
             configuration_version=configuration.version if configuration else 0,
             introductions=introductions,
             sightings=pack_sightings(self.members, now),
--- a/packages/teaselpond/src/teaselpond/gateway/outages.py
+++ b/packages/teaselpond/src/teaselpond/gateway/outages.py
@@ -43,6 +43,14 @@
         self._outage_started_at, self._answering_since = previous, answered_at
         return answered_at - previous
 
+    def record_restore(self, answered_at: float) -> None:
+        """Record the first answer of a store that returned from a copy.
+
+        Its clock may differ from that of before.
+        """
+        self._outage_started_at = self._answering_since = answered_at
+        self.last_answer_at = answered_at
+
     def record_peer_return(self, peer_returned_at: float) -> None:
         """Record when an outage ended according to a peer.
 
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -111,6 +111,8 @@
             page.version,
             page.store_seconds,
             rows,
+            # Older builds ignore what follows.
+            page.era,
         ]
     )
 
@@ -193,7 +195,7 @@
 
 
 def _decode_changes(values: list) -> TableChanges:
-    table, after, version, store_seconds, rows = values
+    table, after, version, store_seconds, rows, *others = values
     page = Page(
         tuple(
             Row(str(key), None if value is None else bytes(value), int(row_version))
@@ -202,6 +204,7 @@
         int(version),
         float(store_seconds),
         False,
+        int(others[0]) if others else 0,
     )
     return TableChanges(FOLLOWED_TABLES[int(table)], int(after), page)
 
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -13,6 +13,9 @@
 # An upstream keeps serving for about this long after its entry is removed, and
 # others can still copy from its cache.
 COPY_SOURCE_SECONDS = 2.5
+# A store that was restored may list an upstream again that had left before.
+# Its copies are not older than this.
+DEPARTED_SECONDS = 30.0
 
 
 @frozen
@@ -39,6 +42,7 @@
     evacuated_zones: frozenset[str] = frozenset()
     outages: StoreOutages = field(factory=StoreOutages)
     _removed_by_id: dict[str, tuple[Engine, float]] = field(factory=dict)
+    _lapsed_zones: frozenset[str] = frozenset()
 
     def update_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer; return whether it is."""
@@ -72,6 +76,10 @@
         if previous is not None and previous.engine.born_ms == engine.born_ms:
             # The entry's cold time may be outdated: it was written earlier.
             cold_until = max(previous.cold_until, cold_until)
+            if previous.engine.state is EngineState.DRAINING:
+                # A leaving upstream never returns; a restored store may not
+                # know that it leaves.
+                engine = evolve(engine, state=EngineState.DRAINING)
         self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
         return previous
 
@@ -101,6 +109,19 @@
         del self.engines_by_id[engine_id]
         return True
 
+    def has_departed(self, engine: Engine) -> bool:
+        """Return whether this process of an upstream was removed recently."""
+        removed, _ = self._removed_by_id.get(engine.engine_id, (None, 0.0))
+        return removed is not None and removed.born_ms == engine.born_ms
+
+    def lapse_evacuation(self, availability_zone: str) -> None:
+        """Keep a zone evacuated for a while that a restored store lacks."""
+        self._lapsed_zones |= {availability_zone}
+
+    def confirm_evacuation(self, availability_zone: str) -> None:
+        """Keep a zone evacuated that a restored store lists again."""
+        self._lapsed_zones -= {availability_zone}
+
     def copy_source(self, engine_id: str, now: float) -> Engine | None:
         """Return an upstream to copy from, if it is listed or just removed."""
         record = self.engines_by_id.get(engine_id)
@@ -116,10 +137,14 @@
     def expire(self, now: float) -> list[str]:
         """Remove upstreams whose entries did not return; return their ids."""
         for engine_id, (_, removed_at) in list(self._removed_by_id.items()):
-            if now - removed_at >= COPY_SOURCE_SECONDS:
+            if now - removed_at >= DEPARTED_SECONDS:
                 del self._removed_by_id[engine_id]
         if self._is_recovering(now):
             return []
+        if self._lapsed_zones:
+            zones = self.evacuated_zones - self._lapsed_zones
+            self.update_evacuated_zones(zones, now)
+            self._lapsed_zones = frozenset()
         expired = [
             engine_id
             for engine_id, record in self.engines_by_id.items()
--- a/packages/teaselpond/src/teaselpond/gateway/rows.py
+++ b/packages/teaselpond/src/teaselpond/gateway/rows.py
@@ -17,10 +17,12 @@
     """Hold the rows of one response of the store.
 
     ``version`` is the store's newest version and ``store_seconds`` the time
-    of its monotonic clock, both when it responded.
+    of its monotonic clock, both when it responded. ``era`` rises each time the
+    store returns from an older copy; versions are comparable within an era.
     """
 
     rows: tuple[Row, ...]
     version: int
     store_seconds: float
     has_more: bool
+    era: int = 0
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -10,7 +10,7 @@
 import cbor2
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
-from attrs import define, field
+from attrs import define, field, frozen
 
 from teaselpond_model.exceptions import TeaselpondError
 
@@ -19,11 +19,14 @@
 from .members import Heartbeat, Member, Members
 from .peers import TableChanges
 from .prefixes import PrefixTracker, PrefixUse
+from .rowcache import UNKNOWN_VERSION
 from .rows import Page, Row
 from .tables import FOLLOWED_TABLES
 
 ROUTING_STATE_PATH = "/beliefs"
 PREFIXES_PATH = "/prefixes"
+# Stands for the era in requests of builds that know none.
+UNKNOWN_ERA = -1
 # How often a host looks for a peer with newer rows when no new heartbeat
 # shows one.
 CATCH_UP_SECONDS = 0.3
@@ -70,6 +73,23 @@
     return Row(key, value, version)
 
 
+@frozen
+class FetchedState:
+    """Hold the routing state that a peer sent.
+
+    ``age`` is that of its confirmation, at the time ``confirmed`` of the
+    store's clock. ``tables`` are versions and rows in the order of the
+    followed tables. ``configuration_row`` is set if a restored store may lack
+    the configuration in force.
+    """
+
+    age: float
+    confirmed: float
+    tables: list[tuple[int, list[Row]]]
+    era: int
+    configuration_row: Row | None
+
+
 class PeerUnavailable(TeaselpondError):
     """Report a peer that did not respond, or whose response was malformed."""
 
@@ -98,6 +118,11 @@
 
         If the peer has newer rows, ``run`` fetches them.
         """
+        if heartbeat.era != self.applier.era:
+            # Versions and times of another era are not comparable.
+            if self._is_peer_ahead(heartbeat):
+                self._is_behind.set()
+            return
         if heartbeat.store_back_seconds:
             self.applier.record_store_answer(heartbeat.store_back_seconds, now)
         if heartbeat.confirmed_store_seconds:
@@ -148,11 +173,14 @@
     def _serve_routing_state(self, request: BaseRequest) -> web.Response:
         """Return the rows above the versions in the query, one per table.
 
-        Respond with status 503 if this host has no confirmed configuration.
+        To a host in another era of the store, return whole tables. Respond
+        with status 503 if this host has no confirmed configuration.
         """
         age = self.applier.routing_state.freshness.age(self.clock())
         try:
             versions = [int(version) for version in request.query["after"].split(",")]
+            # Older builds send no era, and read an answer without one.
+            asked_era = int(request.query.get("era", UNKNOWN_ERA))
         except (KeyError, ValueError):
             return web.Response(status=400)
         if len(versions) != len(FOLLOWED_TABLES):
@@ -160,12 +188,26 @@
         if age is None:
             return web.Response(status=503)
         confirmed = self.applier.routing_state.freshness.confirmed_store_seconds
+        if confirmed is None:
+            return web.Response(status=503)
+        if asked_era not in (UNKNOWN_ERA, self.applier.era):
+            versions = [UNKNOWN_VERSION] * len(versions)
         tables = []
         for table, after in zip(FOLLOWED_TABLES, versions, strict=True):
             cache = self.applier.caches_by_table[table]
             rows = [self._compressor.compress(row) for row in cache.rows_after(after)]
             tables.append([cache.version, rows])
-        return web.Response(body=cbor2.dumps([age, confirmed, tables]))
+        answer = [age, confirmed, tables]
+        if asked_era != UNKNOWN_ERA:
+            answer += [self.applier.era, self._lost_configuration()]
+        return web.Response(body=cbor2.dumps(answer))
+
+    def _lost_configuration(self) -> list[Any] | None:
+        """Return the configuration in force if a restored store lacks it."""
+        row = self.applier.newest_configuration_row
+        if row is None or not self.applier.restores:
+            return None
+        return self._compressor.compress(row)
 
     async def run(self) -> None:
         """Fetch newer rows from peers until cancelled."""
@@ -190,8 +232,14 @@
         return self.rng.choice(candidates) if candidates else None
 
     def _is_peer_ahead(self, heartbeat: Heartbeat) -> bool:
-        if not heartbeat.confirmed_store_seconds:
+        if not heartbeat.confirmed_store_seconds or heartbeat.era < self.applier.era:
             return False
+        if heartbeat.era > self.applier.era:
+            return True
+        configuration = self.applier.routing_state.configuration
+        version = configuration.version if configuration is not None else 0
+        if heartbeat.configuration_version > version:
+            return True
         if self.applier.routing_state.freshness.confirmed_store_seconds is None:
             return True
         versions = zip(heartbeat.row_versions, self.applier.versions(), strict=True)
@@ -200,24 +248,30 @@
     async def _catch_up(self, peer: Member) -> None:
         asked_at = self.clock()
         try:
-            age, confirmed, tables = await self._fetch_tables(peer)
+            fetched = await self._fetch_state(peer)
         except PeerUnavailable as error:
             self.journal.write(
                 "peer-silent", self.clock(), peer=peer.heartbeat.host, error=str(error)
             )
             return
         now = self.clock()
-        for table, (version, rows) in zip(FOLLOWED_TABLES, tables, strict=True):
-            page = Page(tuple(rows), version, confirmed, False)
+        is_whole = fetched.era > self.applier.era
+        for table, (version, rows) in zip(FOLLOWED_TABLES, fetched.tables, strict=True):
+            if is_whole:
+                rows = [row for row in rows if row.value is not None]
+            page = Page(tuple(rows), version, fetched.confirmed, False, fetched.era)
             # The peer computed the age after the request was sent, so the
             # store's confirmation is at most ``age`` older than the request.
-            self.applier.apply(table, page, False, asked_at - age, now)
+            self.applier.apply(table, page, is_whole, asked_at - fetched.age, now)
+        if fetched.configuration_row is not None:
+            self.applier.apply_configuration_row(fetched.configuration_row, now)
         self.journal.write(
             "beliefs-from-peer",
             now,
             peer=peer.heartbeat.host,
-            peer_age_seconds=round(age, 3),
-            rows=[len(rows) for _, rows in tables],
+            peer_age_seconds=round(fetched.age, 3),
+            rows=[len(rows) for _, rows in fetched.tables],
+            era=fetched.era,
         )
 
     async def fetch_prefixes(self, peer: Member) -> int:
@@ -237,16 +291,22 @@
             ) from error
         return len(rows)
 
-    async def _fetch_tables(self, peer: Member) -> tuple[float, float, list]:
+    async def _fetch_state(self, peer: Member) -> "FetchedState":
         after = ",".join(str(version) for version in self.applier.versions())
-        response = await self._get(peer, ROUTING_STATE_PATH, {"after": after})
+        era = str(self.applier.era)
+        response = await self._get(
+            peer, ROUTING_STATE_PATH, {"after": after, "era": era}
+        )
         try:
-            age, confirmed, raw_tables = response
+            age, confirmed, raw_tables, *others = response
             tables = [
                 (int(version), [decode_row(*row) for row in rows])
                 for version, rows in raw_tables
             ]
-            return float(age), float(confirmed), tables
+            # Older builds answer without an era.
+            era, raw_row = others if others else (0, None)
+            row = decode_row(*raw_row) if raw_row is not None else None
+            return FetchedState(float(age), float(confirmed), tables, int(era), row)
         except (TypeError, ValueError) as error:
             raise PeerUnavailable(
                 f"peer {peer.heartbeat.host}: malformed routing state: {error!r}",
--- a/packages/teaselpond/src/teaselpond/platform/store.py
+++ b/packages/teaselpond/src/teaselpond/platform/store.py
@@ -18,6 +18,9 @@
 # A configuration of 1,500 routes makes a response of 0.7 MB, which takes this
 # long on the slowest host's link of 5 Mbit/s beside its other traffic.
 TRANSFER_SECONDS = 2.0
+# Rises by one each time the store returns from an older copy. Older stores do
+# not send it.
+ERA = "Store-Era"
 # The largest page that the store returns.
 PAGE_ROWS = 500
 TABLE_NAMES = {
@@ -98,6 +101,7 @@
                 version=raw["Ver"],
                 store_seconds=raw["NowMs"] / MILLISECONDS_PER_SECOND,
                 has_more=raw.get("HasMore", False),
+                era=int(answer.headers.get(ERA, 0)),
             )
         except (ValueError, KeyError, TypeError) as error:
             raise self._connection.unavailable(step, repr(error)) from error
--- a/packages/teaselpond/tests/platform/test_store.py
+++ b/packages/teaselpond/tests/platform/test_store.py
@@ -101,6 +101,7 @@
         self.journal = EventRecorder("g1")
         self.must_read = True
         self.version = UNKNOWN_VERSION
+        self.era = 0
         self.follower = Follower(
             Table.ENGINES,
             open_store(session, self.standin.address, STORE_TIMEOUT_SECONDS),
@@ -109,6 +110,7 @@
             self.apply,
             lambda: self.must_read,
             lambda: self.version,
+            lambda: self.era,
         )
         task = asyncio.create_task(self.follower.run())
         self.addCleanup(task.cancel)
@@ -118,6 +120,7 @@
         self.keys.extend(row.key for row in page.rows)
         self.whole_flags.append(is_whole)
         self.version = page.version
+        self.era = page.era
 
     async def test_changes_come_in_order(self) -> None:
         """The whole table is read first, then each change is followed."""
@@ -174,6 +177,22 @@
         self.standin.server.abort_connections()
         await self.wait_until(lambda: self.whole_flags.count(True) == 2)
 
+    async def test_restored_store(self) -> None:
+        """A table is read whole when the store's era has changed."""
+        await self.start()
+        await self.wait_until(lambda: self.era == 1)
+        copy = self.rows.copy()
+        for number in range(3):
+            await self.rows.put("servers", f"e{number}", b"{}")
+        await self.wait_until(lambda: len(self.keys) == 3)
+        await self.rows.restore(copy)
+        # The version that the follower knows is given out again.
+        for number in range(5):
+            await self.rows.put("servers", f"f{number}", b"{}")
+        await self.wait_until(lambda: self.era == 2)
+        self.assertTrue(self.whole_flags[-1] or self.whole_flags[-2])
+        await self.wait_until(lambda: self.keys[-1] == "f4")
+
     async def test_many_pages(self) -> None:
         """A table larger than a page is read completely."""
         await self.start_with(1200)
