Pass prefix uses on as news, and send most heartbeats within a zone

Uses reached a host once a turn of 6.5 s, so that hosts sent the prompts of one prefix to different engines; loads near the limit were passed over although the deployment's cap was far. Change: a use is passed on once by each host to which it is news; three of five heartbeats go to hosts of the same zone; an upstream is passed over only where its unseen requests could exceed the cap itself.

--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -158,6 +158,7 @@
             host.heartbeat,
             sharing.receive_heartbeat,
             sharing.receive_changes,
+            host.routing_state.find_engine_id,
             host.settings.datagram_port,
             tuple(seed.ip for seed in host.settings.seeds),
         )
@@ -254,9 +255,8 @@
         while True:
             now = host.clock()
             self._reload_if_changed()
-            engines_by_id = host.routing_state.engines_by_id
-            host.health.retain(engines_by_id)
-            host.loads.readings.expire(engines_by_id, now)
+            host.health.retain(host.routing_state.engines_by_id)
+            host.loads.readings.expire(now)
             for engine_id in host.routing_state.expire(now):
                 host.journal.write(
                     "engine-gone", now, engine=engine_id, reason="did not return"
--- a/packages/teaselpond/src/teaselpond/gateway/engines.py
+++ b/packages/teaselpond/src/teaselpond/gateway/engines.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+import functools
+import zlib
 
 from attrs import frozen
 
@@ -35,3 +37,9 @@
     state: EngineState
     cold_seconds: float
     born_ms: int
+
+
+@functools.lru_cache(maxsize=8192)
+def engine_key(engine_id: str) -> int:
+    """Return a number of 32 bits that identifies an upstream to peers."""
+    return zlib.crc32(engine_id.encode())
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -24,9 +24,6 @@
 from .settings import GatewaySettings
 from .sightings import pack_sightings
 
-# Each prefix use is repeated in heartbeats for this much longer than one turn
-# through all hosts takes, because heartbeats may be late.
-PROPAGATION_MARGIN = 1.3
 INCARNATION_BYTES = 6
 
 
@@ -90,15 +87,13 @@
         self,
         ips_by_host: Mapping[str, str],
         introductions: tuple[Introduction, ...] = (),
+        prefix_news: bytes = b"",
     ) -> Heartbeat:
         """Build this host's heartbeat.
 
         ``ips_by_host`` holds addresses of other hosts to share.
         """
         now = self.clock()
-        # Peers' counts are half as old on average as the oldest.
-        turn_seconds = 2 * self.loads.peer_age_seconds
-        since = now - turn_seconds * PROPAGATION_MARGIN
         routing_state = self.routing_state
         configuration = routing_state.configuration
         return Heartbeat(
@@ -115,16 +110,14 @@
             store_back_seconds=routing_state.outages.returned_at or 0.0,
             loads_by_engine=self.loads.own_counts(),
             ips_by_host=ips_by_host,
-            engines_by_prefix_key={
-                prefix_use.key: prefix_use.engine_id
-                for prefix_use in self.prefixes.own_since(since)
-            },
+            engines_by_prefix_key={},
             engines_by_broken_request=self.poison.relayed(now),
             era=self.applier.era,
             configuration_version=configuration.version if configuration else 0,
             introductions=introductions,
             sightings=pack_sightings(self.members, now),
             load_readings=self.loads.readings.pack(self.rng, now),
+            prefix_news=prefix_news,
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/load_readings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/load_readings.py
@@ -7,12 +7,12 @@
 
 import random
 import struct
-import zlib
-from collections.abc import Container, Mapping
+from collections.abc import Mapping
 
 from attrs import define, field, frozen
 
 from .ages import AGE_UNIT_SECONDS, HOP_SECONDS, encode_age
+from .engines import engine_key
 
 READING = struct.Struct("<IHB")
 MAX_READINGS = 64
@@ -35,24 +35,15 @@
     own_count: int
 
 
-def engine_key(engine_id: str) -> int:
-    """Return a number of 32 bits that identifies an upstream to peers."""
-    return zlib.crc32(engine_id.encode())
-
-
 @define
 class LoadReadings:
     """Keep the newest reading of each upstream."""
 
     _readings_by_key: dict[int, LoadReading] = field(factory=dict)
-    _keys_by_engine: dict[str, int] = field(factory=dict)
 
     def newest(self, engine_id: str) -> LoadReading | None:
         """Return an upstream's newest reading, None if there is none."""
-        key = self._keys_by_engine.get(engine_id)
-        if key is None:
-            key = self._keys_by_engine[engine_id] = engine_key(engine_id)
-        return self._readings_by_key.get(key)
+        return self._readings_by_key.get(engine_key(engine_id))
 
     def record(self, engine_id: str, load: int, own_count: int, now: float) -> None:
         """Record a reading from an upstream's answer to this host."""
@@ -92,12 +83,9 @@
                 own_count = own_by_key.get(key, 0)
                 readings_by_key[key] = LoadReading(load, read_at, own_count)
 
-    def expire(self, engine_ids: Container[str], now: float) -> None:
-        """Forget old readings, and the keys of all upstreams except these."""
+    def expire(self, now: float) -> None:
+        """Forget old readings."""
         oldest = now - EXPIRY_SECONDS
         for key, reading in list(self._readings_by_key.items()):
             if reading.read_at < oldest:
                 del self._readings_by_key[key]
-        for engine_id in list(self._keys_by_engine):
-            if engine_id not in engine_ids:
-                del self._keys_by_engine[engine_id]
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -54,8 +54,9 @@
     force, 0 if there is none. ``is_store_answering`` is false while the host
     asks the store and gets no answer, and ``store_back_seconds`` is when, on
     the store's clock, the store's last outage ended, 0 if none was observed.
-    ``sightings`` and ``load_readings`` are packed by the modules of these
-    names; they pass on what the host heard from others.
+    ``sightings``, ``load_readings`` and ``prefix_news`` are packed by the
+    modules that keep them; they pass on what the host heard from others.
+    ``engines_by_prefix_key`` is sent by older builds only.
     """
 
     host: str
@@ -76,6 +77,7 @@
     introductions: tuple[Introduction, ...] = ()
     sightings: bytes = b""
     load_readings: bytes = b""
+    prefix_news: bytes = b""
 
 
 def member_id(host: str, incarnation: int) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -9,8 +9,9 @@
 import cbor2
 from attrs import define, field, frozen
 
+from .engines import engine_key
 from .journal import Journal
-from .load_readings import READING, engine_key
+from .load_readings import READING
 from .loads import LoadTracker
 from .members import (
     ADVERTISED_SECONDS,
@@ -21,7 +22,7 @@
     MemberState,
 )
 from .poison import BrokenAttempt, PoisonTracker
-from .prefixes import PrefixTracker, PrefixUse
+from .prefixes import NEWS, PrefixTracker, PrefixUse
 from .rows import Page, Row
 from .sightings import (
     SIGHTING,
@@ -35,9 +36,12 @@
 # In a larger fleet each round goes to the next hosts in rotation. This bounds
 # a host's control traffic whatever the number of hosts. What must be known
 # sooner than a turn through all hosts takes is passed on by the receivers.
-HEARTBEATS_PER_ROUND = 6
+HEARTBEATS_PER_ROUND = 5
+# Most go to hosts of the same availability zone, since traffic between zones
+# costs more; the others carry what is new from zone to zone.
+FAR_HEARTBEATS_PER_ROUND = 2
 # Peer addresses in each heartbeat, for hosts that read no introductions.
-SHARED_ADDRESSES = 2
+SHARED_ADDRESSES = 1
 # A starting process is told of this many hosts at once.
 WELCOME_INTRODUCTIONS = 16
 PROTOCOL_VERSION = 1
@@ -94,6 +98,7 @@
             ],
             heartbeat.sightings,
             heartbeat.load_readings,
+            heartbeat.prefix_news,
         ]
     )
 
@@ -142,8 +147,8 @@
     (host, incarnation, own_ip, zone, state, confirmed, versions) = values[:7]
     (is_answering, returned_at, loads, ips, engines, broken) = values[7:13]
     # Older builds send none of these.
-    era, configuration_version, introductions, sightings, readings = (
-        values[13:18] if len(values) >= 18 else (0, 0, [], b"", b"")
+    era, configuration_version, introductions, sightings, readings, news = (
+        values[13:19] if len(values) >= 19 else (0, 0, [], b"", b"", b"")
     )
     return Heartbeat(
         host=str(host),
@@ -166,6 +171,7 @@
         introductions=tuple(_decode_introduction(*each) for each in introductions),
         sightings=_check_size("sightings", bytes(sightings), SIGHTING.size),
         load_readings=_check_size("load readings", bytes(readings), READING.size),
+        prefix_news=_check_size("prefix news", bytes(news), NEWS.size),
     )
 
 
@@ -209,6 +215,30 @@
     return TableChanges(FOLLOWED_TABLES[int(table)], int(after), page)
 
 
+@define
+class Turn:
+    """Choose hosts in random turns, each of them once a turn.
+
+    Hosts know one another in similar orders. In that order, all would send to
+    the same few at the same time.
+    """
+
+    _remaining: list[str] = field(factory=list)
+
+    def take(self, hosts: Sequence[str], count: int, rng: random.Random) -> list[str]:
+        """Return the next hosts; ``count`` is at most their number."""
+        present = set(hosts)
+        taken: list[str] = []
+        while len(taken) < count:
+            if not self._remaining:
+                self._remaining = [host for host in hosts if host not in taken]
+                rng.shuffle(self._remaining)
+            host = self._remaining.pop()
+            if host in present and host not in taken:
+                taken.append(host)
+        return taken
+
+
 @define(eq=False)
 class PeerExchange(asyncio.DatagramProtocol):
     """Send this host's heartbeats and receive those of its peers.
@@ -223,14 +253,16 @@
     poison: PoisonTracker
     journal: Journal
     clock: Callable[[], float]
-    make_heartbeat: Callable[[dict[str, str], tuple[Introduction, ...]], Heartbeat]
+    make_heartbeat: Callable[..., Heartbeat]
     receive_heartbeat: Callable[[Heartbeat, float], None]
     receive_changes: Callable[[TableChanges, float], None]
+    find_engine_id: Callable[[int], str | None]
     port: int
     seed_ips: tuple[str, ...]
     rng: random.Random = field(factory=random.Random)
     _transport: asyncio.DatagramTransport | None = None
-    _rotation: list[str] = field(factory=list)
+    _near_turn: Turn = field(factory=Turn)
+    _far_turn: Turn = field(factory=Turn)
 
     async def start(self, ip: str) -> None:
         """Listen for datagrams of peers on an IP address."""
@@ -278,6 +310,7 @@
         }
         self.loads.readings.merge(heartbeat.load_readings, own_by_key, now)
         self.loads.set_peer_loads(heartbeat.host, heartbeat.loads_by_engine)
+        self.prefixes.merge_news(heartbeat.prefix_news, self.find_engine_id, now)
         for key, engine_id in heartbeat.engines_by_prefix_key.items():
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
@@ -306,8 +339,14 @@
         """Send one round of heartbeats, and forget hosts that expired."""
         self.send_heartbeats()
         self._remove_expired()
-        rounds = math.ceil(len(self.members.members_by_host) / HEARTBEATS_PER_ROUND)
-        self.loads.peer_age_seconds = rounds * HEARTBEAT_SECONDS / 2
+        self.loads.peer_age_seconds = self._turn_rounds() * HEARTBEAT_SECONDS / 2
+
+    def _turn_rounds(self) -> int:
+        """Return the rounds in which every other host gets a heartbeat."""
+        count = len(self.members.members_by_host)
+        if count <= HEARTBEATS_PER_ROUND:
+            return 1
+        return math.ceil(count / FAR_HEARTBEATS_PER_ROUND)
 
     def send_heartbeats(self, *, to_all: bool = False) -> None:
         """Send a heartbeat to the next hosts in the rotation, or to all.
@@ -322,9 +361,15 @@
         heartbeat = self.make_heartbeat(
             self._sample_addresses(recent),
             choose_introductions(recent, self.rng, now),
+            self.prefixes.pack_news(),
         )
         content = encode_heartbeat(heartbeat)
-        ips = {known[host] for host in (list(known) if to_all else self._next_hosts())}
+        ips = {
+            known[host]
+            for host in (
+                list(known) if to_all else self._next_hosts(heartbeat.availability_zone)
+            )
+        }
         if not recent:
             ips.update(self.seed_ips)
         for ip in ips - {heartbeat.ip}:
@@ -362,23 +407,24 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _next_hosts(self) -> list[str]:
-        """Return the hosts of the next round, in random turns through all.
+    def _next_hosts(self, own_zone: str) -> list[str]:
+        """Return the hosts of the next round: near ones first, then far ones.
 
-        Hosts know one another in similar orders. In that order, all would
-        send to the same few at the same time.
+        Each zone's hosts are as many as there are if others are too few.
         """
-        known = self.members.ips_by_host
-        count = min(HEARTBEATS_PER_ROUND, len(known))
-        selected: list[str] = []
-        while len(selected) < count:
-            if not self._rotation:
-                self._rotation = [host for host in known if host not in selected]
-                self.rng.shuffle(self._rotation)
-            host = self._rotation.pop()
-            if host in known and host not in selected:
-                selected.append(host)
-        return selected
+        near, far = [], []
+        for host in self.members.ips_by_host:
+            member = self.members.members_by_host.get(host)
+            is_far = (
+                member is not None and member.heartbeat.availability_zone != own_zone
+            )
+            (far if is_far else near).append(host)
+        far_count = max(FAR_HEARTBEATS_PER_ROUND, HEARTBEATS_PER_ROUND - len(near))
+        far_count = min(far_count, len(far))
+        near_count = min(HEARTBEATS_PER_ROUND - far_count, len(near))
+        return self._near_turn.take(near, near_count, self.rng) + self._far_turn.take(
+            far, far_count, self.rng
+        )
 
     def _remove_expired(self) -> None:
         now = self.clock()
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -13,7 +13,7 @@
 from .engines import Engine, EngineState
 from .health import HealthTracker
 from .loads import LoadTracker
-from .prefixes import PrefixTracker, prefix_key
+from .prefixes import PrefixTracker, PrefixUse, prefix_key
 from .routing_state import EngineRecord, RoutingState
 
 # Upstreams with more requests than LOAD_CAP_RATIO times the deployment's load
@@ -22,6 +22,8 @@
 # three extra requests.
 LOAD_CAP_RATIO = 0.875
 LOAD_SLACK = 2
+# The deployment's load cap is a multiple of the mean, plus this.
+LOAD_CAP_SLACK = 3
 # Requests last about this long, so that an upstream with a load of n gets
 # about n requests in this time.
 REQUEST_SECONDS = 1.0
@@ -127,7 +129,8 @@
             )
         key = _affinity_key(call)
         if key:
-            self.prefixes.record_own(prefix_key(call.service, key), engine_id, now)
+            use = PrefixUse(prefix_key(call.service, key), engine_id, now)
+            self.prefixes.record(use)
 
     def _available(self, service_records: Sequence[EngineRecord]) -> list[EngineRecord]:
         evacuated = self.routing_state.evacuated_zones
@@ -195,12 +198,13 @@
     ) -> int:
         """Return the position of the first upstream below the load limit.
 
-        Without one, return that of the least loaded upstream. An upstream is
-        passed over more often the nearer its load is to the limit and the
-        older that load is: all hosts see the same loads, and would otherwise
-        send the requests for a popular prefix to one upstream until the next
-        loads arrive.
+        Without one, return that of the least loaded upstream. An upstream that
+        may exceed the cap by what it got since its load was known is passed
+        over more often the likelier that is: all hosts see the same loads, and
+        would otherwise send the requests for a popular prefix to one upstream
+        until the next loads arrive.
         """
+        cap = self.load_cap_factor * mean + LOAD_CAP_SLACK
         limit = math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
         for rank, record in enumerate(order):
             engine_id = _id_of(record)
@@ -209,7 +213,7 @@
                 continue
             age = self.loads.age_seconds(engine_id, now)
             unseen = load * age / REQUEST_SECONDS
-            if unseen <= limit - load or self.rng.random() * unseen < limit - load:
+            if self.rng.random() * unseen <= cap - load:
                 return rank
         return min(range(len(order)), key=lambda each: loads_by_id[_id_of(order[each])])
 
--- a/packages/teaselpond/src/teaselpond/gateway/prefixes.py
+++ b/packages/teaselpond/src/teaselpond/gateway/prefixes.py
@@ -1,18 +1,27 @@
 """Track which upstreams recently processed a shared prompt prefix."""
 
 import hashlib
+import struct
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
+from .engines import engine_key
+
+KEY_BYTES = 8
+# Bounds memory: some hundred bytes per entry.
+MAX_KEYS = 4096
 # An upstream's cache covers minutes of prompts at the usual rates; an older
 # prefix may have been evicted.
 PREFIX_CACHED_SECONDS = 45.0
 MAX_HOLDERS = 3
-# Bounds memory: some hundred bytes per entry.
-MAX_KEYS = 4096
-KEY_BYTES = 8
+# A use is news to peers unless they heard of one at the same upstream within
+# this time.
+REPEATED_SECONDS = 10.0
+# A heartbeat passes on this many news at most.
+MAX_NEWS = 64
+NEWS = struct.Struct(f"<{KEY_BYTES}sI")
 
 
 @frozen
@@ -41,18 +50,21 @@
     """Track the last upstreams that processed each prompt prefix."""
 
     _holders_by_key: OrderedDict[bytes, dict[str, float]] = field(factory=OrderedDict)
-    _own_uses: deque[PrefixUse] = field(factory=lambda: deque(maxlen=MAX_KEYS))
+    _news: deque[PrefixUse] = field(factory=lambda: deque(maxlen=MAX_KEYS))
 
-    def record_own(self, key: bytes, engine_id: str, now: float) -> None:
-        """Record that an upstream processed a prefix for this host."""
-        self.record(PrefixUse(key, engine_id, now))
-        self._own_uses.append(PrefixUse(key, engine_id, now))
+    def record(self, prefix_use: PrefixUse, *, is_news: bool = True) -> None:
+        """Record the use of a prefix, of this host or a peer.
 
-    def record(self, prefix_use: PrefixUse) -> None:
-        """Record the use of a prefix, of this host or a peer."""
+        Unless ``is_news`` is false, pass it on to peers that may not know it.
+        """
         holders = self._holders_by_key.setdefault(prefix_use.key, {})
-        if holders.get(prefix_use.engine_id, prefix_use.at) > prefix_use.at:
+        known_at = holders.get(prefix_use.engine_id)
+        if known_at is not None and known_at > prefix_use.at:
             return
+        if is_news and (
+            known_at is None or prefix_use.at - known_at >= REPEATED_SECONDS
+        ):
+            self._news.append(prefix_use)
         self._holders_by_key.move_to_end(prefix_use.key)
         holders.pop(prefix_use.engine_id, None)
         holders[prefix_use.engine_id] = prefix_use.at
@@ -79,11 +91,27 @@
             if now - at < PREFIX_CACHED_SECONDS
         ]
 
-    def own_since(self, since: float) -> Iterable[PrefixUse]:
-        """Return this host's newest use per key and upstream since a time."""
-        newest: dict[tuple[bytes, str], PrefixUse] = {}
-        for prefix_use in reversed(self._own_uses):
-            if prefix_use.at < since:
-                break
-            newest.setdefault((prefix_use.key, prefix_use.engine_id), prefix_use)
-        return newest.values()
+    def pack_news(self) -> bytes:
+        """Encode the oldest news for peers, and count them as told.
+
+        Each host passes on what is news to it, once.
+        """
+        count = min(MAX_NEWS, len(self._news))
+        told = (self._news.popleft() for _ in range(count))
+        return b"".join(
+            NEWS.pack(prefix_use.key, engine_key(prefix_use.engine_id))
+            for prefix_use in told
+        )
+
+    def merge_news(
+        self, packed: bytes, find_engine_id: Callable[[int], str | None], now: float
+    ) -> None:
+        """Record a peer's news of upstreams that this host knows."""
+        for key, engine_number in NEWS.iter_unpack(packed):
+            engine_id = find_engine_id(engine_number)
+            if engine_id is None:
+                continue
+            holders = self._holders_by_key.get(key)
+            known_at = holders.get(engine_id) if holders is not None else None
+            if known_at is None or now - known_at >= REPEATED_SECONDS:
+                self.record(PrefixUse(key, engine_id, now))
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -3,7 +3,7 @@
 from attrs import define, evolve, field, frozen
 
 from .configuration import Configuration
-from .engines import Engine, EngineState
+from .engines import Engine, EngineState, engine_key
 from .freshness import Freshness
 from .outages import StoreOutages
 
@@ -43,6 +43,7 @@
     outages: StoreOutages = field(factory=StoreOutages)
     _removed_by_id: dict[str, tuple[Engine, float]] = field(factory=dict)
     _lapsed_zones: frozenset[str] = frozenset()
+    _ids_by_key: dict[int, str] = field(factory=dict)
 
     def update_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer; return whether it is."""
@@ -81,8 +82,13 @@
                 # know that it leaves.
                 engine = evolve(engine, state=EngineState.DRAINING)
         self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
+        self._ids_by_key[engine_key(engine.engine_id)] = engine.engine_id
         return previous
 
+    def find_engine_id(self, key: int) -> str | None:
+        """Return the id of the upstream that peers identify by a number."""
+        return self._ids_by_key.get(key)
+
     def update_cold_time(self, engine_id: str, seconds: float, now: float) -> None:
         """Set how long an upstream stays cold, as it reported itself."""
         record = self.engines_by_id.get(engine_id)
@@ -139,6 +145,8 @@
         for engine_id, (_, removed_at) in list(self._removed_by_id.items()):
             if now - removed_at >= DEPARTED_SECONDS:
                 del self._removed_by_id[engine_id]
+                if engine_id not in self.engines_by_id:
+                    self._ids_by_key.pop(engine_key(engine_id), None)
         if self._is_recovering(now):
             return []
         if self._lapsed_zones:
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -283,7 +283,8 @@
         now = self.clock()
         try:
             for key, engine_id, age in rows:
-                self.prefixes.record(PrefixUse(bytes(key), str(engine_id), now - age))
+                use = PrefixUse(bytes(key), str(engine_id), now - age)
+                self.prefixes.record(use, is_news=False)
         except (TypeError, ValueError) as error:
             raise PeerUnavailable(
                 f"peer {peer.heartbeat.host}: malformed prefixes: {error!r}",
--- a/packages/teaselpond/src/teaselpond/gateway/sightings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sightings.py
@@ -17,7 +17,7 @@
 SIGHTING = struct.Struct("<IBB")
 # All hosts of a fleet of up to this size are in each heartbeat, and the newest
 # of a larger one.
-MAX_SIGHTINGS = 80
+MAX_SIGHTINGS = 64
 # Sightings up to this age are passed on. Older ones would rarely be news.
 RELAYED_SECONDS = 1.0
 STATE_MASK = 0b0011
@@ -26,7 +26,7 @@
 INTRODUCED_SECONDS = 1.5
 # Beside the new ones, a few hosts are introduced to repair what was lost.
 MAX_INTRODUCTIONS = 8
-REPAIR_INTRODUCTIONS = 2
+REPAIR_INTRODUCTIONS = 1
 _STATES = tuple(MemberState)
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -137,7 +137,8 @@
         now = self.clock()
         for part in parts[-PARTS_PER_ENGINE:]:
             key = prefix_key(engine.service, part.part_id)
-            self.prefixes.record(PrefixUse(key, engine.engine_id, now))
+            use = PrefixUse(key, engine.engine_id, now)
+            self.prefixes.record(use, is_news=False)
         self.journal.write(
             "cache-listed", now, engine=engine.engine_id, parts=len(parts)
         )
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -5,7 +5,8 @@
 import testtools
 
 from teaselpond.gateway.ages import HOP_SECONDS
-from teaselpond.gateway.load_readings import LoadReadings, engine_key
+from teaselpond.gateway.engines import engine_key
+from teaselpond.gateway.load_readings import LoadReadings
 from teaselpond.gateway.loads import LoadTracker
 from teaselpond.gateway.members import (
     Introduction,
@@ -18,9 +19,10 @@
     BrokenAttempt,
     PoisonTracker,
 )
+from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
 from teaselpond_standins.testing.exchanges import SimulatedFleet, SimulatedPeer
-from teaselpond_standins.testing.gateways import make_heartbeat
+from teaselpond_standins.testing.gateways import make_engine, make_heartbeat
 
 FLEET_SIZE = 195
 # Time in which the ages of what hosts know of one another become steady.
@@ -107,6 +109,20 @@
         )
         self.assertGreater(heard, MIN_NAMED_SHARE * FLEET_SIZE)
 
+    def test_prefix_news(self) -> None:
+        """All hosts hear soon where a prefix was processed."""
+        for peer in self.fleet.live_peers:
+            peer.host.routing_state.update_engine(make_engine("e1"), self.fleet.now)
+        first = self.fleet.live_peers[3]
+        use = PrefixUse(b"12345678", "e1", self.fleet.now)
+        first.host.prefixes.record(use)
+        self.fleet.run(1.5)
+        heard = sum(
+            peer.host.prefixes.holders(b"12345678", self.fleet.now) == ["e1"]
+            for peer in self.fleet.live_peers
+        )
+        self.assertGreater(heard, MIN_NAMED_SHARE * FLEET_SIZE)
+
     def test_load_readings(self) -> None:
         """An upstream's answer to one host tells nearly all its load."""
         first = self.fleet.live_peers[3]
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from teaselpond.gateway.engines import engine_key
 from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
 from teaselpond.gateway.peers import (
     TableChanges,
@@ -22,7 +23,9 @@
 from teaselpond.gateway.prefixes import (
     MAX_HOLDERS,
     MAX_KEYS,
+    NEWS,
     PREFIX_CACHED_SECONDS,
+    REPEATED_SECONDS,
     PrefixTracker,
     PrefixUse,
     prefix_key,
@@ -41,7 +44,7 @@
         """The most recent holders of a prefix are kept, until they expire."""
         tracker = PrefixTracker()
         for number in range(MAX_HOLDERS + 2):
-            tracker.record_own(b"key", f"e{number}", float(number))
+            tracker.record(PrefixUse(b"key", f"e{number}", float(number)))
         newest = [f"e{number}" for number in range(MAX_HOLDERS + 1, 1, -1)]
         self.assertEqual(newest, tracker.holders(b"key", 5.0))
         self.assertEqual([], tracker.holders(b"key", 5.0 + PREFIX_CACHED_SECONDS))
@@ -59,18 +62,30 @@
         """The oldest prefixes are evicted above the limit."""
         tracker = PrefixTracker()
         for number in range(MAX_KEYS + 10):
-            tracker.record_own(prefix_key("s", str(number)), "e1", 1.0)
+            tracker.record(PrefixUse(prefix_key("s", str(number)), "e1", 1.0))
         self.assertEqual([], tracker.holders(prefix_key("s", "0"), 1.0))
         self.assertEqual(MAX_KEYS, len(list(tracker.recent_uses(1.0))))
 
-    def test_own_uses(self) -> None:
-        """Only this host's uses are returned, the latest of each prefix."""
+    def test_news_are_passed_on_once(self) -> None:
+        """What is news to a host is passed on once, and again much later."""
+        ours, theirs = PrefixTracker(), PrefixTracker()
+        ours.record(PrefixUse(b"8 bytes.", "e1", 1.0))
+        ours.record(PrefixUse(b"8 bytes.", "e1", 2.0))
+        news = ours.pack_news()
+        self.assertEqual(NEWS.size, len(news))
+        self.assertEqual(b"", ours.pack_news())
+        theirs.merge_news(news, {engine_key("e1"): "e1"}.get, 2.1)
+        self.assertEqual(["e1"], theirs.holders(b"8 bytes.", 2.2))
+        ours.merge_news(theirs.pack_news(), {engine_key("e1"): "e1"}.get, 2.2)
+        self.assertEqual(b"", ours.pack_news())
+        ours.record(PrefixUse(b"8 bytes.", "e1", 2.0 + REPEATED_SECONDS))
+        self.assertEqual(news, ours.pack_news())
+
+    def test_news_of_unknown_upstreams(self) -> None:
+        """News of upstreams that are not listed here are ignored."""
         tracker = PrefixTracker()
-        tracker.record(PrefixUse(b"theirs", "e1", 2.0))
-        tracker.record_own(b"old", "e1", 1.0)
-        tracker.record_own(b"mine", "e1", 2.0)
-        tracker.record_own(b"mine", "e1", 3.0)
-        self.assertEqual([PrefixUse(b"mine", "e1", 3.0)], list(tracker.own_since(1.5)))
+        tracker.merge_news(NEWS.pack(b"8 bytes.", 7), {}.get, 1.0)
+        self.assertEqual([], tracker.holders(b"8 bytes.", 1.0))
 
 
 class PoisonTrackerTests(testtools.TestCase):
