Spread a popular prefix over engines by its estimated rate; offer a shed call again

Cause: at 195 hosts loads are half a second old, and all hosts see the same ones. Change: each host estimates the fleet's rate of a prefix from its own requests, and chooses among as many engines as these need room for.

--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -13,6 +13,7 @@
 from .engines import Engine, EngineState
 from .health import HealthTracker
 from .loads import LoadTracker
+from .prefix_rates import PrefixRates
 from .prefixes import PrefixTracker, PrefixUse, prefix_key
 from .routing_state import EngineRecord, RoutingState
 
@@ -24,6 +25,9 @@
 LOAD_SLACK = 2
 # The deployment's load cap is a multiple of the mean, plus this.
 LOAD_CAP_SLACK = 3
+# Requests for one popular prefix may take this fraction of the room between
+# the mean load and the cap; the others are not spread evenly either.
+HOT_ROOM_RATIO = 0.5
 # Requests last about this long, so that an upstream with a load of n gets
 # about n requests in this time.
 REQUEST_SECONDS = 1.0
@@ -71,6 +75,7 @@
     availability_zone: str
     load_cap_factor: float
     rng: random.Random = field(factory=random.Random)
+    prefix_rates: PrefixRates = field(factory=PrefixRates)
 
     def place(
         self, call: Call, tried: Collection[str], now: float, host_count: int
@@ -104,7 +109,7 @@
             return NoPlacement("all-unreachable", len(listed))
         service = self._service(call)
         warm = [record for record in healthy if record.cold_until <= now]
-        placement = self._choose(call, warm, loads_by_id, mean, now)
+        placement = self._choose(call, warm, loads_by_id, mean, now, host_count)
         if placement is None:
             cold = [
                 record
@@ -112,7 +117,7 @@
                 if record.cold_until > now
                 and self._may_send_cold(record, service, now, host_count)
             ]
-            placement = self._choose(call, cold, loads_by_id, mean, now)
+            placement = self._choose(call, cold, loads_by_id, mean, now, host_count)
         if placement is None:
             return NoPlacement("all-full" if warm else "all-cold", len(listed))
         return placement
@@ -129,6 +134,7 @@
             )
         key = _affinity_key(call)
         if key:
+            self.prefix_rates.record(key, now)
             use = PrefixUse(prefix_key(call.service, key), engine_id, now)
             self.prefixes.record(use)
 
@@ -167,6 +173,7 @@
         loads_by_id: Mapping[str, int],
         mean: float,
         now: float,
+        host_count: int,
     ) -> Placement | None:
         if not candidates:
             return None
@@ -176,7 +183,8 @@
             order = _order_by_affinity(key, candidates, holders)
         else:
             order = self._order_by_load(call, candidates, loads_by_id)
-        rank = self._choose_rank(order, loads_by_id, mean, now)
+        rate = self.prefix_rates.fleet_rate(key, now, host_count) if key else 0.0
+        rank = self._choose_rank(order, loads_by_id, mean, rate, now)
         chosen = order[rank]
         is_held = _id_of(chosen) in holders
         return Placement(
@@ -194,18 +202,22 @@
         order: Sequence[EngineRecord],
         loads_by_id: Mapping[str, int],
         mean: float,
+        rate: float,
         now: float,
     ) -> int:
         """Return the position of the first upstream below the load limit.
 
-        Without one, return that of the least loaded upstream. An upstream that
-        may exceed the cap by what it got since its load was known is passed
-        over more often the likelier that is: all hosts see the same loads, and
-        would otherwise send the requests for a popular prefix to one upstream
-        until the next loads arrive.
+        Without one, return that of the least loaded upstream. All hosts see
+        the same loads, and would send the requests for a popular prefix to one
+        upstream until the next loads arrive. So one that may exceed the cap by
+        what it got since its load was known is passed over more often the
+        likelier that is. A prefix with so many requests a second (``rate``)
+        that they alone could exceed the cap goes to one of the first few.
         """
         cap = self.load_cap_factor * mean + LOAD_CAP_SLACK
         limit = math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
+        acceptable: list[int] = []
+        wanted = 1
         for rank, record in enumerate(order):
             engine_id = _id_of(record)
             load = loads_by_id[engine_id]
@@ -213,8 +225,15 @@
                 continue
             age = self.loads.age_seconds(engine_id, now)
             unseen = load * age / REQUEST_SECONDS
-            if self.rng.random() * unseen <= cap - load:
-                return rank
+            if self.rng.random() * unseen > cap - load:
+                continue
+            acceptable.append(rank)
+            room = HOT_ROOM_RATIO * (cap - mean)
+            wanted = max(wanted, math.ceil(rate * age / room))
+            if len(acceptable) >= wanted:
+                break
+        if acceptable:
+            return self.rng.choice(acceptable)
         return min(range(len(order)), key=lambda each: loads_by_id[_id_of(order[each])])
 
     def _choose_copy_source(self, holders: Sequence[str], now: float) -> Engine | None:
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -38,6 +38,9 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # An answer sent at the deadline arrives up to this much later.
 DEADLINE_SLACK_SECONDS = 0.12
+# Pause before a call that may have run is offered again to upstreams that shed
+# it. It cannot be refused any more, and they may have room by then.
+SHED_AGAIN_SECONDS = 0.1
 # With less time remaining, a call is not sent at all.
 MIN_REMAINING_SECONDS = 0.01
 # A stream that may be repeated is retried on another upstream when its first
@@ -67,12 +70,13 @@
     ``placements`` counts the upstreams that the call was placed on,
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
-    have run or may still run. ``engine_id`` is the upstream of the latest
-    attempt.
+    have run or may still run. ``shed_ids`` are the tried upstreams that did
+    not run it, ``engine_id`` is the upstream of the latest attempt.
     """
 
     last_event_id: str | None
     tried_ids: set[str] = field(factory=set)
+    shed_ids: set[str] = field(factory=set)
     placements: int = 0
     arrivals: int = 0
     runs: int = 0
@@ -147,6 +151,11 @@
                 call, progress.tried_ids, now, self.host_count()
             )
             if isinstance(placement, NoPlacement):
+                if self._may_offer_again(progress):
+                    progress.tried_ids -= progress.shed_ids
+                    progress.shed_ids.clear()
+                    await asyncio.sleep(SHED_AGAIN_SECONDS)
+                    continue
                 return self._refuse_unplaced(call, sink, progress, placement)
             if progress.arrivals and not self._acquire_retry(call, now):
                 return self._finish_with_refusal(call, sink, progress, Refusal.SHED)
@@ -304,6 +313,8 @@
         engine = placement.record.engine
         now = self.clock()
         progress.last_failure = failed
+        if failed.result is Result.SHED:
+            progress.shed_ids.add(engine.engine_id)
         progress.arrivals += failed.may_have_arrived
         progress.runs += failed.may_have_arrived and not failed.not_run
         ejected = self.health.get(engine.engine_id).record(failed.result, now)
@@ -337,6 +348,18 @@
             self.metrics.record_attempt_failure("retry-budget-empty")
         return acquired
 
+    def _may_offer_again(self, progress: Progress) -> bool:
+        """Return whether to go back to upstreams that shed a call.
+
+        A call that cannot have run is refused instead: its caller may come
+        back to any host.
+        """
+        return (
+            bool(progress.shed_ids)
+            and progress.may_run
+            and progress.placements < MAX_PLACEMENTS
+        )
+
     def _may_retry(self, call: Call, progress: Progress, failed: AttemptFailed) -> bool:
         if progress.placements >= MAX_PLACEMENTS:
             return False
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -102,6 +102,21 @@
             self.assertEqual(ALL_EVENTS, body)
 
 
+class ShedAgainTests(AsyncTestCase):
+    """Shed a call that another upstream may have run."""
+
+    async def test_upstream_that_shed_is_asked_again(self) -> None:
+        """A call that the last upstream shed is offered to it again."""
+        fleet = await self.enter(GatewayFleet())
+        upstreams = fleet.plain_upstreams
+        shared = upstreams[0].faults
+        upstreams[1].faults = shared
+        shared.add(ListedFault(Kind.SILENCE), 1)
+        shared.add(ListedFault(Kind.SHED), 1)
+        status, is_signed, _ = await _send_call(fleet, "/stock/x")
+        self.assertEqual((200, True), (status, is_signed))
+
+
 async def _send_call(fleet: GatewayFleet, path: str) -> tuple[int | None, bool, str]:
     """Return the status, whether it is signed, and the body of an answer."""
     method = "GET" if path.startswith("/stock/") else "POST"
