Log many peers that are heard at once in one line

Cause: a host logged a line for each of its peers when it started, 386 lines in its first 2.6 s on the large deployment. Change: more than five peers in a round of heartbeats are one line, peers-heard. Measured by the simulated exchange: a host that meets 194 peers logs fewer than 98 lines of them in 3 s (test_lines_of_a_start).

--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -44,6 +45,8 @@
 SHARED_ADDRESSES = 1
 # A starting process is told of this many hosts at once.
 WELCOME_INTRODUCTIONS = 16
+# More peers in a round are logged in one line.
+MAX_PEER_LINES = 5
 PROTOCOL_VERSION = 1
 HEARTBEAT_KIND = 0
 CHANGES_KIND = 1
@@ -263,6 +266,9 @@
     _transport: asyncio.DatagramTransport | None = None
     _near_turn: Turn = field(factory=Turn)
     _far_turn: Turn = field(factory=Turn)
+    _state_changes: list[tuple[str, MemberState | None, MemberState]] = field(
+        factory=list
+    )
 
     async def start(self, ip: str) -> None:
         """Listen for datagrams of peers on an IP address."""
@@ -321,13 +327,7 @@
             # A process that has just started knows no peers yet.
             self._welcome(heartbeat.ip, now)
         if is_first or state_before is not heartbeat.state:
-            self.journal.write(
-                "peer-heard",
-                now,
-                peer=heartbeat.host,
-                state=heartbeat.state.name.lower(),
-                was=state_before.name.lower() if state_before is not None else None,
-            )
+            self._state_changes.append((heartbeat.host, state_before, heartbeat.state))
 
     async def run(self) -> None:
         """Send heartbeats periodically until cancelled."""
@@ -339,8 +339,29 @@
         """Send one round of heartbeats, and forget hosts that expired."""
         self.send_heartbeats()
         self._remove_expired()
+        self._log_state_changes(self.clock())
         self.loads.peer_age_seconds = self._turn_rounds() * HEARTBEAT_SECONDS / 2
 
+    def _log_state_changes(self, now: float) -> None:
+        """Log which peers were heard in a new state since the last round.
+
+        One line stands for all where they are many, as when a fleet starts.
+        """
+        changes, self._state_changes = self._state_changes, []
+        if len(changes) > MAX_PEER_LINES:
+            counts = Counter(state.name.lower() for _, _, state in changes)
+            peers = [host for host, _, _ in changes[:MAX_PEER_LINES]]
+            self.journal.write("peers-heard", now, counts=dict(counts), peers=peers)
+            return
+        for host, before, state in changes:
+            self.journal.write(
+                "peer-heard",
+                now,
+                peer=host,
+                state=state.name.lower(),
+                was=before.name.lower() if before is not None else None,
+            )
+
     def _turn_rounds(self) -> int:
         """Return the rounds in which every other host gets a heartbeat."""
         count = len(self.members.members_by_host)
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -21,7 +21,11 @@
 )
 from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
-from teaselpond_standins.testing.exchanges import SimulatedFleet, SimulatedPeer
+from teaselpond_standins.testing.exchanges import (
+    SilentJournal,
+    SimulatedFleet,
+    SimulatedPeer,
+)
 from teaselpond_standins.testing.gateways import make_engine, make_heartbeat
 
 FLEET_SIZE = 195
@@ -33,6 +37,18 @@
 MIN_NAMED_SHARE = 0.97
 
 
+class RecordingJournal(SilentJournal):
+    """Keep the names of events."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self.events: list[str] = []
+
+    def write(self, event: str, now: float, /, **fields: object) -> None:
+        """Keep the name of one event."""
+        self.events.append(event)
+
+
 class LargeFleetTests(testtools.TestCase):
     """Exchange heartbeats in a fleet where one turn through all is slow."""
 
@@ -64,6 +80,14 @@
         fleet.run(2.0)
         self.assertGreater(fleet.named_share(), MIN_NAMED_SHARE)
 
+    def test_lines_of_a_start(self) -> None:
+        """A host that meets a whole fleet logs few lines of it."""
+        restarted = self.fleet.restart(self.fleet.live_peers[9])
+        journal = RecordingJournal("", 0)
+        restarted.exchange.journal = journal
+        self.fleet.run(3.0)
+        self.assertLess(len(journal.events), FLEET_SIZE / 2)
+
     def test_zones_that_cannot_reach_each_other(self) -> None:
         """Two zones learn of each other through a third."""
         cut = {"zone-0", "zone-1"}
