--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -10,7 +10,7 @@
 from .host import GatewayHost
 from .peers import PeerExchange, TableChanges
 from .placement import Placer
-from .readers import ReadScheduler
+from .readers import FIRST_MEETING_SECONDS, ReadScheduler
 from .relay import Relay
 from .rows import Page
 from .sending import Sender
@@ -95,6 +95,8 @@
     """Build the follower of a table, which forwards its changes to peers."""
     cache = host.applier.caches_by_table[table]
     scheduler = ReadScheduler(host.settings.host)
+    if host.settings.is_first_start:
+        scheduler.meeting_seconds = FIRST_MEETING_SECONDS
 
     def apply(page: Page, is_whole: bool, asked_at: float, now: float) -> None:
         # The page has every change since the newest known row, so a peer that
--- a/packages/teaselpond/src/teaselpond/gateway/readers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/readers.py
@@ -24,6 +24,9 @@
 # A host that has just started asks its peers first. Running seeds answer its
 # first heartbeat within this time.
 MEETING_SECONDS = 0.1
+# When the whole fleet starts for the first time, no caller waits yet, and slow
+# hosts take longer to start.
+FIRST_MEETING_SECONDS = 0.7
 # If no peer has sent it the routing state by then, it reads the store itself.
 PEER_STATE_SECONDS = 1.2
 
@@ -72,6 +75,7 @@
 
     host: str
     rng: random.Random = field(factory=random.Random)
+    meeting_seconds: float = MEETING_SECONDS
     _next_read_at: float = 0.0
     _started_at: float | None = None
 
@@ -105,6 +109,6 @@
         if self._started_at is None:
             self._started_at = now
         waited = now - self._started_at
-        if waited < MEETING_SECONDS:
+        if waited < self.meeting_seconds:
             return False
         return self.host in choose_readers(hosts) or waited >= PEER_STATE_SECONDS
