Count the requests that hosts sent to an upstream since its last answer

A crowded engine answers late, so its newest reading is old; a reading counted up to 9.7 s. Change: each start of a request is passed on once by each host that hears of it; an estimate is the newest reading, which fades from one second of age to four, and the starts since. Counts in heartbeats are used only where these are new.

--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -88,6 +88,7 @@
         ips_by_host: Mapping[str, str],
         introductions: tuple[Introduction, ...] = (),
         prefix_news: bytes = b"",
+        starts: bytes = b"",
     ) -> Heartbeat:
         """Build this host's heartbeat.
 
@@ -118,6 +119,7 @@
             sightings=pack_sightings(self.members, now),
             load_readings=self.loads.readings.pack(self.rng, now),
             prefix_news=prefix_news,
+            starts=starts,
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/load_readings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/load_readings.py
@@ -7,7 +7,6 @@
 
 import random
 import struct
-from collections.abc import Mapping
 
 from attrs import define, field, frozen
 
@@ -25,14 +24,10 @@
 
 @frozen
 class LoadReading:
-    """Hold how many requests an upstream had at a time of the boot clock.
-
-    ``own_count`` is how many of them this host knew to be its own.
-    """
+    """Hold how many requests an upstream had at a time of the boot clock."""
 
     load: int
     read_at: float
-    own_count: int
 
 
 @define
@@ -41,14 +36,13 @@
 
     _readings_by_key: dict[int, LoadReading] = field(factory=dict)
 
-    def newest(self, engine_id: str) -> LoadReading | None:
-        """Return an upstream's newest reading, None if there is none."""
-        return self._readings_by_key.get(engine_key(engine_id))
+    def newest(self, key: int) -> LoadReading | None:
+        """Return the newest reading of the upstream with an engine key."""
+        return self._readings_by_key.get(key)
 
-    def record(self, engine_id: str, load: int, own_count: int, now: float) -> None:
+    def record(self, engine_id: str, load: int, now: float) -> None:
         """Record a reading from an upstream's answer to this host."""
-        key = engine_key(engine_id)
-        self._readings_by_key[key] = LoadReading(load, now, own_count)
+        self._readings_by_key[engine_key(engine_id)] = LoadReading(load, now)
 
     def pack(self, rng: random.Random, now: float) -> bytes:
         """Encode recent readings for peers."""
@@ -69,19 +63,15 @@
             for key, reading in recent
         )
 
-    def merge(self, packed: bytes, own_by_key: Mapping[int, int], now: float) -> None:
-        """Record a peer's readings that are newer than the known ones.
-
-        ``own_by_key`` holds the number of this host's requests at upstreams.
-        """
+    def merge(self, packed: bytes, now: float) -> None:
+        """Record a peer's readings that are newer than the known ones."""
         readings_by_key = self._readings_by_key
         heard_at = now - HOP_SECONDS
         for key, load, age in READING.iter_unpack(packed):
             read_at = heard_at - age * AGE_UNIT_SECONDS
             known = readings_by_key.get(key)
             if known is None or read_at > known.read_at:
-                own_count = own_by_key.get(key, 0)
-                readings_by_key[key] = LoadReading(load, read_at, own_count)
+                readings_by_key[key] = LoadReading(load, read_at)
 
     def expire(self, now: float) -> None:
         """Forget old readings."""
--- a/packages/teaselpond/src/teaselpond/gateway/loads.py
+++ b/packages/teaselpond/src/teaselpond/gateway/loads.py
@@ -6,25 +6,42 @@
 
 from attrs import define, field
 
-from .load_readings import LoadReading, LoadReadings
+from .engines import engine_key
+from .load_readings import LoadReadings
+from .starts import COUNTED_SECONDS, StartTracker
+
+# With heartbeats of all peers as new as this, nothing else is needed.
+FRESH_PEERS_SECONDS = 0.3
+# What hosts pass on reaches nearly all others within this time.
+NEWS_SECONDS = 0.4
+# A reading says less the older it is: requests that it counts have ended. From
+# the first age to the second its share falls from all to nothing.
+READING_FULL_SECONDS = 1.0
+READING_LAPSED_SECONDS = 4.0
 
 
 @define
 class LoadTracker:
     """Track the number of requests in flight at each upstream.
 
-    The requests of peers are known from two sources: heartbeats, which a peer
-    sends to all others in turn, and what upstreams say of themselves in their
-    answers. The newer source counts. ``peer_age_seconds`` is the mean age of
-    the peers' counts; it grows with the fleet.
+    In a small fleet heartbeats tell the requests of peers. In a larger one
+    they are too old: there the newest reading of an upstream counts, with all
+    requests that were sent to it since. ``peer_age_seconds`` is the mean age
+    of the counts in heartbeats; it grows with the fleet.
     """
 
     peer_age_seconds: float = 0.0
     readings: LoadReadings = field(factory=LoadReadings)
+    starts: StartTracker = field(factory=StartTracker)
     _own_by_engine: Counter[str] = field(factory=Counter)
     _peers_by_engine: Counter[str] = field(factory=Counter)
     _loads_by_host: dict[str, Mapping[str, int]] = field(factory=dict)
 
+    @property
+    def uses_readings(self) -> bool:
+        """Return whether heartbeats are too old to count requests by."""
+        return self.peer_age_seconds > FRESH_PEERS_SECONDS
+
     @contextmanager
     def track(self, engine_id: str) -> Iterator[None]:
         """Count one request while the context is active."""
@@ -40,13 +57,14 @@
         """Return the number of this host's requests at each upstream."""
         return dict(self._own_by_engine)
 
-    def own_count(self, engine_id: str) -> int:
-        """Return the number of this host's requests at an upstream."""
-        return self._own_by_engine.get(engine_id, 0)
-
     def record_reading(self, engine_id: str, load: int, now: float) -> None:
         """Record what an upstream said about its load in an answer."""
-        self.readings.record(engine_id, load, self.own_count(engine_id), now)
+        self.readings.record(engine_id, load, now)
+
+    def record_start(self, engine_id: str, now: float) -> None:
+        """Record that this host sends a request to an upstream."""
+        if self.uses_readings:
+            self.starts.record_own(engine_key(engine_id), now)
 
     def set_peer_loads(self, host: str, loads: Mapping[str, int]) -> None:
         """Replace the number of a peer's requests at each upstream."""
@@ -61,18 +79,19 @@
     def count(self, engine_id: str, now: float) -> int:
         """Estimate the number of all hosts' requests at an upstream."""
         own = self._own_by_engine.get(engine_id, 0)
-        reading = self._usable_reading(engine_id, now)
-        if reading is not None:
-            return max(own, reading.load + own - reading.own_count)
-        return own + max(0, self._peers_by_engine.get(engine_id, 0))
-
-    def age_seconds(self, engine_id: str, now: float) -> float:
-        """Return how old the estimate of an upstream's load is."""
-        reading = self._usable_reading(engine_id, now)
-        return self.peer_age_seconds if reading is None else now - reading.read_at
-
-    def _usable_reading(self, engine_id: str, now: float) -> LoadReading | None:
-        reading = self.readings.newest(engine_id)
-        if reading is None or now - reading.read_at >= self.peer_age_seconds:
-            return None
-        return reading
+        if not self.uses_readings:
+            return own + max(0, self._peers_by_engine.get(engine_id, 0))
+        key = engine_key(engine_id)
+        reading = self.readings.newest(key)
+        if reading is None:
+            return max(own, self.starts.count_since(key, now - COUNTED_SECONDS))
+        age = now - reading.read_at
+        share = (READING_LAPSED_SECONDS - age) / (
+            READING_LAPSED_SECONDS - READING_FULL_SECONDS
+        )
+        still_running = round(reading.load * max(0.0, min(1.0, share)))
+        return max(own, still_running + self.starts.count_since(key, reading.read_at))
+
+    def age_seconds(self) -> float:
+        """Return how old estimates of loads are."""
+        return NEWS_SECONDS if self.uses_readings else self.peer_age_seconds
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -54,8 +54,8 @@
     force, 0 if there is none. ``is_store_answering`` is false while the host
     asks the store and gets no answer, and ``store_back_seconds`` is when, on
     the store's clock, the store's last outage ended, 0 if none was observed.
-    ``sightings``, ``load_readings`` and ``prefix_news`` are packed by the
-    modules that keep them; they pass on what the host heard from others.
+    ``sightings``, ``load_readings``, ``prefix_news`` and ``starts`` are packed
+    by the modules that keep them. They pass on what others said.
     ``engines_by_prefix_key`` is sent by older builds only.
     """
 
@@ -78,6 +78,7 @@
     sightings: bytes = b""
     load_readings: bytes = b""
     prefix_news: bytes = b""
+    starts: bytes = b""
 
 
 def member_id(host: str, incarnation: int) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -10,7 +10,6 @@
 import cbor2
 from attrs import define, field, frozen
 
-from .engines import engine_key
 from .journal import Journal
 from .load_readings import READING
 from .loads import LoadTracker
@@ -31,6 +30,7 @@
     choose_introductions,
     introduction_of,
 )
+from .starts import START
 from .tables import FOLLOWED_TABLES, Table
 
 HEARTBEAT_SECONDS = 0.2
@@ -102,6 +102,7 @@
             heartbeat.sightings,
             heartbeat.load_readings,
             heartbeat.prefix_news,
+            heartbeat.starts,
         ]
     )
 
@@ -150,8 +151,8 @@
     (host, incarnation, own_ip, zone, state, confirmed, versions) = values[:7]
     (is_answering, returned_at, loads, ips, engines, broken) = values[7:13]
     # Older builds send none of these.
-    era, configuration_version, introductions, sightings, readings, news = (
-        values[13:19] if len(values) >= 19 else (0, 0, [], b"", b"", b"")
+    (era, configuration_version, introductions, sightings, readings, news, starts) = (
+        values[13:20] if len(values) >= 20 else (0, 0, [], b"", b"", b"", b"")
     )
     return Heartbeat(
         host=str(host),
@@ -175,6 +176,7 @@
         sightings=_check_size("sightings", bytes(sightings), SIGHTING.size),
         load_readings=_check_size("load readings", bytes(readings), READING.size),
         prefix_news=_check_size("prefix news", bytes(news), NEWS.size),
+        starts=_check_size("starts", bytes(starts), START.size),
     )
 
 
@@ -310,11 +312,8 @@
             return
         self.members.introduce(heartbeat.introductions, now)
         apply_sightings(self.members, heartbeat.sightings, now)
-        own_by_key = {
-            engine_key(engine_id): count
-            for engine_id, count in self.loads.own_counts().items()
-        }
-        self.loads.readings.merge(heartbeat.load_readings, own_by_key, now)
+        self.loads.readings.merge(heartbeat.load_readings, now)
+        self.loads.starts.merge_news(heartbeat.starts, now)
         self.loads.set_peer_loads(heartbeat.host, heartbeat.loads_by_engine)
         self.prefixes.merge_news(heartbeat.prefix_news, self.find_engine_id, now)
         for key, engine_id in heartbeat.engines_by_prefix_key.items():
@@ -340,6 +339,7 @@
         self.send_heartbeats()
         self._remove_expired()
         self._log_state_changes(self.clock())
+        self.loads.starts.expire(self.clock())
         self.loads.peer_age_seconds = self._turn_rounds() * HEARTBEAT_SECONDS / 2
 
     def _log_state_changes(self, now: float) -> None:
@@ -383,6 +383,7 @@
             self._sample_addresses(recent),
             choose_introductions(recent, self.rng, now),
             self.prefixes.pack_news(),
+            self.loads.starts.pack_news(now),
         )
         content = encode_heartbeat(heartbeat)
         ips = {
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -127,6 +127,7 @@
     ) -> None:
         """Record that a call is being sent to an upstream."""
         engine_id = _id_of(placement.record)
+        self.loads.record_start(engine_id, now)
         service = self._service(call)
         if service is not None and service.cold_per_second > 0:
             self.cold_budget.record_sent(
@@ -216,6 +217,7 @@
         """
         cap = self.load_cap_factor * mean + LOAD_CAP_SLACK
         limit = math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
+        age = self.loads.age_seconds()
         acceptable: list[int] = []
         wanted = 1
         for rank, record in enumerate(order):
@@ -223,7 +225,6 @@
             load = loads_by_id[engine_id]
             if load > limit:
                 continue
-            age = self.loads.age_seconds(engine_id, now)
             unseen = load * age / REQUEST_SECONDS
             if self.rng.random() * unseen > cap - load:
                 continue
