Compute the age of peers' counts from the turns that are taken

Cause: the age was computed as if two heartbeats a round went to all other hosts; a fleet of seven hosts in four zones was close to using readings in place of counts that are 0.2 s old. Change: the longer of the turns through near and far hosts; counts older than 0.5 s on average give way to readings.

--- a/packages/teaselpond/src/teaselpond/gateway/loads.py
+++ b/packages/teaselpond/src/teaselpond/gateway/loads.py
@@ -11,7 +11,7 @@
 from .starts import COUNTED_SECONDS, StartTracker
 
 # With heartbeats of all peers as new as this, nothing else is needed.
-FRESH_PEERS_SECONDS = 0.3
+FRESH_PEERS_SECONDS = 0.5
 # What hosts pass on reaches nearly all others within this time.
 NEWS_SECONDS = 0.6
 # A reading says less the older it is: requests that it counts have ended. From
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -268,6 +268,7 @@
     _transport: asyncio.DatagramTransport | None = None
     _near_turn: Turn = field(factory=Turn)
     _far_turn: Turn = field(factory=Turn)
+    _turn_rounds: int = 0
     _state_changes: list[tuple[str, MemberState | None, MemberState]] = field(
         factory=list
     )
@@ -340,7 +341,7 @@
         self._remove_expired()
         self._log_state_changes(self.clock())
         self.loads.starts.expire(self.clock())
-        self.loads.peer_age_seconds = self._turn_rounds() * HEARTBEAT_SECONDS / 2
+        self.loads.peer_age_seconds = self._turn_rounds * HEARTBEAT_SECONDS / 2
 
     def _log_state_changes(self, now: float) -> None:
         """Log which peers were heard in a new state since the last round.
@@ -362,13 +363,6 @@
                 was=before.name.lower() if before is not None else None,
             )
 
-    def _turn_rounds(self) -> int:
-        """Return the rounds in which every other host gets a heartbeat."""
-        count = len(self.members.members_by_host)
-        if count <= HEARTBEATS_PER_ROUND:
-            return 1
-        return math.ceil(count / FAR_HEARTBEATS_PER_ROUND)
-
     def send_heartbeats(self, *, to_all: bool = False) -> None:
         """Send a heartbeat to the next hosts in the rotation, or to all.
 
@@ -444,6 +438,11 @@
         far_count = max(FAR_HEARTBEATS_PER_ROUND, HEARTBEATS_PER_ROUND - len(near))
         far_count = min(far_count, len(far))
         near_count = min(HEARTBEATS_PER_ROUND - far_count, len(near))
+        self._turn_rounds = max(
+            math.ceil(len(hosts) / count)
+            for hosts, count in ((near, near_count), (far, far_count), ((), 1))
+            if count
+        )
         return self._near_turn.take(near, near_count, self.rng) + self._far_turn.take(
             far, far_count, self.rng
         )
