--- a/packages/teaselpond/src/teaselpond/gateway/readers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/readers.py
@@ -22,8 +22,9 @@
 FALLBACK_READ_SECONDS = 1.5
 FALLBACK_HOSTS = 12
 # A host that has just started asks its peers first. Running seeds answer its
-# first heartbeat within this time.
-MEETING_SECONDS = 0.1
+# first heartbeat within this time, which ends before the second check whether
+# to read.
+MEETING_SECONDS = 0.08
 # When the whole fleet starts for the first time, no caller waits yet, and slow
 # hosts take longer to start.
 FIRST_MEETING_SECONDS = 0.7
