--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -424,9 +424,9 @@
             self._transport.close()
 
     def _next_hosts(self, own_zone: str) -> list[str]:
-        """Return the hosts of the next round: near ones first, then far ones.
+        """Return the hosts that get a heartbeat in the next round.
 
-        Each zone's hosts are as many as there are if others are too few.
+        If there are too few near ones, more far ones take their places.
         """
         near, far = [], []
         for host in self.members.ips_by_host:
