--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -5,10 +5,11 @@
 from ..upstreams.connections import UpstreamClient
 from .adapters import Adapter, Store
 from .budgets import ColdBudget, RetryBudget
+from .datagrams import TableChanges
 from .entry import CallerRequestHandler
 from .following import Follower
 from .host import GatewayHost
-from .peers import PeerExchange, TableChanges
+from .peers import PeerExchange
 from .placement import Placer
 from .readers import FIRST_MEETING_SECONDS, ReadScheduler
 from .relay import Relay
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -0,0 +1,182 @@
+"""Encode heartbeats and row changes as CBOR datagrams, and decode them."""
+
+import cbor2
+from attrs import frozen
+
+from .load_readings import READING
+from .members import Heartbeat, Introduction, MemberState
+from .prefixes import NEWS
+from .rows import Page, Row
+from .sightings import SIGHTING
+from .starts import START
+from .tables import FOLLOWED_TABLES, Table
+
+PROTOCOL_VERSION = 1
+HEARTBEAT_KIND = 0
+CHANGES_KIND = 1
+
+
+@frozen
+class TableChanges:
+    """Hold the rows of a table that changed after version ``after``."""
+
+    table: Table
+    after: int
+    page: Page
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Encode a heartbeat as a datagram."""
+    return cbor2.dumps(
+        [
+            PROTOCOL_VERSION,
+            HEARTBEAT_KIND,
+            heartbeat.host,
+            heartbeat.incarnation,
+            heartbeat.ip,
+            heartbeat.availability_zone,
+            int(heartbeat.state),
+            heartbeat.confirmed_store_seconds,
+            list(heartbeat.row_versions),
+            heartbeat.is_store_answering,
+            heartbeat.store_back_seconds,
+            dict(heartbeat.loads_by_engine),
+            dict(heartbeat.ips_by_host),
+            dict(heartbeat.engines_by_prefix_key),
+            {
+                key: list(ids)
+                for key, ids in heartbeat.engines_by_broken_request.items()
+            },
+            # Older builds ignore what follows.
+            heartbeat.era,
+            heartbeat.configuration_version,
+            [
+                [
+                    each.host,
+                    each.incarnation,
+                    each.ip,
+                    each.availability_zone,
+                    int(each.state),
+                    each.age_seconds,
+                ]
+                for each in heartbeat.introductions
+            ],
+            heartbeat.sightings,
+            heartbeat.load_readings,
+            heartbeat.prefix_news,
+            heartbeat.starts,
+        ]
+    )
+
+
+def encode_changes(changes: TableChanges) -> bytes:
+    """Encode changed rows of a table as a datagram."""
+    page = changes.page
+    rows = [[row.key, row.value, row.version] for row in page.rows]
+    return cbor2.dumps(
+        [
+            PROTOCOL_VERSION,
+            CHANGES_KIND,
+            FOLLOWED_TABLES.index(changes.table),
+            changes.after,
+            page.version,
+            page.store_seconds,
+            rows,
+            # Older builds ignore what follows.
+            page.era,
+        ]
+    )
+
+
+def decode_datagram(content: bytes) -> Heartbeat | TableChanges:
+    """Decode a peer's datagram; raise ValueError if it is malformed."""
+    try:
+        protocol, kind, *values = cbor2.loads(content)
+        if protocol != PROTOCOL_VERSION:
+            raise ValueError(f"unsupported protocol version {protocol!r}")
+        return (
+            _decode_heartbeat(values)
+            if kind == HEARTBEAT_KIND
+            else _decode_changes(values)
+        )
+    except (
+        cbor2.CBORDecodeError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+        TypeError,
+    ) as error:
+        raise ValueError(f"malformed peer datagram: {error!r}") from error
+
+
+def _decode_heartbeat(values: list) -> Heartbeat:
+    (host, incarnation, own_ip, zone, state, confirmed, versions) = values[:7]
+    (is_answering, returned_at, loads, ips, engines, broken) = values[7:13]
+    # Older builds send none of these.
+    (era, configuration_version, introductions, sightings, readings, news, starts) = (
+        values[13:20] if len(values) >= 20 else (0, 0, [], b"", b"", b"", b"")
+    )
+    return Heartbeat(
+        host=str(host),
+        incarnation=int(incarnation),
+        ip=str(own_ip),
+        availability_zone=str(zone),
+        state=MemberState(state),
+        confirmed_store_seconds=float(confirmed),
+        row_versions=_decode_versions(versions),
+        is_store_answering=bool(is_answering),
+        store_back_seconds=float(returned_at),
+        loads_by_engine={str(name): int(count) for name, count in loads.items()},
+        ips_by_host={str(name): str(ip) for name, ip in ips.items()},
+        engines_by_prefix_key={bytes(key): str(name) for key, name in engines.items()},
+        engines_by_broken_request={
+            bytes(key): tuple(map(str, names)) for key, names in broken.items()
+        },
+        era=int(era),
+        configuration_version=int(configuration_version),
+        introductions=tuple(_decode_introduction(*each) for each in introductions),
+        sightings=_check_size("sightings", bytes(sightings), SIGHTING.size),
+        load_readings=_check_size("load readings", bytes(readings), READING.size),
+        prefix_news=_check_size("prefix news", bytes(news), NEWS.size),
+        starts=_check_size("starts", bytes(starts), START.size),
+    )
+
+
+def _check_size(name: str, packed: bytes, item_size: int) -> bytes:
+    if len(packed) % item_size:
+        raise ValueError(
+            f"expected {name} of {item_size} bytes each, got {len(packed)} bytes"
+        )
+    return packed
+
+
+def _decode_introduction(
+    host: str, incarnation: int, ip: str, zone: str, state: int, age: float
+) -> Introduction:
+    return Introduction(
+        str(host), int(incarnation), str(ip), str(zone), MemberState(state), float(age)
+    )
+
+
+def _decode_versions(versions: list) -> tuple[int, ...]:
+    if len(versions) != len(FOLLOWED_TABLES):
+        raise ValueError(
+            f"heartbeat has row versions of {len(versions)} tables,"
+            f" expected {len(FOLLOWED_TABLES)}"
+        )
+    return tuple(int(version) for version in versions)
+
+
+def _decode_changes(values: list) -> TableChanges:
+    table, after, version, store_seconds, rows, *others = values
+    page = Page(
+        tuple(
+            Row(str(key), None if value is None else bytes(value), int(row_version))
+            for key, value, row_version in rows
+        ),
+        int(version),
+        float(store_seconds),
+        False,
+        int(others[0]) if others else 0,
+    )
+    return TableChanges(FOLLOWED_TABLES[int(table)], int(after), page)
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -15,9 +15,9 @@
 from teaselpond_model.exceptions import TeaselpondError
 
 from .applying import StoreApplier
+from .datagrams import TableChanges
 from .journal import Journal
 from .members import Heartbeat, Member, Members
-from .peers import TableChanges
 from .prefixes import PrefixTracker, PrefixUse
 from .rowcache import UNKNOWN_VERSION
 from .rows import Page, Row
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -4,16 +4,17 @@
 import logging
 import os
 
+import cbor2
 import testtools
 
-from teaselpond.gateway.engines import engine_key
-from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
-from teaselpond.gateway.peers import (
+from teaselpond.gateway.datagrams import (
     TableChanges,
     decode_datagram,
     encode_changes,
     encode_heartbeat,
 )
+from teaselpond.gateway.engines import engine_key
+from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
 from teaselpond.gateway.poison import (
     POISON_SECONDS,
     POISON_THRESHOLD,
@@ -37,6 +38,10 @@
 from teaselpond_standins.testing.gateways import make_call, make_heartbeat
 
 
+# The protocol, the kind, and what a heartbeat held before eras.
+OLDER_HEARTBEAT_VALUES = 15
+
+
 class PrefixTrackerTests(testtools.TestCase):
     """Test tracking which upstreams hold which prompt prefix."""
 
@@ -188,6 +193,16 @@
         changes = TableChanges(Table.ENGINES, 2, page)
         self.assertEqual(changes, decode_datagram(encode_changes(changes)))
 
+    def test_older_builds(self) -> None:
+        """Datagrams of builds that know no eras and pass nothing on are read."""
+        heartbeat = make_heartbeat("g1", loads_by_engine={"e1": 3})
+        older = cbor2.loads(encode_heartbeat(heartbeat))[:OLDER_HEARTBEAT_VALUES]
+        self.assertEqual(heartbeat, decode_datagram(cbor2.dumps(older)))
+        page = Page((Row("a", b"1", 3),), 4, 12.5, False)
+        changes = TableChanges(Table.ENGINES, 2, page)
+        older = cbor2.loads(encode_changes(changes))[:-1]
+        self.assertEqual(changes, decode_datagram(cbor2.dumps(older)))
+
     def test_malformed_datagrams(self) -> None:
         """Truncated and foreign datagrams raise ValueError."""
         page = Page((Row("a", b"1", 3),), 4, 12.5, False)
