--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -37,7 +37,6 @@
 from teaselpond.gateway.windows import SlidingWindowCounter
 from teaselpond_standins.testing.gateways import make_call, make_heartbeat
 
-
 # The protocol, the kind, and what a heartbeat held before eras.
 OLDER_HEARTBEAT_VALUES = 15
 
@@ -194,7 +193,7 @@
         self.assertEqual(changes, decode_datagram(encode_changes(changes)))
 
     def test_older_builds(self) -> None:
-        """Datagrams of builds that know no eras and pass nothing on are read."""
+        """Datagrams of builds that know no eras are read."""
         heartbeat = make_heartbeat("g1", loads_by_engine={"e1": 3})
         older = cbor2.loads(encode_heartbeat(heartbeat))[:OLDER_HEARTBEAT_VALUES]
         self.assertEqual(heartbeat, decode_datagram(cbor2.dumps(older)))
