--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -19,11 +19,19 @@
 from .metrics import Metrics
 from .poison import PoisonTracker
 from .prefixes import PrefixTracker
-from .readers import CONFIRMATION_TIMEOUT_SECONDS, Candidate, ReadScheduler
+from .readers import (
+    CONFIRMATION_TIMEOUT_SECONDS,
+    Candidate,
+    ReadScheduler,
+    choose_readers,
+)
 from .routing_state import RoutingState
 from .settings import GatewaySettings
 from .sightings import pack_sightings
 
+# How long a host keeps its role as a reader before it ranks its peers again.
+# Each table is checked ten times a second, and a fleet may have hundreds.
+READER_CACHE_SECONDS = 0.25
 INCARNATION_BYTES = 6
 
 
@@ -47,6 +55,8 @@
     admission: Admission = field(init=False)
     followers: list[Follower] = field(factory=list)
     rng: random.Random = field(factory=random.Random)
+    _is_reader: bool = False
+    _reads_until: float = 0.0
     incarnation: int = field(
         factory=lambda: int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
     )
@@ -130,10 +140,17 @@
         """
         now = self.clock()
         age = self.routing_state.freshness.age(now)
+        is_confirmed = age is not None and age <= CONFIRMATION_TIMEOUT_SECONDS
+        if is_confirmed and now < self._reads_until:
+            return self._is_reader
         own = Candidate(self.settings.host, self.state(now), self.is_store_answering)
-        if scheduler.is_due([own, *self.members.recent(now)], age, now):
+        hosts = [own, *self.members.recent(now)]
+        if is_confirmed:
+            self._is_reader = own.host in choose_readers(hosts)
+            self._reads_until = now + READER_CACHE_SECONDS
+        if scheduler.is_due(hosts, age, now):
             return True
-        if age is not None and age <= CONFIRMATION_TIMEOUT_SECONDS:
+        if is_confirmed:
             for follower in self.followers:
                 follower.clear_failure()
         return False
