Stop sends to upstreams that say they leave, and wait when they ask for it

Cause: nothing read Server-Leaving, nor Retry-After of a 503 from an upstream. A leaving upstream got requests until its entry changed, and again when the entry returned. Change: departures.py and backoffs.py decide, platform/headers.py decodes, reports.py records the heads of answers; departures are passed on in heartbeats; the stand-in says both. Where all that could serve ask to wait, the call is refused at once with the earliest end, or waits if it may have run. The line placed names the prompt's prefix.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -20,6 +20,8 @@
 SIGNATURE = "X-Teaselpond-Server-Seal"
 NOT_RUN = "X-Teaselpond-Not-Executed"
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 STREAM_PREFIXES = ("/stream/", "/single/")
 # SO_LINGER with a timeout of 0: closing sends a reset instead of a FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -30,6 +32,8 @@
 
     # The call does not run.
     SHED = "shed"
+    # The same with the time in which the upstream wants no further calls.
+    BACK_OFF = "back-off"
     DROP = "drop"
     OTHER_ENGINE = "other-engine"
     # The call runs.
@@ -49,7 +53,12 @@
 
 
 NOT_RUN_KINDS = frozenset(
-    {ListedFaultKind.SHED, ListedFaultKind.DROP, ListedFaultKind.OTHER_ENGINE}
+    {
+        ListedFaultKind.SHED,
+        ListedFaultKind.BACK_OFF,
+        ListedFaultKind.DROP,
+        ListedFaultKind.OTHER_ENGINE,
+    }
 )
 
 
@@ -81,7 +90,9 @@
     """Serve a stand-in of an upstream on one loopback port.
 
     A stream has ``stream_events`` events, ``event_seconds`` apart. Each
-    answer has a header with the engine's id as its signature.
+    answer has a header with the engine's id as its signature. While
+    ``is_leaving`` is set, all answers say so. ``retry_after`` is the header of
+    that name in the answers to calls that get the fault BACK_OFF.
     """
 
     engine_id: str
@@ -89,6 +100,8 @@
     stream_events: int = 5
     event_seconds: float = 0.0
     work_seconds: float = 0.0
+    is_leaving: bool = False
+    retry_after: str = "1"
     cached_parts: tuple[tuple[str, int], ...] = ()
     faults: FaultPlan[ListedFault] = field(factory=FaultPlan)
     seen_calls: list[SeenCall] = field(factory=list)
@@ -168,8 +181,11 @@
             return web.Response(status=421)
         if kind is ListedFaultKind.DROP:
             return abort(request)
-        if kind is ListedFaultKind.SHED:
-            return web.Response(status=503, headers={NOT_RUN: "1"})
+        if kind in (ListedFaultKind.SHED, ListedFaultKind.BACK_OFF):
+            headers = {NOT_RUN: "1", **self._leaving_header()}
+            if kind is ListedFaultKind.BACK_OFF:
+                headers[RETRY_AFTER] = self.retry_after
+            return web.Response(status=503, headers=headers)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
@@ -180,13 +196,20 @@
         finally:
             self.running -= 1
 
+    def _leaving_header(self) -> dict[str, str]:
+        return {LEAVING: "1"} if self.is_leaving else {}
+
     async def _run(
         self, request: web.Request, fault: ListedFault | None
     ) -> web.StreamResponse:
         request_id = request.headers.get(REQUEST_ID, "")
         self.runs_by_id[request_id] += 1
         await asyncio.sleep(self.work_seconds)
-        headers = {REQUEST_ID: request_id, SIGNATURE: f"signed-by-{self.engine_id}"}
+        headers = {
+            REQUEST_ID: request_id,
+            SIGNATURE: f"signed-by-{self.engine_id}",
+            **self._leaving_header(),
+        }
         if request.path.startswith(STREAM_PREFIXES):
             return await self._stream(request, headers, fault)
         body = f"{request.method} {request.raw_path} by {self.engine_id}".encode()
--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
@@ -171,7 +171,7 @@
             host.heartbeat,
             lambda heartbeat, now: None,
             lambda changes, now: None,
-            host.routing_state.find_engine_id,
+            host.routing_state,
             DATAGRAM_PORT,
             tuple(_ip(seed) for seed in range(SEED_COUNT)),
             random.Random(self._rng.random()),
--- a/packages/teaselpond/src/teaselpond/gateway/answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/answers.py
@@ -13,7 +13,10 @@
     ``is_signed`` tells whether the answer has an upstream's signature.
     ``cold_seconds`` is how long the upstream can take only little load, None
     if it does not report it. ``load`` is the number of its running and waiting
-    requests, None if it does not report them.
+    requests, None if it does not report them. ``is_leaving`` is true if the
+    upstream will end soon. ``backoff_seconds`` is how long an upstream that
+    turned the request away wants no further ones, None if it does not say so
+    and NaN if it cannot be read.
     """
 
     status: int
@@ -24,6 +27,8 @@
     is_other_engine: bool
     cold_seconds: float | None
     load: int | None = None
+    is_leaving: bool = False
+    backoff_seconds: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -13,6 +13,7 @@
 from .placement import Placer
 from .readers import FIRST_MEETING_SECONDS, ReadScheduler
 from .relay import Relay
+from .reports import AnswerReports
 from .rows import Page
 from .sending import Sender
 from .tables import Table
@@ -58,12 +59,14 @@
         host.prefixes,
         host.settings.availability_zone,
         bounds.load_cap_factor,
+        backoffs=host.backoffs,
     )
     relay = Relay(
         headers,
         host.routing_state,
         placer,
         sender,
+        AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal),
         host.loads,
         host.health,
         host.poison,
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -158,7 +158,7 @@
             host.heartbeat,
             sharing.receive_heartbeat,
             sharing.receive_changes,
-            host.routing_state.find_engine_id,
+            host.routing_state,
             host.settings.datagram_port,
             tuple(seed.ip for seed in host.settings.seeds),
         )
@@ -177,6 +177,7 @@
             host.journal,
             host.clock,
             host.settings.is_first_start,
+            host.backoffs,
         )
 
     async def _open_servers(
@@ -257,6 +258,7 @@
             self._reload_if_changed()
             host.health.retain(host.routing_state.engines_by_id)
             host.loads.readings.expire(now)
+            host.backoffs.expire(now)
             for engine_id in host.routing_state.expire(now):
                 host.journal.write(
                     "engine-gone", now, engine=engine_id, reason="did not return"
--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -3,6 +3,7 @@
 import cbor2
 from attrs import frozen
 
+from .departures import DEPARTURE
 from .load_readings import READING
 from .members import Heartbeat, Introduction, MemberState
 from .prefixes import NEWS
@@ -65,6 +66,7 @@
             heartbeat.load_readings,
             heartbeat.prefix_news,
             heartbeat.starts,
+            heartbeat.departures,
         ]
     )
 
@@ -116,6 +118,7 @@
     (era, configuration_version, introductions, sightings, readings, news, starts) = (
         values[13:20] if len(values) >= 20 else (0, 0, [], b"", b"", b"", b"")
     )
+    (departures,) = values[20:21] or (b"",)
     return Heartbeat(
         host=str(host),
         incarnation=int(incarnation),
@@ -139,6 +142,7 @@
         load_readings=_check_size("load readings", bytes(readings), READING.size),
         prefix_news=_check_size("prefix news", bytes(news), NEWS.size),
         starts=_check_size("starts", bytes(starts), START.size),
+        departures=_check_size("departures", bytes(departures), DEPARTURE.size),
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -9,6 +9,7 @@
 from .adapters import Adapter
 from .admission import Admission
 from .applying import StoreApplier
+from .backoffs import Backoffs
 from .clocks import boot_time
 from .drain import Drain, Phase
 from .following import Follower
@@ -47,6 +48,7 @@
     metrics: Metrics = field(factory=Metrics)
     loads: LoadTracker = field(factory=LoadTracker)
     health: HealthTracker = field(factory=HealthTracker)
+    backoffs: Backoffs = field(factory=Backoffs)
     prefixes: PrefixTracker = field(factory=PrefixTracker)
     poison: PoisonTracker = field(factory=PoisonTracker)
     applier: StoreApplier = field(init=False)
@@ -130,6 +132,7 @@
             load_readings=self.loads.readings.pack(self.rng, now),
             prefix_news=prefix_news,
             starts=starts,
+            departures=routing_state.departures.pack_news(now),
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -54,8 +54,9 @@
     force, 0 if there is none. ``is_store_answering`` is false while the host
     asks the store and gets no answer, and ``store_back_seconds`` is when, on
     the store's clock, the store's last outage ended, 0 if none was observed.
-    ``sightings``, ``load_readings``, ``prefix_news`` and ``starts`` are packed
-    by the modules that keep them. They pass on what others said.
+    ``sightings``, ``load_readings``, ``prefix_news``, ``starts`` and
+    ``departures`` are packed by the modules that keep them. They pass on what
+    others said.
     ``engines_by_prefix_key`` is sent by older builds only.
     """
 
@@ -79,6 +80,7 @@
     load_readings: bytes = b""
     prefix_news: bytes = b""
     starts: bytes = b""
+    departures: bytes = b""
 
 
 def member_id(host: str, incarnation: int) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -26,6 +26,7 @@
 )
 from .poison import BrokenAttempt, PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
+from .routing_state import RoutingState
 from .sightings import (
     apply_sightings,
     choose_introductions,
@@ -91,7 +92,7 @@
     make_heartbeat: Callable[..., Heartbeat]
     receive_heartbeat: Callable[[Heartbeat, float], None]
     receive_changes: Callable[[TableChanges, float], None]
-    find_engine_id: Callable[[int], str | None]
+    routing_state: RoutingState
     port: int
     seed_ips: tuple[str, ...]
     rng: random.Random = field(factory=random.Random)
@@ -146,7 +147,10 @@
         self.loads.readings.merge(heartbeat.load_readings, now)
         self.loads.starts.merge_news(heartbeat.starts, now)
         self.loads.set_peer_loads(heartbeat.host, heartbeat.loads_by_engine)
-        self.prefixes.merge_news(heartbeat.prefix_news, self.find_engine_id, now)
+        self.prefixes.merge_news(
+            heartbeat.prefix_news, self.routing_state.find_engine_id, now
+        )
+        self.routing_state.merge_departures(heartbeat.departures, now)
         for key, engine_id in heartbeat.engines_by_prefix_key.items():
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from .backoffs import Backoffs
 from .budgets import ColdBudget
 from .calls import Call
 from .configuration import Service
@@ -56,11 +57,13 @@
     """Explain why no upstream was chosen.
 
     ``listed`` counts the service's upstreams that are ready and not in an
-    evacuated zone, including those already tried.
+    evacuated zone, including those already tried. If all of them
+    asked this host to wait, ``retry_seconds`` is how long, else None.
     """
 
     reason: str
     listed: int
+    retry_seconds: float | None = None
 
 
 @define(eq=False)
@@ -76,6 +79,7 @@
     load_cap_factor: float
     rng: random.Random = field(factory=random.Random)
     prefix_rates: PrefixRates = field(factory=PrefixRates)
+    backoffs: Backoffs = field(factory=Backoffs)
 
     def place(
         self, call: Call, tried: Collection[str], now: float, host_count: int
@@ -98,13 +102,14 @@
         # includes those of an evacuated zone.
         mean = sum(loads_by_id.values()) / max(1, len(loads_by_id))
         listed = self._available(service_records)
-        untried = [record for record in listed if record.engine.engine_id not in tried]
-        if not untried:
-            return NoPlacement("all-tried" if listed else "none-listed", len(listed))
+        untried = [record for record in listed if _id_of(record) not in tried]
+        usable = self._without_backoff(untried, now)
+        if not usable:
+            return self._explain_none_usable(listed, untried, now)
         healthy_ids = set(
-            self.health.healthy([_id_of(record) for record in untried], now)
+            self.health.healthy([_id_of(record) for record in usable], now)
         )
-        healthy = [record for record in untried if _id_of(record) in healthy_ids]
+        healthy = [record for record in usable if _id_of(record) in healthy_ids]
         if not healthy:
             return NoPlacement("all-unreachable", len(listed))
         service = self._service(call)
@@ -148,6 +153,28 @@
             and record.engine.availability_zone not in evacuated
         ]
 
+    def _without_backoff(
+        self, records: Sequence[EngineRecord], now: float
+    ) -> list[EngineRecord]:
+        return [
+            record
+            for record in records
+            if not self.backoffs.is_active(record.engine, now)
+        ]
+
+    def _explain_none_usable(
+        self,
+        listed: Sequence[EngineRecord],
+        untried: Sequence[EngineRecord],
+        now: float,
+    ) -> NoPlacement:
+        waiting = untried or listed
+        if waiting and not self._without_backoff(waiting, now):
+            engines = [record.engine for record in waiting]
+            seconds = self.backoffs.seconds_to_first_end(engines, now)
+            return NoPlacement("all-back-off", len(listed), seconds)
+        return NoPlacement("all-tried" if listed else "none-listed", len(listed))
+
     def _service(self, call: Call) -> Service | None:
         configuration = self.routing_state.configuration
         if configuration is None:
@@ -241,7 +268,9 @@
         """Return an upstream to copy a prompt prefix from, if there is one."""
         for engine_id in holders:
             engine = self.routing_state.copy_source(engine_id, now)
-            if engine is not None and not self.health.get(engine_id).is_ejected(now):
+            if engine is None or self.backoffs.is_active(engine, now):
+                continue
+            if not self.health.get(engine_id).is_ejected(now):
                 return engine
         return None
 
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -22,6 +22,7 @@
 from .placement import NoPlacement, Placement, Placer
 from .poison import PoisonTracker, fingerprint_of
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
+from .reports import AnswerReports
 from .routing_state import RoutingState
 from .sending import (
     AttemptFailed,
@@ -93,6 +94,7 @@
     routing_state: RoutingState
     placer: Placer
     sender: Sender
+    reports: AnswerReports
     loads: LoadTracker
     health: HealthTracker
     poison: PoisonTracker
@@ -128,10 +130,15 @@
             budget = self._retry_budgets_by_service[service] = self.make_budget()
         return budget
 
-    def refuse(self, refusal: Refusal, request_id: str) -> Reply:
-        """Build the reply for a refusal."""
+    def refuse(
+        self, refusal: Refusal, request_id: str, retry_seconds: float | None = None
+    ) -> Reply:
+        """Build the reply for a refusal.
+
+        ``retry_seconds`` is when an upstream may be used again, if known.
+        """
         response = RESPONSES_BY_REFUSAL[refusal]
-        seconds = jittered_retry_after(response, self.rng)
+        seconds = jittered_retry_after(response, retry_seconds, self.rng)
         headers = self.codec.encode_refusal(request_id, seconds)
         return Reply(response.status, headers, refusal.value.encode(), refusal)
 
@@ -156,6 +163,9 @@
                     progress.shed_ids.clear()
                     await asyncio.sleep(SHED_AGAIN_SECONDS)
                     continue
+                if self._may_wait(call, progress, placement, now):
+                    await asyncio.sleep(placement.retry_seconds)
+                    continue
                 return self._refuse_unplaced(call, sink, progress, placement)
             if progress.arrivals and not self._acquire_retry(call, now):
                 return self._finish_with_refusal(call, sink, progress, Refusal.SHED)
@@ -190,6 +200,7 @@
             mean_load=round(placement.mean_load, 2),
             candidates=placement.candidates,
             rank=placement.rank,
+            prefix=call.head.prompt.affinity_key if call.head.prompt else None,
             is_held=placement.is_held,
             copy_from=placement.copy_from.engine_id if placement.copy_from else None,
             offer=progress.placements,
@@ -230,14 +241,7 @@
                 )
                 try:
                     head = answer.head
-                    if head.load is not None:
-                        self.loads.record_reading(
-                            engine.engine_id, head.load, self.clock()
-                        )
-                    if head.cold_seconds is not None:
-                        self.routing_state.update_cold_time(
-                            engine.engine_id, head.cold_seconds, self.clock()
-                        )
+                    self.reports.record(engine, head, self.clock())
                     if call.route.type is not RouteType.STREAM or not head.is_success:
                         body = await answer.read(MAX_ANSWER_BYTES)
                         whole = WholeAnswer(head, body)
@@ -360,6 +364,21 @@
             and progress.placements < MAX_PLACEMENTS
         )
 
+    def _may_wait(
+        self, call: Call, progress: Progress, no_placement: NoPlacement, now: float
+    ) -> bool:
+        """Return whether to wait until an upstream may be used again.
+
+        A call that cannot have run is refused instead, as in
+        ``_may_offer_again``.
+        """
+        seconds = no_placement.retry_seconds
+        return (
+            seconds is not None
+            and progress.may_run
+            and now + seconds < call.expires_at - MIN_REMAINING_SECONDS
+        )
+
     def _may_retry(self, call: Call, progress: Progress, failed: AttemptFailed) -> bool:
         if progress.placements >= MAX_PLACEMENTS:
             return False
@@ -380,17 +399,25 @@
             offers=progress.placements,
         )
         refusal = Refusal.NO_UPSTREAM
-        if no_placement.reason in ("all-cold", "all-full"):
+        if no_placement.reason in ("all-cold", "all-full", "all-back-off"):
             refusal = Refusal.OVERLOADED
-        return self._finish_with_refusal(call, sink, progress, refusal)
+        return self._finish_with_refusal(
+            call, sink, progress, refusal, no_placement.retry_seconds
+        )
 
     def _finish_with_refusal(
-        self, call: Call, sink: EventSink, progress: Progress, refusal: Refusal
+        self,
+        call: Call,
+        sink: EventSink,
+        progress: Progress,
+        refusal: Refusal,
+        retry_seconds: float | None = None,
     ) -> Reply:
         """Return the final reply of a call that was not answered with success.
 
         Relay the upstream's own error answer if there is one. Never refuse a
         call that may have run with a status that promises that it did not.
+        A refusal asks the caller to wait for ``retry_seconds``, if set.
         Raise StreamCut if an answer has begun.
         """
         if sink.has_begun:
@@ -406,7 +433,7 @@
             and RESPONSES_BY_REFUSAL[refusal].status in NOT_RUN_STATUSES
         ):
             refusal = Refusal.BROKEN
-        return self.refuse(refusal, call.head.request_id)
+        return self.refuse(refusal, call.head.request_id, retry_seconds)
 
 
 def _event_number(event_id: str | None) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/replies.py
+++ b/packages/teaselpond/src/teaselpond/gateway/replies.py
@@ -83,10 +83,17 @@
     refusal: Refusal | None = None
 
 
-def jittered_retry_after(response: RefusalResponse, rng: random.Random) -> float | None:
-    """Return a refusal's randomised Retry-After in seconds, if it has one."""
+def jittered_retry_after(
+    response: RefusalResponse, earliest: float | None, rng: random.Random
+) -> float | None:
+    """Return a refusal's randomised Retry-After in seconds, if it has one.
+
+    An earlier return than ``earliest``, if it is known, would be of no use.
+    """
     if response.retry_after is None:
         return None
+    if earliest is not None:
+        return earliest * rng.uniform(1, 1 + RETRY_AFTER_JITTER)
     return response.retry_after * rng.uniform(
         1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER
     )
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -3,6 +3,7 @@
 from attrs import define, evolve, field, frozen
 
 from .configuration import Configuration
+from .departures import Departures
 from .engines import Engine, EngineState, engine_key
 from .freshness import Freshness
 from .outages import StoreOutages
@@ -41,6 +42,7 @@
     engines_by_id: dict[str, EngineRecord] = field(factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     outages: StoreOutages = field(factory=StoreOutages)
+    departures: Departures = field(factory=Departures)
     _removed_by_id: dict[str, tuple[Engine, float]] = field(factory=dict)
     _lapsed_zones: frozenset[str] = frozenset()
     _ids_by_key: dict[int, str] = field(factory=dict)
@@ -81,10 +83,36 @@
                 # A leaving upstream never returns; a restored store may not
                 # know that it leaves.
                 engine = evolve(engine, state=EngineState.DRAINING)
+        if self.departures.contains(engine, now):
+            engine = evolve(engine, state=EngineState.DRAINING)
         self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
         self._ids_by_key[engine_key(engine.engine_id)] = engine.engine_id
         return previous
 
+    def mark_engine_leaving(self, engine: Engine, now: float) -> bool:
+        """Send nothing more to a process that is leaving.
+
+        Return whether that is news.
+        """
+        is_news = self.departures.record(engine, now)
+        if is_news:
+            self._apply_departures(now)
+        return is_news
+
+    def merge_departures(self, packed: bytes, now: float) -> None:
+        """Send nothing more to processes that left by what a peer says."""
+        if self.departures.merge_news(packed, now):
+            self._apply_departures(now)
+
+    def _apply_departures(self, now: float) -> None:
+        for engine_id, record in self.engines_by_id.items():
+            engine = record.engine
+            if engine.state is EngineState.READY and self.departures.contains(
+                engine, now
+            ):
+                leaving = evolve(engine, state=EngineState.DRAINING)
+                self.engines_by_id[engine_id] = evolve(record, engine=leaving)
+
     def find_engine_id(self, key: int) -> str | None:
         """Return the id of the upstream that peers identify by a number."""
         return self._ids_by_key.get(key)
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -10,6 +10,7 @@
 from teaselpond_model.exceptions import TeaselpondError
 
 from ..upstreams.connections import UpstreamClient
+from .backoffs import Backoffs
 from .codec import CacheCodec
 from .engines import Engine
 from .exceptions import MalformedEntry
@@ -47,6 +48,7 @@
     journal: Journal
     clock: Callable[[], float]
     is_first_start: bool
+    backoffs: Backoffs
     rng: random.Random = field(factory=random.Random)
 
     async def run(self) -> None:
@@ -112,6 +114,7 @@
             for record in self.routing_state.engines_by_id.values()
             if (service := services.get(record.engine.service)) is not None
             and service.engine is not None
+            and not self.backoffs.is_active(record.engine, self.clock())
         ]
 
     async def _list_cache(self, engine: Engine) -> None:
--- a/packages/teaselpond/src/teaselpond/platform/headers.py
+++ b/packages/teaselpond/src/teaselpond/platform/headers.py
@@ -1,5 +1,6 @@
 """Decode and encode the headers of requests and responses."""
 
+import math
 from collections.abc import Iterable
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -23,6 +24,8 @@
 LOAD = "X-Teaselpond-Instance-Load"
 URGENCY_CLASS = "X-Teaselpond-Urgency-Class"
 LAST_EVENT_ID = "Last-Event-Id"
+# Set to 1 in all answers of an upstream that is leaving.
+LEAVING = "Server-Leaving"
 # The address of the upstream to copy cached parts of the prompt from.
 COPY_FROM = "Kv-Fetch"
 AUTHORIZATION = "Authorization"
@@ -123,6 +126,11 @@
         is_other_engine=status == 421,
         cold_seconds=_milliseconds_to_seconds(headers.get(COLD_MILLISECONDS)),
         load=_decode_load(headers.get(LOAD)),
+        # An upstream that has taken over an address speaks for itself only.
+        is_leaving=headers.get(LEAVING, "").strip() == "1" and status != 421,
+        backoff_seconds=(
+            _decode_backoff(headers.get(RETRY_AFTER)) if status == 503 else None
+        ),
     )
 
 
@@ -188,6 +196,13 @@
     return max(0, running) + max(0, waiting)
 
 
+def _decode_backoff(value: str | None) -> float | None:
+    try:
+        return float(value) if value is not None else None
+    except ValueError:
+        return math.nan
+
+
 def _milliseconds_to_seconds(value: str | None) -> float | None:
     try:
         return float(value) / MILLISECONDS_PER_SECOND if value is not None else None
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -446,6 +446,6 @@
         """Callers that are refused together get different retry times."""
         rng = random.Random(1)
         response = RESPONSES_BY_REFUSAL[Refusal.OVERLOADED]
-        times = {jittered_retry_after(response, rng) for _ in range(20)}
+        times = {jittered_retry_after(response, None, rng) for _ in range(20)}
         self.assertEqual(20, len(times))
         self.assertTrue(all(0 < each < 2 * response.retry_after for each in times))
--- a/packages/teaselpond/tests/platform/test_headers.py
+++ b/packages/teaselpond/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 """Test decoding and encoding headers, malformed ones included."""
 
+import math
+
 import testtools
 from multidict import CIMultiDict
 
@@ -124,6 +126,23 @@
         )
         self.assertIsNone(self.decode(200, X_Teaselpond_Cold_Ms="soon").cold_seconds)
 
+    def test_leaving(self) -> None:
+        """Any answer may say that its upstream is leaving."""
+        for status in (200, 500, 503):
+            self.assertTrue(self.decode(status, Server_Leaving="1").is_leaving)
+        self.assertFalse(self.decode(200).is_leaving)
+        self.assertFalse(self.decode(200, Server_Leaving="0").is_leaving)
+        # The address belongs to another upstream now.
+        self.assertFalse(self.decode(421, Server_Leaving="1").is_leaving)
+
+    def test_backoff(self) -> None:
+        """Only a 503 asks the host to wait; a malformed time is NaN."""
+        self.assertEqual(1.5, self.decode(503, Retry_After="1.5").backoff_seconds)
+        self.assertIsNone(self.decode(503).backoff_seconds)
+        self.assertIsNone(self.decode(429, Retry_After="1").backoff_seconds)
+        malformed = self.decode(503, Retry_After="soon").backoff_seconds
+        self.assertTrue(math.isnan(malformed))
+
     def test_framing_is_dropped(self) -> None:
         """Headers that frame the upstream's connection are not forwarded."""
         head = self.decode(200, Transfer_Encoding="chunked", X_Other="1")
