Listen before the libraries are loaded, and wait for the first state

Change: listening.py opens the sockets first; a call that comes while a process reads its first state waits up to 0.3 s for it. A call's time counts from the arrival of its head.

--- a/packages/teaselpond/src/teaselpond/gateway/admission.py
+++ b/packages/teaselpond/src/teaselpond/gateway/admission.py
@@ -32,7 +32,9 @@
         age = self.routing_state.freshness.age(now)
         return age is not None and age + WATCH_LAG_SECONDS < self.revoke_seconds
 
-    def admit(self, head: Head, body: bytes, now: float) -> Call | Refusal:
+    def admit(
+        self, head: Head, body: bytes, arrived_at: float, now: float
+    ) -> Call | Refusal:
         """Return the call for a request, or the reason to refuse it."""
         configuration = self.routing_state.configuration
         if configuration is None:
@@ -47,7 +49,7 @@
             workspace = configuration.workspaces_by_key.get(head.key or "")
             if workspace is None:
                 return self._refuse_unknown(Refusal.KEY_UNKNOWN, now)
-        return _make_call(head, body, configuration, route, workspace, now)
+        return _make_call(head, body, configuration, route, workspace, arrived_at)
 
     def _refuse_unknown(self, refusal: Refusal, now: float) -> Refusal:
         age = self.routing_state.freshness.age(now)
@@ -62,7 +64,7 @@
     configuration: Configuration,
     route: Route,
     workspace: Workspace | None,
-    now: float,
+    arrived_at: float,
 ) -> Call:
     seconds = route.timeout_seconds
     if head.deadline_seconds is not None:
@@ -74,6 +76,6 @@
         service=route.choose_service(head.request_id),
         workspace=workspace,
         version=configuration.version,
-        arrived_at=now,
-        expires_at=now + seconds,
+        arrived_at=arrived_at,
+        expires_at=arrived_at + seconds,
     )
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -87,6 +87,7 @@
         host.journal,
         host.metrics,
         host.clock,
+        host.applier.completed,
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -4,7 +4,8 @@
 import logging
 import os
 import signal
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 from attrs import define, field
@@ -44,10 +45,12 @@
     """Start the tasks and listeners of a gateway, and stop them.
 
     SIGTERM begins a graceful stop, SIGHUP reloads the settings.
+    ``listeners_by_address`` are sockets that listen already.
     """
 
     host: GatewayHost
     handles_signals: bool = True
+    listeners_by_address: Mapping[Address, socket.socket] = field(factory=dict)
     _settings_modified_at: float = field(default=0.0, init=False)
     _is_stopping: asyncio.Event = field(factory=asyncio.Event, init=False)
 
@@ -196,7 +199,7 @@
         ):
             if address is not None:
                 server = HttpServer(handler)
-                await server.open(address)
+                await server.open(address, self.listeners_by_address.get(address))
                 servers.append(server)
         return servers
 
@@ -294,8 +297,13 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-def serve(settings: GatewaySettings, adapter: Adapter) -> None:
+def serve(
+    settings: GatewaySettings,
+    adapter: Adapter,
+    listeners_by_address: Mapping[Address, socket.socket],
+) -> None:
     """Run a gateway until a graceful stop has ended."""
     host = GatewayHost(settings, adapter)
     logging.getLogger().addHandler(JournalHandler(host.journal, host.clock))
-    asyncio.run(GatewayDaemon(host).run())
+    daemon = GatewayDaemon(host, listeners_by_address=listeners_by_address)
+    asyncio.run(daemon.run())
--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -21,6 +21,9 @@
 
 # A body must arrive within this time, or the request is refused.
 BODY_TIMEOUT_SECONDS = 5.0
+# A process that has just started has its state within this time, unless
+# neither peers nor the store answer.
+START_WAIT_SECONDS = 0.3
 # Applies until the first configuration is loaded.
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -37,6 +40,7 @@
     journal: Journal
     metrics: Metrics
     clock: Callable[[], float]
+    has_started: asyncio.Event
 
     async def handle(self, request: BaseRequest) -> web.StreamResponse:
         """Answer one request, and count it as running for the drain."""
@@ -59,14 +63,29 @@
             )
         if self.drain.phase(now) in (Phase.REFUSING, Phase.ENDED):
             return self._refuse(request, Refusal.LEAVING, head, now)
+        await self._wait_for_start()
         body = await self._read_body(request)
         if isinstance(body, Refusal):
             return self._refuse(request, body, head, now)
-        call = self.admission.admit(head, body, self.clock())
+        call = self.admission.admit(head, body, now, self.clock())
         if isinstance(call, Refusal):
             return self._refuse(request, call, head, now)
         return await self._relay_call(request, call)
 
+    async def _wait_for_start(self) -> None:
+        """Wait a little while a process that has just started reads its state.
+
+        Its caller would otherwise be refused shortly before it can be served,
+        and all other hosts may be starting too.
+        """
+        if self.has_started.is_set():
+            return
+        try:
+            async with asyncio.timeout(START_WAIT_SECONDS):
+                await self.has_started.wait()
+        except TimeoutError:
+            return
+
     async def _read_body(self, request: BaseRequest) -> bytes | Refusal:
         configuration = self.routing_state.configuration
         limit = DEFAULT_MAX_BODY_BYTES
--- a/packages/teaselpond/src/teaselpond/gateway/servers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/servers.py
@@ -1,6 +1,7 @@
 """Provide the HTTP server behind each of the gateway's addresses."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -11,13 +12,11 @@
 from teaselpond_model.contracts import Address
 
 from .answers import AnswerHead
+from .listening import ACCEPT_BACKLOG, open_listener
 from .replies import Reply
 
 Handler = Callable[[BaseRequest], Awaitable[web.StreamResponse]]
 
-# Connections waiting to be accepted. When another host fails, all of its
-# callers reconnect at the same time.
-ACCEPT_BACKLOG = 1024
 # Callers reuse connections that were idle for up to 12 s: four fifths of the
 # deployment's limit of 15 s.
 KEEPALIVE_SECONDS = 30.0
@@ -45,13 +44,16 @@
             read_bufsize=READ_BUFFER_BYTES,
         )
 
-    async def open(self, address: Address) -> int:
-        """Start listening, and return the port."""
+    async def open(
+        self, address: Address, listener: socket.socket | None = None
+    ) -> None:
+        """Start serving on an address, whose listener may be open already."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, address.ip, address.port, backlog=ACCEPT_BACKLOG
+            self._server,
+            sock=listener or open_listener(address),
+            backlog=ACCEPT_BACKLOG,
         )
-        return self._listener.sockets[0].getsockname()[1]
 
     def connections(self) -> list[RequestHandler]:
         """Return the open connections."""
--- a/packages/teaselpond/src/teaselpond/gateway/settings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/settings.py
@@ -14,6 +14,10 @@
     peers: Address | None
     directory: Address | None
 
+    def addresses(self) -> tuple[Address | None, ...]:
+        """Return the addresses of all listeners."""
+        return self.entry, self.ready, self.peers, self.directory
+
 
 @frozen
 class Bounds:
--- a/packages/teaselpond/src/teaselpond/platform/__main__.py
+++ b/packages/teaselpond/src/teaselpond/platform/__main__.py
@@ -5,19 +5,23 @@
 
 from teaselpond_model.exceptions import ImproperlyConfigured
 
-from ..gateway.daemon import serve
-from .adapter import PlatformAdapter
+from ..gateway.listening import open_listeners
+from .settings import load_settings
 
 
 def main() -> None:
     """Load the settings and run a gateway; exit with 2 if they are invalid."""
-    adapter = PlatformAdapter()
     try:
-        settings = adapter.load_settings(os.environ)
+        settings = load_settings(os.environ)
     except ImproperlyConfigured as error:
         print(error, file=sys.stderr)
         sys.exit(2)
-    serve(settings, adapter)
+    listeners_by_address = open_listeners(settings.listeners.addresses())
+    # Callers can connect from here on. The imports take most of a start.
+    from ..gateway.daemon import serve
+    from .adapter import PlatformAdapter
+
+    serve(settings, PlatformAdapter(), listeners_by_address)
 
 
 if __name__ == "__main__":
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -411,14 +411,14 @@
             routing_state.freshness.confirm(0.0)
             admission = Admission(routing_state, True, 5.0)
             head = make_head(key=case.key, target=case.path)
-            result = admission.admit(head, b"", 100.0 + case.age)
+            result = admission.admit(head, b"", 100.0, 100.0 + case.age)
             found = None if isinstance(result, Call) else result
             self.assertEqual(case.expected, found, case)
 
     def test_no_configuration(self) -> None:
         """A process without a configuration refuses as not ready."""
         admission = Admission(RoutingState(), True, 5.0)
-        self.assertIs(Refusal.NOT_READY, admission.admit(make_head(), b"", 1.0))
+        self.assertIs(Refusal.NOT_READY, admission.admit(make_head(), b"", 1.0, 1.0))
 
     def test_shorter_limit_applies(self) -> None:
         """A call expires at the earlier of deadline and route timeout."""
@@ -426,7 +426,7 @@
         routing_state.update_configuration(make_configuration())
         admission = Admission(routing_state, False, 5.0)
         for deadline, seconds in ((2.0, 2.0), (60.0, 10.0), (None, 10.0)):
-            call = admission.admit(make_head(deadline_seconds=deadline), b"", 5.0)
+            call = admission.admit(make_head(deadline_seconds=deadline), b"", 5.0, 5.2)
             self.assertEqual(5.0 + seconds, call.expires_at)
 
 
