Share the fleet's budgets by the greatest number of hosts seen lately

Cause: a host's share was slack / hosts heard in 12 s. Hosts cut off from one another took the shares of those they did not hear, and a restarted process had a whole share again. Change: fleet_size.py keeps the greatest number of hosts of the last two minutes, passed on in heartbeats and read from the store's list by the readers. A restarted process uses its share of the slack after one window; its own requests earn retries before.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from teaselpond.gateway.host import GatewayHost
 from teaselpond.gateway.journal import Journal
@@ -67,6 +67,7 @@
     zone_count: int = 6
     seed: int = 1
     now: float = 100.0
+    retry_slack: float = 430.0
     is_cut: Callable[[SimulatedPeer, SimulatedPeer], bool] = lambda sender, to: False
     peers_by_ip: dict[str, SimulatedPeer] = field(factory=dict)
     sent_bytes: int = 0
@@ -109,7 +110,7 @@
         """Replace a host's process by a new one, which knows nobody."""
         peer.is_dead = True
         number = int(peer.name.removeprefix("host-"))
-        started = self._make_peer(number)
+        started = self._make_peer(number, is_first_start=False)
         self.peers_by_ip[started.host.settings.ip] = started
         self._schedule(0.0, lambda: self._run(started))
         return started
@@ -156,9 +157,11 @@
     def _schedule(self, delay: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self.now + delay, next(self._numbers), action))
 
-    def _make_peer(self, number: int) -> SimulatedPeer:
+    def _make_peer(self, number: int, *, is_first_start: bool = True) -> SimulatedPeer:
         host = GatewayHost(
-            self._settings(number), PlatformAdapter(), clock=lambda: self.now
+            self._settings(number, is_first_start),
+            PlatformAdapter(),
+            clock=lambda: self.now,
         )
         host.journal = SilentJournal("", 0)
         exchange = PeerExchange(
@@ -180,7 +183,7 @@
         exchange.connection_made(_Transport(self, peer))
         return peer
 
-    def _settings(self, number: int) -> GatewaySettings:
+    def _settings(self, number: int, is_first_start: bool) -> GatewaySettings:
         address = Address(_ip(number), PEER_PORT)
         return GatewaySettings(
             host=f"host-{number}",
@@ -192,8 +195,8 @@
             seeds=tuple(Address(_ip(seed), PEER_PORT) for seed in range(SEED_COUNT)),
             datagram_port=DATAGRAM_PORT,
             metrics_port=0,
-            bounds=BOUNDS,
-            is_first_start=True,
+            bounds=evolve(BOUNDS, retry_slack=self.retry_slack),
+            is_first_start=is_first_start,
         )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -4,7 +4,6 @@
 
 from ..upstreams.connections import UpstreamClient
 from .adapters import Adapter, Store
-from .budgets import ColdBudget, RetryBudget
 from .datagrams import TableChanges
 from .entry import CallerRequestHandler
 from .following import Follower
@@ -55,7 +54,7 @@
         host.routing_state,
         host.loads,
         host.health,
-        ColdBudget(bounds.cold_overage, bounds.cold_slack),
+        host.make_cold_budget(),
         host.prefixes,
         host.settings.availability_zone,
         bounds.load_cap_factor,
@@ -74,9 +73,7 @@
         host.metrics,
         host.clock,
         host.host_count,
-        lambda: RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds
-        ),
+        host.make_retry_budget,
     )
     return CallerRequestHandler(
         headers,
--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -23,12 +23,14 @@
     """Limit this host's retries of one service's requests.
 
     In each window, a host may retry ``ratio`` of its requests. All hosts
-    share ``slack`` more retries equally.
+    share ``slack`` more retries equally; this host uses its share from
+    ``slack_from`` on, a time of the boot clock.
     """
 
     ratio: float
     slack: float
     window_seconds: float
+    slack_from: float = 0.0
     _requests: SlidingWindowCounter = field(init=False)
     _retries: SlidingWindowCounter = field(init=False)
 
@@ -43,7 +45,8 @@
     def remaining(self, now: float, host_count: int) -> float:
         """Return how many more retries this host may send now."""
         allowed = self.ratio * self._requests.count(now)
-        allowed += self.slack / max(1, host_count)
+        if now >= self.slack_from:
+            allowed += self.slack / max(1, host_count)
         return allowed * USABLE_RATIO - self._retries.count(now)
 
     def try_acquire(self, now: float, host_count: int) -> bool:
@@ -59,12 +62,14 @@
     """Limit this host's requests to recently started (cold) upstreams.
 
     The fleet may send an upstream ``overage`` times its permitted rate plus
-    ``slack`` requests in each second.
+    ``slack`` requests in each second. This host uses its share from
+    ``usable_from`` on, a time of the boot clock.
     """
 
     overage: float
     slack: float
     rng: random.Random = field(factory=random.Random)
+    usable_from: float = 0.0
     _sent_by_engine: dict[str, SlidingWindowCounter] = field(init=False)
     _next_turn_by_engine: dict[str, float] = field(factory=dict)
 
@@ -80,6 +85,8 @@
 
         ``per_second`` is the rate that the upstream's service permits.
         """
+        if now < self.usable_from:
+            return False
         share = self._fleet_limit(per_second) / max(1, host_count)
         if share < 1:
             return now >= self._next_turn(engine_id, share * RANDOM_TURN_RATIO, now)
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -16,6 +16,7 @@
 from .adapters import Adapter, Store
 from .assembly import make_caller_request_handler, make_follower, make_sender
 from .drain import Phase
+from .fleet_size import LIST_SECONDS
 from .host import GatewayHost
 from .journal import JournalHandler
 from .peers import PeerExchange
@@ -53,6 +54,7 @@
     listeners_by_address: Mapping[Address, socket.socket] = field(factory=dict)
     _settings_modified_at: float = field(default=0.0, init=False)
     _is_stopping: asyncio.Event = field(factory=asyncio.Event, init=False)
+    _listed_at: float | None = field(default=None, init=False)
 
     async def run(self) -> None:
         """Serve until a graceful stop has ended."""
@@ -233,7 +235,9 @@
     async def _find_peers(self, store: Store) -> bool:
         """Read the registered hosts if no peer is known for a while.
 
-        Return whether the host goes on running.
+        The readers of the store read them now and then in any case, as the
+        fleet's budgets are shared by their number. Return whether the host
+        goes on running.
         """
         host = self.host
         try:
@@ -241,14 +245,24 @@
                 await self._is_stopping.wait()
             return False
         except TimeoutError:
-            if host.members.recent(host.clock()):
-                return True
+            pass
+        now = host.clock()
+        is_alone = not host.members.recent(now)
+        if not is_alone and not self._must_list_hosts(now):
+            return True
         page = await store.read(Table.MEMBERS)
-        for row in page.rows:
+        self._listed_at = host.clock()
+        host.members.record_listed((row.key for row in page.rows), self._listed_at)
+        for row in page.rows if is_alone else ():
             address = (row.value or b"").decode()
             host.members.add_address(row.key, address, host.clock())
         return True
 
+    def _must_list_hosts(self, now: float) -> bool:
+        host = self.host
+        is_due = self._listed_at is None or now - self._listed_at >= LIST_SECONDS
+        return is_due and host.is_reader and host.is_store_answering
+
     async def _tick(self) -> None:
         """Expire engines, reload changed settings and log state changes.
 
@@ -275,6 +289,7 @@
                     was=state.name.lower() if state is not None else None,
                     confirmed_seconds=host.routing_state.freshness.age(now),
                     hosts=host.members.count(now),
+                    sharing_hosts=host.members.sharing(now).hosts,
                 )
                 state = new_state
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -67,6 +67,8 @@
             heartbeat.prefix_news,
             heartbeat.starts,
             heartbeat.departures,
+            heartbeat.fleet_size,
+            heartbeat.fleet_size_age_seconds,
         ]
     )
 
@@ -118,7 +120,9 @@
     (era, configuration_version, introductions, sightings, readings, news, starts) = (
         values[13:20] if len(values) >= 20 else (0, 0, [], b"", b"", b"", b"")
     )
-    (departures,) = values[20:21] or (b"",)
+    (departures, fleet_size, fleet_size_age) = (
+        values[20:23] if len(values) >= 23 else (b"", 0, 0.0)
+    )
     return Heartbeat(
         host=str(host),
         incarnation=int(incarnation),
@@ -143,6 +147,8 @@
         prefix_news=_check_size("prefix news", bytes(news), NEWS.size),
         starts=_check_size("starts", bytes(starts), START.size),
         departures=_check_size("departures", bytes(departures), DEPARTURE.size),
+        fleet_size=int(fleet_size),
+        fleet_size_age_seconds=max(0.0, float(fleet_size_age)),
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -8,8 +8,10 @@
 
 from .adapters import Adapter
 from .admission import Admission
+from .ages import HOP_SECONDS
 from .applying import StoreApplier
 from .backoffs import Backoffs
+from .budgets import COLD_WINDOW_SECONDS, ColdBudget, RetryBudget
 from .clocks import boot_time
 from .drain import Drain, Phase
 from .following import Follower
@@ -57,14 +59,16 @@
     admission: Admission = field(init=False)
     followers: list[Follower] = field(factory=list)
     rng: random.Random = field(factory=random.Random)
-    _is_reader: bool = False
+    is_reader: bool = False
     _reads_until: float = 0.0
+    started_at: float = field(init=False)
     incarnation: int = field(
         factory=lambda: int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
     )
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        self.started_at = self.clock()
         self.journal = Journal(settings.host)
         self.applier = StoreApplier(
             self.routing_state, self.journal, self.adapter.decode_change
@@ -109,6 +113,7 @@
         now = self.clock()
         routing_state = self.routing_state
         configuration = routing_state.configuration
+        sharing = self.members.sharing(now)
         return Heartbeat(
             host=self.settings.host,
             incarnation=self.incarnation,
@@ -133,6 +138,8 @@
             prefix_news=prefix_news,
             starts=starts,
             departures=routing_state.departures.pack_news(now),
+            fleet_size=sharing.hosts,
+            fleet_size_age_seconds=now - sharing.observed_at + HOP_SECONDS,
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
@@ -145,11 +152,11 @@
         age = self.routing_state.freshness.age(now)
         is_confirmed = age is not None and age <= CONFIRMATION_TIMEOUT_SECONDS
         if is_confirmed and now < self._reads_until:
-            return self._is_reader
+            return self.is_reader
         own = Candidate(self.settings.host, self.state(now), self.is_store_answering)
         hosts = [own, *self.members.recent(now)]
         if is_confirmed:
-            self._is_reader = own.host in choose_readers(hosts)
+            self.is_reader = own.host in choose_readers(hosts)
             self._reads_until = now + READER_CACHE_SECONDS
         if scheduler.is_due(hosts, age, now):
             return True
@@ -160,7 +167,36 @@
 
     def host_count(self) -> int:
         """Return the number of hosts that share the fleet's budgets."""
-        return self.members.count(self.clock())
+        return self.members.sharing(self.clock()).hosts
+
+    def make_retry_budget(self) -> RetryBudget:
+        """Build this host's budget for retries of one service's requests."""
+        bounds = self.settings.bounds
+        window = bounds.retry_window_seconds
+        return RetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            window,
+            slack_from=self._unused_from(window),
+        )
+
+    def make_cold_budget(self) -> ColdBudget:
+        """Build this host's budget for requests to cold upstreams."""
+        bounds = self.settings.bounds
+        return ColdBudget(
+            bounds.cold_overage,
+            bounds.cold_slack,
+            usable_from=self._unused_from(COLD_WINDOW_SECONDS),
+        )
+
+    def _unused_from(self, window_seconds: float) -> float:
+        """Return when no earlier process can have used this host's share.
+
+        A restarted host does not know what its previous process used.
+        """
+        if self.settings.is_first_start:
+            return self.started_at
+        return self.started_at + window_seconds
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, except addresses, which need a restart."""
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -6,12 +6,14 @@
 
 from attrs import define, field, frozen
 
+from .fleet_size import FleetSize, SizeReading
+
 # A host counts as recent, and callers may be sent to it, for this long after
 # it was last seen. One lost datagram does not remove the host, because this
 # is several intervals.
 ADVERTISED_SECONDS = 1.4
-# A silent host keeps its share of the fleet's budgets for this long, because
-# it may be disconnected from this host and still send requests.
+# A silent host is remembered for this long, because it may be disconnected
+# from this host and still send requests.
 MEMBER_EXPIRY_SECONDS = 12.0
 # How long the number of hosts is reused; counting them for every request
 # would cost more than placing it.
@@ -57,7 +59,8 @@
     ``sightings``, ``load_readings``, ``prefix_news``, ``starts`` and
     ``departures`` are packed by the modules that keep them. They pass on what
     others said.
-    ``engines_by_prefix_key`` is sent by older builds only.
+    ``fleet_size`` is the greatest number of hosts that any host observed
+    lately. ``engines_by_prefix_key`` is sent by older builds only.
     """
 
     host: str
@@ -81,6 +84,8 @@
     prefix_news: bytes = b""
     starts: bytes = b""
     departures: bytes = b""
+    fleet_size: int = 0
+    fleet_size_age_seconds: float = 0.0
 
 
 def member_id(host: str, incarnation: int) -> int:
@@ -137,6 +142,7 @@
     members_by_host: dict[str, Member] = field(factory=dict)
     members_by_id: dict[int, Member] = field(factory=dict)
     ips_by_host: dict[str, str] = field(factory=dict)
+    fleet_size: FleetSize = field(factory=FleetSize)
     _added_at_by_host: dict[str, float] = field(factory=dict)
     _count: int = 1
     _counted_at: float = -1.0
@@ -145,6 +151,9 @@
         """Record a heartbeat; return False if it is this host's own."""
         if heartbeat.host == self.host:
             return False
+        self.fleet_size.record(
+            heartbeat.fleet_size, now - heartbeat.fleet_size_age_seconds
+        )
         member = self.members_by_host.get(heartbeat.host)
         if member is None or member.heartbeat.incarnation != heartbeat.incarnation:
             self._add(Member(heartbeat, now))
@@ -201,7 +210,7 @@
         ]
 
     def count(self, now: float) -> int:
-        """Return how many hosts share the budgets, including this one."""
+        """Return how many hosts were seen lately, including this one."""
         if not 0 <= now - self._counted_at < COUNT_CACHE_SECONDS:
             oldest = now - MEMBER_EXPIRY_SECONDS
             self._counted_at = now
@@ -211,6 +220,20 @@
             )
         return self._count
 
+    def sharing(self, now: float) -> SizeReading:
+        """Return how many hosts share the fleet's budgets, this one included.
+
+        Those that were heard or listed in the last minutes count, even if
+        they are silent now.
+        """
+        self.fleet_size.record(self.count(now), now)
+        return self.fleet_size.largest(now)
+
+    def record_listed(self, hosts: Iterable[str], now: float) -> None:
+        """Record the hosts that the platform's store lists."""
+        known = {self.host, *hosts, *self.members_by_host}
+        self.fleet_size.record(len(known), now)
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove hosts and addresses that expired; return the hosts' names."""
         expired = [
