--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -15,9 +15,11 @@
 from .rows import Page, Row
 from .tables import Table
 
-# Wait of a long poll; an unchanged table is confirmed this often. It is a
-# third of the limit on the use of revoked keys, so one lost response does not
-# stop callers.
+# Wait of a long poll of the operator's table; if unchanged, it is confirmed this
+# often. What the last confirmation lacks at the start of an outage shortens the
+# time for which callers' keys still count.
+CONFIRM_SECONDS = 0.6
+# Wait of a long poll of other tables, whose age limits nothing.
 LONG_POLL_SECONDS = 1.5
 RETRY_MIN_SECONDS = 0.05
 # Longer than the store's slowest responses. Hosts that retried more often
@@ -111,7 +113,7 @@
             page = await self._read_whole()
         else:
             # After a failure, confirm at once that the store is back.
-            wait_seconds = 0.0 if self.is_failing else LONG_POLL_SECONDS
+            wait_seconds = 0.0 if self.is_failing else self._wait_seconds()
             # Skip the changes that peers have sent meanwhile.
             version = self.known_version()
             page = await self.store.follow(self.table, version, wait_seconds)
@@ -128,6 +130,10 @@
         self.answered_at = now
         self.apply(page, is_whole, asked_at, now)
 
+    def _wait_seconds(self) -> float:
+        is_confirming = self.table is Table.OPERATOR
+        return CONFIRM_SECONDS if is_confirming else LONG_POLL_SECONDS
+
     async def _read_whole(self) -> Page:
         first = page = await self.store.read(self.table)
         rows: list[Row] = list(page.rows)
