Ask peers that are seen again for the prompts that engines hold

Cause: hosts tell each use of a prefix once. Change: a host that sees a silent peer again fetches its list of prefixes, as at a start.

--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -15,9 +15,9 @@
 from .rows import Page, Row
 from .tables import Table
 
-# Wait of a long poll of the operator's table; if unchanged, it is confirmed this
-# often. What the last confirmation lacks at the start of an outage shortens the
-# time for which callers' keys still count.
+# Wait of a long poll of the operator's table, which confirms an unchanged one.
+# When an outage begins, the age of the last confirmation shortens the time for
+# which callers' keys still count.
 CONFIRM_SECONDS = 0.6
 # Wait of a long poll of other tables, whose age limits nothing.
 LONG_POLL_SECONDS = 1.5
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -143,6 +143,7 @@
     members_by_id: dict[int, Member] = field(factory=dict)
     ips_by_host: dict[str, str] = field(factory=dict)
     fleet_size: FleetSize = field(factory=FleetSize)
+    _returned_hosts: set[str] = field(factory=set)
     _added_at_by_host: dict[str, float] = field(factory=dict)
     _count: int = 1
     _counted_at: float = -1.0
@@ -158,8 +159,9 @@
         if member is None or member.heartbeat.incarnation != heartbeat.incarnation:
             self._add(Member(heartbeat, now))
         else:
+            self.record_seen(member, now)
             member.heartbeat = heartbeat
-            member.received_at = member.seen_at = now
+            member.received_at = now
             member.state = heartbeat.state
             member.is_store_answering = heartbeat.is_store_answering
             member.is_introduced = False
@@ -168,6 +170,21 @@
             self.add_address(host, ip, now)
         return True
 
+    def record_seen(self, member: Member, seen_at: float) -> None:
+        """Record when a known process was last seen."""
+        if seen_at - member.seen_at > ADVERTISED_SECONDS:
+            self._returned_hosts.add(member.host)
+        member.seen_at = seen_at
+
+    def take_returned(self) -> list[Member]:
+        """Return the hosts that were silent for a while and are seen again.
+
+        Each is returned once.
+        """
+        hosts, self._returned_hosts = self._returned_hosts, set()
+        members = (self.members_by_host.get(host) for host in sorted(hosts))
+        return [member for member in members if member is not None]
+
     def introduce(self, introductions: Iterable[Introduction], now: float) -> None:
         """Add hosts that a peer knows, and new processes of known hosts."""
         for each in introductions:
--- a/packages/teaselpond/src/teaselpond/gateway/sightings.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sightings.py
@@ -59,7 +59,7 @@
             continue
         seen_at = heard_at - age * AGE_UNIT_SECONDS
         if seen_at > member.seen_at:
-            member.seen_at = seen_at
+            members.record_seen(member, seen_at)
             member.state = _STATES[flags & STATE_MASK]
             member.is_store_answering = bool(flags & ANSWERING_FLAG)
 
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -1,8 +1,12 @@
-"""Find out after a restart which engines have cached which prefixes."""
+"""Find out which engines have cached which prefixes after a gap in the news.
+
+Hosts tell one another which engines processed a prefix, once. A process that
+has just started, and a host that was cut off or frozen, missed some of it.
+"""
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from operator import attrgetter
 
 from attrs import define, field
@@ -15,7 +19,7 @@
 from .engines import Engine
 from .exceptions import MalformedEntry
 from .journal import Journal
-from .members import Members, MemberState
+from .members import Member, Members, MemberState
 from .prefixes import PrefixTracker, PrefixUse, prefix_key
 from .routing_state import RoutingState
 from .sharing import PeerUnavailable, RoutingStateSharing
@@ -27,6 +31,9 @@
 # host asks each engine, so larger fleets skip the listing.
 MAX_LISTINGS = 100
 LISTING_TIMEOUT_SECONDS = 0.5
+# Hosts that were cut off return together, so each waits for a random part of
+# this before it asks one of them.
+RETURN_CHECK_SECONDS = 0.5
 # Only the largest parts of an engine's cache are worth knowing.
 PARTS_PER_ENGINE = 200
 
@@ -52,17 +59,21 @@
     rng: random.Random = field(factory=random.Random)
 
     async def run(self) -> None:
-        """Survey the caches once, then wait to be cancelled."""
+        """Survey the caches once, then ask peers that return; never end."""
         if not self.is_first_start:
             await self._survey()
         self.sharing.can_serve_prefixes = True
-        # ``keep_running`` would run this task again if it returned.
-        await asyncio.Event().wait()
+        while True:
+            pause = RETURN_CHECK_SECONDS * self.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(pause)
+            returned = self.members.take_returned()
+            if returned:
+                await self._query_peers(returned)
 
     async def _survey(self) -> None:
         await self.sharing.applier.completed.wait()
         await asyncio.sleep(PEER_WAIT_SECONDS)
-        if await self._query_peers():
+        if await self._query_peers(self.members.recent(self.clock())):
             return
         engines = self._engines()
         host_count = self.members.count(self.clock())
@@ -76,10 +87,10 @@
             return
         await asyncio.gather(*(self._list_cache(engine) for engine in engines))
 
-    async def _query_peers(self) -> bool:
+    async def _query_peers(self, members: Sequence[Member]) -> bool:
         peers = [
             member
-            for member in self.members.recent(self.clock())
+            for member in members
             if member.state in (MemberState.SERVING, MemberState.UNCONFIRMED)
         ]
         self.rng.shuffle(peers)
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -221,6 +221,16 @@
         members.update(heartbeat, 0.0)
         self.assertEqual({"g1": "ip-g1", "g2": "ip-g2"}, members.ips_by_host)
 
+    def test_returned_hosts(self) -> None:
+        """A host that was silent and is seen again is returned once."""
+        members = Members("me")
+        members.update(make_heartbeat("g1"), 0.0)
+        members.update(make_heartbeat("g1"), ADVERTISED_SECONDS - 0.1)
+        self.assertEqual([], members.take_returned())
+        members.update(make_heartbeat("g1"), 3 * ADVERTISED_SECONDS)
+        self.assertEqual(["g1"], [each.host for each in members.take_returned()])
+        self.assertEqual([], members.take_returned())
+
     def test_silent_addresses_expire(self) -> None:
         """An added address that sends no heartbeat is removed."""
         members = Members("me")
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -5,6 +5,7 @@
 import aiohttp
 from attrs import frozen
 
+from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond_model.exceptions import StoreUnavailable
 from teaselpond_standins.platform.operator import wire_configuration
 from teaselpond_standins.service import ListedFault
@@ -427,6 +428,25 @@
             self.assertEqual("close", response.headers["Connection"].lower())
 
 
+class ReturnedPeerTests(AsyncTestCase):
+    """Ask a peer that was cut off what it knows."""
+
+    async def test_prefixes_of_a_returned_peer(self) -> None:
+        """A host learns what its peer was not able to tell meanwhile."""
+        fleet = await self.enter(GatewayFleet(size=2))
+        host, peer = (daemon.host for daemon in fleet.daemons)
+        await self.wait_until(lambda: peer.settings.host in host.members.ips_by_host)
+        use = PrefixUse(b"12345678", "m0", peer.clock())
+        peer.prefixes.record(use, is_news=False)
+        await asyncio.sleep(1.0)
+        self.assertEqual([], host.prefixes.holders(use.key, host.clock()))
+        member = host.members.members_by_host[peer.settings.host]
+        member.seen_at -= 10.0
+        await self.wait_until(
+            lambda: host.prefixes.holders(use.key, host.clock()) == ["m0"]
+        )
+
+
 class SurveyTests(AsyncTestCase):
     """Start hosts that have no prefixes of prompts."""
 
