Ask returned peers only after a partition; keep registered when the list fails

Cause: in a fleet of 195 a few hosts are out of sight at any time, so that each host would have fetched a list of prefixes twice a second. A failed read of the hosts made a host register again. Change: only if a quarter of the known hosts return together; the read is tried again later.

--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -245,14 +245,18 @@
                 await self._is_stopping.wait()
             return False
         except TimeoutError:
-            pass
-        now = host.clock()
+            # The host goes on running.
+            now = host.clock()
         is_alone = not host.members.recent(now)
         if not is_alone and not self._must_list_hosts(now):
             return True
-        page = await store.read(Table.MEMBERS)
-        self._listed_at = host.clock()
-        host.members.record_listed((row.key for row in page.rows), self._listed_at)
+        self._listed_at = now
+        try:
+            page = await store.read(Table.MEMBERS)
+        except StoreUnavailable as error:
+            host.journal.write("hosts-not-listed", host.clock(), error=str(error))
+            return True
+        host.members.record_listed((row.key for row in page.rows), host.clock())
         for row in page.rows if is_alone else ():
             address = (row.value or b"").decode()
             host.members.add_address(row.key, address, host.clock())
--- a/packages/teaselpond/src/teaselpond/gateway/surveying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/surveying.py
@@ -34,6 +34,9 @@
 # Hosts that were cut off return together, so each waits for a random part of
 # this before it asks one of them.
 RETURN_CHECK_SECONDS = 0.5
+# In a large fleet a few hosts are unseen for a moment at any time. If this
+# share of them returns together, this host or they were cut off.
+RETURNED_RATIO = 0.25
 # Only the largest parts of an engine's cache are worth knowing.
 PARTS_PER_ENGINE = 200
 
@@ -67,7 +70,8 @@
             pause = RETURN_CHECK_SECONDS * self.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause)
             returned = self.members.take_returned()
-            if returned:
+            known = len(self.members.members_by_host)
+            if returned and len(returned) >= RETURNED_RATIO * known:
                 await self._query_peers(returned)
 
     async def _survey(self) -> None:
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -22,6 +22,7 @@
 from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
 from teaselpond.gateway.starts import COUNTED_SECONDS, StartTracker
+from teaselpond.gateway.surveying import RETURNED_RATIO
 from teaselpond_standins.testing.exchanges import (
     SilentJournal,
     SimulatedFleet,
@@ -114,6 +115,31 @@
             len(lost),
         )
 
+    def test_few_hosts_return_in_a_calm_fleet(self) -> None:
+        """Hosts that are unseen for a moment do not look like a partition."""
+        for peer in self.fleet.live_peers:
+            peer.host.members.take_returned()
+        self.fleet.run(1.0)
+        most = max(
+            len(peer.host.members.take_returned()) for peer in self.fleet.live_peers
+        )
+        self.assertLess(most, RETURNED_RATIO * FLEET_SIZE)
+
+    def test_hosts_return_after_a_partition(self) -> None:
+        """The hosts of a zone that was cut off notice it."""
+        self.fleet.is_cut = lambda sender, to: (
+            (sender.zone == "zone-0") != (to.zone == "zone-0")
+        )
+        self.fleet.run(4.0)
+        self.fleet.is_cut = lambda sender, to: False
+        self.fleet.run(0.6)
+        cut = [peer for peer in self.fleet.live_peers if peer.zone == "zone-0"]
+        noticed = sum(
+            len(peer.host.members.take_returned()) >= RETURNED_RATIO * FLEET_SIZE
+            for peer in cut
+        )
+        self.assertGreater(noticed, MIN_NAMED_SHARE * len(cut))
+
     def test_restarted_host(self) -> None:
         """A restarted host is known again, and knows the others."""
         restarted = self.fleet.restart(self.fleet.live_peers[9])
