--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -0,0 +1,27 @@
+"""Track how far a call has got through its attempts."""
+
+from attrs import define, field
+
+from .sending import AttemptFailed
+
+
+@define
+class Progress:
+    """Track the attempts of one call.
+
+    ``placements`` counts the upstreams that the call was placed on,
+    ``arrivals`` the failed attempts that may have reached one, and ``runs``
+    those of them that may have run. ``may_run`` is true if any attempt may
+    have run or may still run. ``shed_ids`` are the tried upstreams that did
+    not run it, ``engine_id`` is the upstream of the latest attempt.
+    """
+
+    last_event_id: str | None
+    tried_ids: set[str] = field(factory=set)
+    shed_ids: set[str] = field(factory=set)
+    placements: int = 0
+    arrivals: int = 0
+    runs: int = 0
+    may_run: bool = False
+    last_failure: AttemptFailed | None = None
+    engine_id: str = ""
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -21,6 +21,7 @@
 from .metrics import Metrics
 from .placement import NoPlacement, Placement, Placer
 from .poison import PoisonTracker, fingerprint_of
+from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
 from .reports import AnswerReports
 from .routing_state import RoutingState
@@ -64,28 +65,6 @@
         """Write whole events; the first write sends the head before them."""
 
 
-@define
-class Progress:
-    """Track the attempts of one call.
-
-    ``placements`` counts the upstreams that the call was placed on,
-    ``arrivals`` the failed attempts that may have reached one, and ``runs``
-    those of them that may have run. ``may_run`` is true if any attempt may
-    have run or may still run. ``shed_ids`` are the tried upstreams that did
-    not run it, ``engine_id`` is the upstream of the latest attempt.
-    """
-
-    last_event_id: str | None
-    tried_ids: set[str] = field(factory=set)
-    shed_ids: set[str] = field(factory=set)
-    placements: int = 0
-    arrivals: int = 0
-    runs: int = 0
-    may_run: bool = False
-    last_failure: AttemptFailed | None = None
-    engine_id: str = ""
-
-
 @define(eq=False)
 class Relay:
     """Place calls on upstreams, relay answers, and retry where allowed."""
