--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -6,6 +6,7 @@
 import struct
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from attrs import define, field, frozen
@@ -92,7 +93,9 @@
     A stream has ``stream_events`` events, ``event_seconds`` apart. Each
     answer has a header with the engine's id as its signature. While
     ``is_leaving`` is set, all answers say so. ``retry_after`` is the header of
-    that name in the answers to calls that get the fault BACK_OFF.
+    that name in the answers to calls that get the fault BACK_OFF. A call whose
+    target or body contains ``crash_marker`` runs, and is not answered:
+    ``crash`` is called instead.
     """
 
     engine_id: str
@@ -103,6 +106,8 @@
     is_leaving: bool = False
     retry_after: str = "1"
     cached_parts: tuple[tuple[str, int], ...] = ()
+    crash_marker: bytes | None = None
+    crash: Callable[[], Awaitable[None]] | None = None
     faults: FaultPlan[ListedFault] = field(factory=FaultPlan)
     seen_calls: list[SeenCall] = field(factory=list)
     runs_by_id: Counter[str] = field(factory=Counter)
@@ -196,6 +201,12 @@
         finally:
             self.running -= 1
 
+    async def _is_crashing(self, request: web.Request) -> bool:
+        if self.crash_marker is None:
+            return False
+        sent = request.raw_path.encode() + await request.read()
+        return self.crash_marker in sent
+
     def _leaving_header(self) -> dict[str, str]:
         return {LEAVING: "1"} if self.is_leaving else {}
 
@@ -205,6 +216,9 @@
         request_id = request.headers.get(REQUEST_ID, "")
         self.runs_by_id[request_id] += 1
         await asyncio.sleep(self.work_seconds)
+        if await self._is_crashing(request):
+            await self.crash()
+            return abort(request)
         headers = {
             REQUEST_ID: request_id,
             SIGNATURE: f"signed-by-{self.engine_id}",
