Log when a host begins to refuse a request that crashes upstreams

Without a line, a host that never counted the crashes can't be told from one that forgot them in a restart. The logic is unchanged.

--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -155,7 +155,14 @@
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
             for engine_id in engine_ids:
-                self.poison.record(BrokenAttempt(fingerprint, engine_id, now))
+                attempt = BrokenAttempt(fingerprint, engine_id, now)
+                if self.poison.record(attempt):
+                    self.journal.write(
+                        "request-quarantined",
+                        now,
+                        fingerprint=fingerprint.hex(),
+                        source=heartbeat.host,
+                    )
         self.receive_heartbeat(heartbeat, now)
         if is_first and heartbeat.state is MemberState.STARTING:
             # A process that has just started knows no peers yet.
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -58,23 +58,31 @@
     )
     _attempts: deque[BrokenAttempt] = field(factory=lambda: deque(maxlen=MAX_REQUESTS))
 
-    def record_own(self, fingerprint: bytes, engine_id: str, now: float) -> None:
-        """Record that an upstream broke off a request of this host."""
-        self.record(BrokenAttempt(fingerprint, engine_id, now))
+    def record_own(self, fingerprint: bytes, engine_id: str, now: float) -> bool:
+        """Record that an upstream broke off a request of this host.
 
-    def record(self, attempt: BrokenAttempt) -> None:
-        """Record a broken attempt of this host or a peer."""
+        Return whether the request counts as poisonous from now on.
+        """
+        return self.record(BrokenAttempt(fingerprint, engine_id, now))
+
+    def record(self, attempt: BrokenAttempt) -> bool:
+        """Record a broken attempt of this host or a peer.
+
+        Return whether the request counts as poisonous from now on.
+        """
+        was_poisonous = self.is_poisonous(attempt.fingerprint, attempt.at)
         broken_at_by_engine = self._broken_at_by_fingerprint.setdefault(
             attempt.fingerprint, {}
         )
         known_at = broken_at_by_engine.get(attempt.engine_id)
         if known_at is not None and attempt.at - known_at < REPEATED_SECONDS:
-            return
+            return False
         broken_at_by_engine[attempt.engine_id] = attempt.at
         self._attempts.append(attempt)
         self._broken_at_by_fingerprint.move_to_end(attempt.fingerprint)
         while len(self._broken_at_by_fingerprint) > MAX_REQUESTS:
             self._broken_at_by_fingerprint.popitem(last=False)
+        return not was_poisonous and self.is_poisonous(attempt.fingerprint, attempt.at)
 
     def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
         """Return whether too many upstreams broke off a request recently."""
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -316,7 +316,15 @@
         )
         fingerprint = fingerprint_of(call)
         if failed.result is Result.BROKEN and fingerprint:
-            self.poison.record_own(fingerprint, engine.engine_id, now)
+            is_new = self.poison.record_own(fingerprint, engine.engine_id, now)
+            if is_new:
+                self.journal.write(
+                    "request-quarantined",
+                    now,
+                    id=call.head.request_id,
+                    fingerprint=fingerprint.hex(),
+                    source="own",
+                )
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
