Count the processes that a request crashed, not the ids of upstreams

What callers saw: a request that crashes its upstreams was sent to two upstreams that start again under their ids 18 times more than 3 s after the third crash, of which three are allowed; other requests on them broke off each time.

Cause: broken attempts were counted by the id of the upstream. A process that starts under the id of a crashed one was not counted, and was ignored for 10 s.

Fix: an attempt counts for the process, which id and time of start identify, as they do for departures. Peers are told in fixed-size records with the age of the attempt, so that what hosts pass back and forth gets older; heartbeats of older builds are still read.

--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -6,6 +6,7 @@
 from .departures import DEPARTURE
 from .load_readings import READING
 from .members import Heartbeat, Introduction, MemberState
+from .poison import NEWS as POISON_NEWS
 from .prefixes import NEWS, PrefixNews
 from .rows import Page, Row
 from .sightings import SIGHTING
@@ -70,6 +71,7 @@
             heartbeat.fleet_size,
             heartbeat.fleet_size_age_seconds,
             heartbeat.prefix_news.ages,
+            heartbeat.poison_news,
         ]
     )
 
@@ -124,6 +126,7 @@
     (departures, fleet_size, fleet_size_age, prefix_ages) = (
         values[20:24] if len(values) >= 24 else (b"", 0, 0.0, b"")
     )
+    poison_news = values[24] if len(values) >= 25 else b""
     return Heartbeat(
         host=str(host),
         incarnation=int(incarnation),
@@ -150,6 +153,7 @@
         departures=_check_size("departures", bytes(departures), DEPARTURE.size),
         fleet_size=int(fleet_size),
         fleet_size_age_seconds=max(0.0, float(fleet_size_age)),
+        poison_news=_check_size("poison news", bytes(poison_news), POISON_NEWS.size),
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -130,7 +130,7 @@
             loads_by_engine=self.loads.own_counts(),
             ips_by_host=ips_by_host,
             engines_by_prefix_key={},
-            engines_by_broken_request=self.poison.relayed(now),
+            engines_by_broken_request={},
             era=self.applier.era,
             configuration_version=configuration.version if configuration else 0,
             introductions=introductions,
@@ -141,6 +141,7 @@
             departures=routing_state.departures.pack_news(now),
             fleet_size=sharing.hosts,
             fleet_size_age_seconds=now - sharing.observed_at + HOP_SECONDS,
+            poison_news=self.poison.pack_news(now),
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -57,11 +57,12 @@
     force, 0 if there is none. ``is_store_answering`` is false while the host
     asks the store and gets no answer, and ``store_back_seconds`` is when, on
     the store's clock, the store's last outage ended, 0 if none was observed.
-    ``sightings``, ``load_readings``, ``prefix_news``, ``starts`` and
-    ``departures`` are packed by the modules that keep them. They pass on what
-    others said.
+    ``sightings``, ``load_readings``, ``prefix_news``, ``starts``,
+    ``departures`` and ``poison_news`` are packed by the modules that keep
+    them. They pass on what others said.
     ``fleet_size`` is the greatest number of hosts that any host observed
-    lately. ``engines_by_prefix_key`` is sent by older builds only.
+    lately. ``engines_by_prefix_key`` and ``engines_by_broken_request`` are
+    sent by older builds only.
     """
 
     host: str
@@ -87,6 +88,7 @@
     departures: bytes = b""
     fleet_size: int = 0
     fleet_size_age_seconds: float = 0.0
+    poison_news: bytes = b""
 
 
 def member_id(host: str, incarnation: int) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -15,6 +15,7 @@
     encode_changes,
     encode_heartbeat,
 )
+from .engines import engine_key
 from .journal import Journal
 from .loads import LoadTracker
 from .members import (
@@ -24,7 +25,7 @@
     Members,
     MemberState,
 )
-from .poison import BrokenAttempt, PoisonTracker
+from .poison import EndedProcess, PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
 from .routing_state import RoutingState
 from .sightings import (
@@ -155,14 +156,15 @@
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
             for engine_id in engine_ids:
-                attempt = BrokenAttempt(fingerprint, engine_id, now)
-                if self.poison.record(attempt):
-                    self.journal.write(
-                        "request-quarantined",
-                        now,
-                        fingerprint=fingerprint.hex(),
-                        source=heartbeat.host,
-                    )
+                key = engine_key(engine_id)
+                self.poison.record(EndedProcess(fingerprint, key, now))
+        for fingerprint in self.poison.merge_news(heartbeat.poison_news, now):
+            self.journal.write(
+                "request-quarantined",
+                now,
+                fingerprint=fingerprint.hex(),
+                source=heartbeat.host,
+            )
         self.receive_heartbeat(heartbeat, now)
         if is_first and heartbeat.state is MemberState.STARTING:
             # A process that has just started knows no peers yet.
@@ -182,6 +184,7 @@
         self._remove_expired()
         self._log_state_changes(self.clock())
         self.loads.starts.expire(self.clock())
+        self.poison.expire(self.clock())
         self.loads.peer_age_seconds = self._turn_rounds * HEARTBEAT_SECONDS / 2
 
     def _log_state_changes(self, now: float) -> None:
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -1,40 +1,67 @@
-"""Detect requests that break the upstreams that run them."""
+"""Detect requests that crash the upstreams that run them.
 
+A request that has ended several processes of upstreams is quarantined: it is
+sent to none any more. Hosts pass on which processes a request ended.
+"""
+
+import enum
 import hashlib
+import struct
 from collections import OrderedDict, deque
+from collections.abc import Iterator
 
 from attrs import define, field, frozen
 
+from .ages import AGE_UNIT_SECONDS, HOP_SECONDS
 from .calls import Call
+from .departures import process_key
+from .engines import Engine
 
-# A request that this many upstreams broke off is not sent again; fewer may be
+# A request that ended this many processes is not sent again; fewer may be
 # coincidental failures of the upstreams.
 POISON_THRESHOLD = 3
-# A broken attempt is passed on to peers for this long after it became known,
-# in which most hosts of a large fleet hear of it.
-RELAYED_SECONDS = 1.5
-# The same attempt is passed on again only after this time, when no copy of it
-# is on its way any more.
-REPEATED_SECONDS = 10.0
 # Callers that retry such a request do so within this time.
-POISON_SECONDS = 60.0
-# Bounds memory: some hundred bytes per entry.
-MAX_REQUESTS = 1024
+POISON_SECONDS = 600.0
+# The end of a process is passed on to peers for this long after it became
+# known, in which most hosts of a large fleet hear of it.
+RELAYED_SECONDS = 1.5
+# Bounds memory: some hundred bytes per request.
+MAX_SUSPECTS = 1024
 FINGERPRINT_BYTES = 8
+PROCESS_KEY_MASK = 0xFFFFFFFF
+NEWS = struct.Struct(f"<{FINGERPRINT_BYTES}sBIH")
+MAX_AGE = 0xFFFF
 
 
-@frozen
-class BrokenAttempt:
-    """Record that an upstream broke off a request.
+class NewsKind(enum.IntEnum):
+    """List what hosts tell one another of a request."""
 
-    ``at`` is on the boot clock.
-    """
+    ENDED_PROCESS = 0
+
+
+@frozen
+class EndedProcess:
+    """Record that a request ended a process; ``at`` is on the boot clock."""
 
     fingerprint: bytes
-    engine_id: str
+    process_key: int
     at: float
 
 
+@define
+class Suspect:
+    """Hold which processes a request ended, and since when it is refused."""
+
+    ended_at_by_process_key: dict[int, float] = field(factory=dict)
+    quarantined_at: float | None = None
+
+    @property
+    def changed_at(self) -> float:
+        """Return when the last process ended, or the quarantine began."""
+        ends = self.ended_at_by_process_key.values()
+        return max((*ends, self.quarantined_at or 0.0))
+
+
 def fingerprint_of(call: Call) -> bytes | None:
     """Return a hash that identifies a request when it is sent again.
 
@@ -51,53 +78,96 @@
 
 @define
 class PoisonTracker:
-    """Count the upstreams that broke off each request."""
+    """Count the processes that each request ended, on all hosts."""
 
-    _broken_at_by_fingerprint: OrderedDict[bytes, dict[str, float]] = field(
-        factory=OrderedDict
+    _suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
+    _newest: deque[EndedProcess] = field(
+        factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
     )
-    _attempts: deque[BrokenAttempt] = field(factory=lambda: deque(maxlen=MAX_REQUESTS))
 
-    def record_own(self, fingerprint: bytes, engine_id: str, now: float) -> bool:
-        """Record that an upstream broke off a request of this host.
+    def record_own(self, fingerprint: bytes, engine: Engine, now: float) -> bool:
+        """Record that a request of this host ended an upstream's process.
 
-        Return whether the request counts as poisonous from now on.
+        Return whether the request is quarantined from now on.
         """
-        return self.record(BrokenAttempt(fingerprint, engine_id, now))
+        key = process_key(engine) & PROCESS_KEY_MASK
+        return self.record(EndedProcess(fingerprint, key, now))
 
-    def record(self, attempt: BrokenAttempt) -> bool:
-        """Record a broken attempt of this host or a peer.
+    def record(self, ended: EndedProcess) -> bool:
+        """Record what this host or a peer saw; return whether to quarantine.
 
-        Return whether the request counts as poisonous from now on.
+        The answer is true only once, when the quarantine begins.
         """
-        was_poisonous = self.is_poisonous(attempt.fingerprint, attempt.at)
-        broken_at_by_engine = self._broken_at_by_fingerprint.setdefault(
-            attempt.fingerprint, {}
-        )
-        known_at = broken_at_by_engine.get(attempt.engine_id)
-        if known_at is not None and attempt.at - known_at < REPEATED_SECONDS:
+        suspect = self._find(ended.fingerprint)
+        if ended.process_key in suspect.ended_at_by_process_key:
             return False
-        broken_at_by_engine[attempt.engine_id] = attempt.at
-        self._attempts.append(attempt)
-        self._broken_at_by_fingerprint.move_to_end(attempt.fingerprint)
-        while len(self._broken_at_by_fingerprint) > MAX_REQUESTS:
-            self._broken_at_by_fingerprint.popitem(last=False)
-        return not was_poisonous and self.is_poisonous(attempt.fingerprint, attempt.at)
+        suspect.ended_at_by_process_key[ended.process_key] = ended.at
+        self._newest.append(ended)
+        is_new = (
+            suspect.quarantined_at is None
+            and len(suspect.ended_at_by_process_key) >= POISON_THRESHOLD
+        )
+        if is_new:
+            suspect.quarantined_at = ended.at
+        self._keep(ended.fingerprint, suspect)
+        return is_new
 
     def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
-        """Return whether too many upstreams broke off a request recently."""
-        broken_at_by_engine = self._broken_at_by_fingerprint.get(fingerprint, {})
-        recent = [
-            at for at in broken_at_by_engine.values() if now - at < POISON_SECONDS
-        ]
-        return len(recent) >= POISON_THRESHOLD
-
-    def relayed(self, now: float) -> dict[bytes, tuple[str, ...]]:
-        """Return the requests to tell peers of, with their upstreams."""
-        engines_by_fingerprint: dict[bytes, tuple[str, ...]] = {}
-        for attempt in reversed(self._attempts):
-            if now - attempt.at >= RELAYED_SECONDS:
+        """Return whether a request is quarantined."""
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        if suspect is None or suspect.quarantined_at is None:
+            return False
+        return now - suspect.quarantined_at < POISON_SECONDS
+
+    def pack_news(self, now: float) -> bytes:
+        """Encode recent ends of processes for peers."""
+        return b"".join(self._pack_ended(now))
+
+    def merge_news(self, packed: bytes, now: float) -> list[bytes]:
+        """Record a peer's news; return the requests quarantined by them."""
+        quarantined = []
+        for fingerprint, kind, key, age in NEWS.iter_unpack(packed):
+            at = now - HOP_SECONDS - age * AGE_UNIT_SECONDS
+            # A newer build may tell more.
+            if kind != NewsKind.ENDED_PROCESS:
+                continue
+            if self.record(EndedProcess(fingerprint, key, at)):
+                quarantined.append(fingerprint)
+        return quarantined
+
+    def expire(self, now: float) -> None:
+        """Forget requests that have ended no process for a long time."""
+        oldest = now - POISON_SECONDS
+        suspects_by_fingerprint = self._suspects_by_fingerprint
+        while suspects_by_fingerprint:
+            fingerprint, suspect = next(iter(suspects_by_fingerprint.items()))
+            if suspect.changed_at > oldest:
+                break
+            del suspects_by_fingerprint[fingerprint]
+
+    def _find(self, fingerprint: bytes) -> Suspect:
+        return self._suspects_by_fingerprint.get(fingerprint) or Suspect()
+
+    def _keep(self, fingerprint: bytes, suspect: Suspect) -> None:
+        """Keep a changed suspect as the newest one."""
+        suspects = self._suspects_by_fingerprint
+        suspects[fingerprint] = suspect
+        suspects.move_to_end(fingerprint)
+        if len(suspects) > MAX_SUSPECTS:
+            suspects.popitem(last=False)
+
+    def _pack_ended(self, now: float) -> Iterator[bytes]:
+        for ended in reversed(self._newest):
+            if now - ended.at >= RELAYED_SECONDS:
                 break
-            known = engines_by_fingerprint.get(attempt.fingerprint, ())
-            engines_by_fingerprint[attempt.fingerprint] = (*known, attempt.engine_id)
-        return engines_by_fingerprint
+            yield NEWS.pack(
+                ended.fingerprint,
+                NewsKind.ENDED_PROCESS,
+                ended.process_key,
+                _encode_age(now - ended.at),
+            )
+
+
+def _encode_age(seconds: float) -> int:
+    """Return an age as a number of two bytes, rounded up."""
+    return min(MAX_AGE, max(0, int(seconds / AGE_UNIT_SECONDS) + 1))
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -316,7 +316,7 @@
         )
         fingerprint = fingerprint_of(call)
         if failed.result is Result.BROKEN and fingerprint:
-            is_new = self.poison.record_own(fingerprint, engine.engine_id, now)
+            is_new = self.poison.record_own(fingerprint, engine, now)
             if is_new:
                 self.journal.write(
                     "request-quarantined",
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -16,7 +16,6 @@
 )
 from teaselpond.gateway.poison import (
     POISON_THRESHOLD,
-    BrokenAttempt,
     PoisonTracker,
 )
 from teaselpond.gateway.prefixes import PrefixUse
@@ -152,7 +151,8 @@
         """All hosts hear of a request that breaks upstreams."""
         first = self.fleet.live_peers[3]
         for number in range(POISON_THRESHOLD):
-            first.host.poison.record_own(b"12345678", f"e{number}", self.fleet.now)
+            engine = make_engine(f"e{number}")
+            first.host.poison.record_own(b"12345678", engine, self.fleet.now)
         self.fleet.run(2.0)
         heard = sum(
             peer.host.poison.is_poisonous(b"12345678", self.fleet.now)
@@ -316,12 +316,10 @@
     def test_attempt_is_passed_on_once(self) -> None:
         """An attempt that two hosts tell each other of is not kept alive."""
         ours, theirs = PoisonTracker(), PoisonTracker()
-        ours.record_own(b"f", "e1", 0.0)
+        ours.record_own(b"12345678", make_engine("e1"), 0.0)
         for step in range(1, 50):
             now = step * 0.1
             for source, target in ((ours, theirs), (theirs, ours)):
-                for fingerprint, engine_ids in source.relayed(now).items():
-                    for engine_id in engine_ids:
-                        target.record(BrokenAttempt(fingerprint, engine_id, now))
-        self.assertEqual({}, ours.relayed(5.0))
-        self.assertEqual({}, theirs.relayed(5.0))
+                target.merge_news(source.pack_news(now), now)
+        self.assertEqual(b"", ours.pack_news(5.0))
+        self.assertEqual(b"", theirs.pack_news(5.0))
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -15,6 +15,7 @@
 )
 from teaselpond.gateway.engines import engine_key
 from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
+from teaselpond.gateway.poison import NEWS as POISON_NEWS
 from teaselpond.gateway.poison import (
     POISON_SECONDS,
     POISON_THRESHOLD,
@@ -37,7 +38,11 @@
 from teaselpond.gateway.rows import Page, Row
 from teaselpond.gateway.tables import Table
 from teaselpond.gateway.windows import SlidingWindowCounter
-from teaselpond_standins.testing.gateways import make_call, make_heartbeat
+from teaselpond_standins.testing.gateways import (
+    make_call,
+    make_engine,
+    make_heartbeat,
+)
 
 # The protocol, the kind, and what a heartbeat held before eras.
 OLDER_HEARTBEAT_VALUES = 15
@@ -122,7 +127,7 @@
         tracker = PoisonTracker()
         for number in range(POISON_THRESHOLD):
             self.assertFalse(tracker.is_poisonous(b"f", 1.0))
-            tracker.record_own(b"f", f"e{number}", 1.0)
+            tracker.record_own(b"f", make_engine(f"e{number}"), 1.0)
         self.assertTrue(tracker.is_poisonous(b"f", 1.0))
         self.assertFalse(tracker.is_poisonous(b"f", 1.0 + POISON_SECONDS))
 
@@ -130,9 +135,17 @@
         """Repeated failures of one upstream count once."""
         tracker = PoisonTracker()
         for number in range(10):
-            tracker.record_own(b"f", "e1", float(number))
+            tracker.record_own(b"f", make_engine("e1"), float(number))
         self.assertFalse(tracker.is_poisonous(b"f", 9.0))
 
+    def test_upstreams_that_start_again_count_as_new_ones(self) -> None:
+        """Each process counts, though all of them have the same id."""
+        tracker = PoisonTracker()
+        for number in range(POISON_THRESHOLD):
+            engine = make_engine("e1", born_ms=number + 1)
+            tracker.record_own(b"f", engine, float(number))
+        self.assertTrue(tracker.is_poisonous(b"f", 3.0))
+
     def test_fingerprints(self) -> None:
         """Equal requests share a fingerprint; one without a body has none."""
         call = make_call(body=b"x")
@@ -205,6 +218,7 @@
             ips_by_host={"g2": "10.0.0.2"},
             engines_by_prefix_key={b"12345678": "e1"},
             engines_by_broken_request={b"12345678": ("e2", "e3")},
+            poison_news=POISON_NEWS.pack(b"12345678", 0, 7, 3),
         )
         self.assertEqual(heartbeat, decode_datagram(encode_heartbeat(heartbeat)))
 
