Keep suspected requests apart from those that broke off once

What callers saw: beside hundreds of other requests a second that broke off, a request that crashes its upstreams was sent to them 9 times more, where three are allowed.

Cause: all broken requests shared one table of 1,024 entries, oldest out first. A failing upstream breaks off many harmless requests, which pushed the one that had crashed two upstreams already out before it came again. Heartbeats named all of the last 1.5 s and grew with them, beyond what one packet carries.

Fix: requests that ended more than one process have a table of their own, and the others one of 4,096 entries. A heartbeat names 32 at most, the former first.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -25,8 +25,12 @@
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
 RELAYED_SECONDS = 1.5
-# Bounds memory: some hundred bytes per request.
-MAX_SUSPECTS = 1024
+# Bounds memory: some hundred bytes per request. Every upstream that fails
+# breaks off many harmless requests, which must not displace the others.
+MAX_SUSPECTS = 4096
+MAX_REPEATED_SUSPECTS = 1024
+# Bounds a heartbeat: together below a kilobyte.
+MAX_RELAYED = 32
 FINGERPRINT_BYTES = 8
 PROCESS_KEY_MASK = 0xFFFFFFFF
 NEWS = struct.Struct(f"<{FINGERPRINT_BYTES}sBIH")
@@ -55,6 +59,11 @@
     ended_at_by_process_key: dict[int, float] = field(factory=dict)
     quarantined_at: float | None = None
 
+    @property
+    def is_repeated(self) -> bool:
+        """Return whether one failing upstream alone does not explain it."""
+        return self.quarantined_at is not None or len(self.ended_at_by_process_key) > 1
+
     @property
     def changed_at(self) -> float:
         """Return when the last process ended, or the quarantine began."""
@@ -81,6 +90,7 @@
     """Count the processes that each request ended, on all hosts."""
 
     _suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
+    _repeated_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
     )
@@ -114,7 +124,7 @@
 
     def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
         """Return whether a request is quarantined."""
-        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        suspect = self._repeated_by_fingerprint.get(fingerprint)
         if suspect is None or suspect.quarantined_at is None:
             return False
         return now - suspect.quarantined_at < POISON_SECONDS
@@ -138,28 +148,45 @@
     def expire(self, now: float) -> None:
         """Forget requests that have ended no process for a long time."""
         oldest = now - POISON_SECONDS
-        suspects_by_fingerprint = self._suspects_by_fingerprint
-        while suspects_by_fingerprint:
-            fingerprint, suspect = next(iter(suspects_by_fingerprint.items()))
-            if suspect.changed_at > oldest:
-                break
-            del suspects_by_fingerprint[fingerprint]
+        for suspects_by_fingerprint in (
+            self._suspects_by_fingerprint,
+            self._repeated_by_fingerprint,
+        ):
+            while suspects_by_fingerprint:
+                fingerprint, suspect = next(iter(suspects_by_fingerprint.items()))
+                if suspect.changed_at > oldest:
+                    break
+                del suspects_by_fingerprint[fingerprint]
 
     def _find(self, fingerprint: bytes) -> Suspect:
-        return self._suspects_by_fingerprint.get(fingerprint) or Suspect()
+        return (
+            self._repeated_by_fingerprint.get(fingerprint)
+            or self._suspects_by_fingerprint.get(fingerprint)
+            or Suspect()
+        )
 
     def _keep(self, fingerprint: bytes, suspect: Suspect) -> None:
-        """Keep a changed suspect as the newest one."""
-        suspects = self._suspects_by_fingerprint
+        """Keep a changed suspect as the newest one of its kind."""
+        suspects, limit = self._suspects_by_fingerprint, MAX_SUSPECTS
+        if suspect.is_repeated:
+            suspects.pop(fingerprint, None)
+            suspects, limit = self._repeated_by_fingerprint, MAX_REPEATED_SUSPECTS
         suspects[fingerprint] = suspect
         suspects.move_to_end(fingerprint)
-        if len(suspects) > MAX_SUSPECTS:
+        if len(suspects) > limit:
             suspects.popitem(last=False)
 
     def _pack_ended(self, now: float) -> Iterator[bytes]:
+        recent = []
         for ended in reversed(self._newest):
             if now - ended.at >= RELAYED_SECONDS:
                 break
+            recent.append(ended)
+        # Those of which other hosts may know a part come first.
+        recent.sort(
+            key=lambda ended: ended.fingerprint not in self._repeated_by_fingerprint
+        )
+        for ended in recent[:MAX_RELAYED]:
             yield NEWS.pack(
                 ended.fingerprint,
                 NewsKind.ENDED_PROCESS,
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -15,13 +15,14 @@
 )
 from teaselpond.gateway.engines import engine_key
 from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
-from teaselpond.gateway.poison import NEWS as POISON_NEWS
 from teaselpond.gateway.poison import (
+    MAX_SUSPECTS,
     POISON_SECONDS,
     POISON_THRESHOLD,
     PoisonTracker,
     fingerprint_of,
 )
+from teaselpond.gateway.poison import NEWS as POISON_NEWS
 from teaselpond.gateway.prefixes import (
     MAX_HOLDERS,
     MAX_KEYS,
@@ -146,6 +147,29 @@
             tracker.record_own(b"f", engine, float(number))
         self.assertTrue(tracker.is_poisonous(b"f", 3.0))
 
+    def test_other_failing_requests_do_not_displace_a_suspect(self) -> None:
+        """A request that ended two processes outlives many that ended one."""
+        tracker = PoisonTracker()
+        for number in range(2):
+            tracker.record_own(b"suspect.", make_engine(f"e{number}"), 1.0)
+        for number in range(MAX_SUSPECTS * 2):
+            tracker.record_own(number.to_bytes(8, "big"), make_engine("e1"), 1.1)
+        tracker.record_own(b"suspect.", make_engine("e2"), 1.2)
+        self.assertTrue(tracker.is_poisonous(b"suspect.", 1.2))
+
+    def test_suspects_are_passed_on_before_other_failing_requests(self) -> None:
+        """A heartbeat is short, and names the repeated ones first."""
+        tracker, peer = PoisonTracker(), PoisonTracker()
+        for number in range(2):
+            tracker.record_own(b"suspect.", make_engine(f"e{number}"), 1.0)
+        for number in range(500):
+            tracker.record_own(number.to_bytes(8, "big"), make_engine("e1"), 1.1)
+        packed = tracker.pack_news(1.2)
+        self.assertLess(len(packed), 1000)
+        peer.merge_news(packed, 1.2)
+        peer.record_own(b"suspect.", make_engine("e2"), 1.3)
+        self.assertTrue(peer.is_poisonous(b"suspect.", 1.3))
+
     def test_fingerprints(self) -> None:
         """Equal requests share a fingerprint; one without a body has none."""
         call = make_call(body=b"x")
