Remind peers of quarantined requests in each heartbeat

What callers saw: while hosts restarted one by one, a request that crashes its upstreams was sent to them 8 times more, where three are allowed.

Cause: the end of a process was passed on for 1.5 s after it became known. A host that started later, or was cut off meanwhile, learnt of the request by crashes of its own, which its peers did not pass on as they knew enough already.

Fix: a host that quarantines a request says so in every heartbeat, with the age of the quarantine, up to 16 requests chosen at random.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -1,11 +1,14 @@
 """Detect requests that crash the upstreams that run them.
 
 A request that has ended several processes of upstreams is quarantined: it is
-sent to none any more. Hosts pass on which processes a request ended.
+sent to none any more. Hosts pass on which processes a request ended, and keep
+reminding one another of the quarantined ones. So a process that starts, or was
+cut off, hears of them with its first heartbeats.
 """
 
 import enum
 import hashlib
+import random
 import struct
 from collections import OrderedDict, deque
 from collections.abc import Iterator
@@ -31,6 +34,7 @@
 MAX_REPEATED_SUSPECTS = 1024
 # Bounds a heartbeat: together below a kilobyte.
 MAX_RELAYED = 32
+MAX_REMINDERS = 16
 FINGERPRINT_BYTES = 8
 PROCESS_KEY_MASK = 0xFFFFFFFF
 NEWS = struct.Struct(f"<{FINGERPRINT_BYTES}sBIH")
@@ -41,6 +45,7 @@
     """List what hosts tell one another of a request."""
 
     ENDED_PROCESS = 0
+    QUARANTINED = 1
 
 
 @frozen
@@ -89,6 +94,7 @@
 class PoisonTracker:
     """Count the processes that each request ended, on all hosts."""
 
+    rng: random.Random = field(factory=random.Random)
     _suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
     _repeated_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
@@ -130,18 +136,22 @@
         return now - suspect.quarantined_at < POISON_SECONDS
 
     def pack_news(self, now: float) -> bytes:
-        """Encode recent ends of processes for peers."""
-        return b"".join(self._pack_ended(now))
+        """Encode recent ends of processes, and reminders, for peers."""
+        return b"".join((*self._pack_ended(now), *self._pack_reminders(now)))
 
     def merge_news(self, packed: bytes, now: float) -> list[bytes]:
         """Record a peer's news; return the requests quarantined by them."""
         quarantined = []
         for fingerprint, kind, key, age in NEWS.iter_unpack(packed):
             at = now - HOP_SECONDS - age * AGE_UNIT_SECONDS
-            # A newer build may tell more.
-            if kind != NewsKind.ENDED_PROCESS:
+            if kind == NewsKind.ENDED_PROCESS:
+                is_new = self.record(EndedProcess(fingerprint, key, at))
+            elif kind == NewsKind.QUARANTINED:
+                is_new = self._quarantine(fingerprint, at)
+            else:
+                # A newer build may tell more.
                 continue
-            if self.record(EndedProcess(fingerprint, key, at)):
+            if is_new:
                 quarantined.append(fingerprint)
         return quarantined
 
@@ -176,6 +186,14 @@
         if len(suspects) > limit:
             suspects.popitem(last=False)
 
+    def _quarantine(self, fingerprint: bytes, at: float) -> bool:
+        suspect = self._find(fingerprint)
+        if suspect.quarantined_at is not None:
+            return False
+        suspect.quarantined_at = at
+        self._keep(fingerprint, suspect)
+        return True
+
     def _pack_ended(self, now: float) -> Iterator[bytes]:
         recent = []
         for ended in reversed(self._newest):
@@ -194,6 +212,18 @@
                 _encode_age(now - ended.at),
             )
 
+    def _pack_reminders(self, now: float) -> Iterator[bytes]:
+        quarantined = [
+            (fingerprint, suspect.quarantined_at)
+            for fingerprint, suspect in self._repeated_by_fingerprint.items()
+            if suspect.quarantined_at is not None
+        ]
+        if len(quarantined) > MAX_REMINDERS:
+            quarantined = self.rng.sample(quarantined, MAX_REMINDERS)
+        for fingerprint, at in quarantined:
+            age = _encode_age(now - at)
+            yield NEWS.pack(fingerprint, NewsKind.QUARANTINED, 0, age)
+
 
 def _encode_age(seconds: float) -> int:
     """Return an age as a number of two bytes, rounded up."""
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -170,6 +170,21 @@
         peer.record_own(b"suspect.", make_engine("e2"), 1.3)
         self.assertTrue(peer.is_poisonous(b"suspect.", 1.3))
 
+    def test_process_that_starts_is_reminded_of_quarantined_requests(self) -> None:
+        """Long after the quarantine began, any heartbeat tells of it."""
+        tracker, started = PoisonTracker(), PoisonTracker()
+        for number in range(POISON_THRESHOLD):
+            tracker.record_own(b"suspect.", make_engine(f"e{number}"), 1.0)
+        news = started.merge_news(tracker.pack_news(100.0), 100.0)
+        self.assertEqual([b"suspect."], news)
+        self.assertTrue(started.is_poisonous(b"suspect.", 100.0))
+        self.assertEqual([], started.merge_news(tracker.pack_news(101.0), 101.0))
+        # Hosts that remind one another do not prolong it.
+        end = 1.0 + POISON_SECONDS
+        self.assertFalse(started.is_poisonous(b"suspect.", end + 0.1))
+        started.expire(end + 0.1)
+        self.assertEqual(b"", started.pack_news(end + 0.1))
+
     def test_fingerprints(self) -> None:
         """Equal requests share a fingerprint; one without a body has none."""
         call = make_call(body=b"x")
