Quarantine requests without a body, and clear those that are answered

What callers saw: a request without a body that crashes its upstreams was sent to them 40 times more than 3 s after the third crash, of which three are allowed.

Cause: such a request had no fingerprint, as many callers send the same one and chance failures of theirs would have added up.

Fix: every request has one, of workspace, method, target and body. What keeps harmless ones from being refused is evidence: a whole answer with a status below 500 clears a request at all hosts, and processes that ended together count as one, since a request is sent to the next upstream after the last has ended. Both hold with a body, too.

--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -157,12 +157,12 @@
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
             for engine_id in engine_ids:
                 key = engine_key(engine_id)
-                self.poison.record(EndedProcess(fingerprint, key, now))
-        for fingerprint in self.poison.merge_news(heartbeat.poison_news, now):
+                self.poison.record(EndedProcess(fingerprint, key, now, now))
+        for change in self.poison.merge_news(heartbeat.poison_news, now):
             self.journal.write(
-                "request-quarantined",
+                "request-quarantined" if change.is_quarantined else "request-cleared",
                 now,
-                fingerprint=fingerprint.hex(),
+                fingerprint=change.fingerprint.hex(),
                 source=heartbeat.host,
             )
         self.receive_heartbeat(heartbeat, now)
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -9,13 +9,16 @@
 class Progress:
     """Track the attempts of one call.
 
+    ``fingerprint`` identifies the request, also when it is sent again.
     ``placements`` counts the upstreams that the call was placed on,
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
-    not run it, ``engine_id`` is the upstream of the latest attempt.
+    not run it, ``engine_id`` is the upstream of the latest attempt, and
+    ``sent_at`` the time of it.
     """
 
+    fingerprint: bytes
     last_event_id: str | None
     tried_ids: set[str] = field(factory=set)
     shed_ids: set[str] = field(factory=set)
@@ -25,3 +28,4 @@
     may_run: bool = False
     last_failure: AttemptFailed | None = None
     engine_id: str = ""
+    sent_at: float = 0.0
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -14,6 +14,7 @@
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
+from .engines import Engine
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .journal import Journal
@@ -90,7 +91,7 @@
 
         Raise StreamCut if an answer has begun and cannot be completed.
         """
-        progress = Progress(call.head.last_event_id)
+        progress = Progress(fingerprint_of(call), call.head.last_event_id)
         self.retry_budget(call.service).record_request(call.arrived_at)
         remaining_seconds = call.expires_at - self.clock() + DEADLINE_SLACK_SECONDS
         try:
@@ -124,12 +125,11 @@
     async def _run(
         self, call: Call, sink: EventSink, progress: Progress
     ) -> Reply | None:
-        fingerprint = fingerprint_of(call)
         while True:
             now = self.clock()
             if call.expires_at - now < MIN_REMAINING_SECONDS:
                 raise TimeoutError
-            if fingerprint and self.poison.is_poisonous(fingerprint, now):
+            if self.poison.is_poisonous(progress.fingerprint, now):
                 return self._finish_with_refusal(
                     call, sink, progress, Refusal.POISONOUS
                 )
@@ -186,6 +186,7 @@
             heard_seconds=round(now - placement.record.received_at, 3),
             after_event=progress.last_event_id,
         )
+        progress.sent_at = now
         self.placer.record_sent(call, placement, now, self.host_count())
         with self.loads.track(engine.engine_id):
             may_run_before = progress.may_run
@@ -196,6 +197,7 @@
                 progress.may_run = may_run_before or not failed.not_run
                 raise
         self.health.get(engine.engine_id).record(Result.SUCCESS, self.clock())
+        self._record_answer(call, progress)
         return reply
 
     async def _send(
@@ -314,17 +316,8 @@
             after_event=progress.last_event_id,
             engine_left_out=ejected,
         )
-        fingerprint = fingerprint_of(call)
-        if failed.result is Result.BROKEN and fingerprint:
-            is_new = self.poison.record_own(fingerprint, engine, now)
-            if is_new:
-                self.journal.write(
-                    "request-quarantined",
-                    now,
-                    id=call.head.request_id,
-                    fingerprint=fingerprint.hex(),
-                    source="own",
-                )
+        if failed.result is Result.BROKEN:
+            self._record_ended_process(call, progress, engine, now)
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
@@ -333,6 +326,30 @@
                 "engine-gone", now, engine=engine.engine_id, reason="other engine"
             )
 
+    def _record_ended_process(
+        self, call: Call, progress: Progress, engine: Engine, now: float
+    ) -> None:
+        fingerprint = progress.fingerprint
+        if self.poison.record_own(fingerprint, engine, progress.sent_at, now):
+            self.journal.write(
+                "request-quarantined",
+                now,
+                id=call.head.request_id,
+                fingerprint=fingerprint.hex(),
+                source="own",
+            )
+
+    def _record_answer(self, call: Call, progress: Progress) -> None:
+        now = self.clock()
+        if self.poison.record_answer(progress.fingerprint, now):
+            self.journal.write(
+                "request-cleared",
+                now,
+                id=call.head.request_id,
+                fingerprint=progress.fingerprint.hex(),
+                source="own",
+            )
+
     def _acquire_retry(self, call: Call, now: float) -> bool:
         acquired = self.retry_budget(call.service).try_acquire(now, self.host_count())
         if not acquired:
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -152,7 +152,8 @@
         first = self.fleet.live_peers[3]
         for number in range(POISON_THRESHOLD):
             engine = make_engine(f"e{number}")
-            first.host.poison.record_own(b"12345678", engine, self.fleet.now)
+            now = self.fleet.now
+            first.host.poison.record_own(b"12345678", engine, now, now)
         self.fleet.run(2.0)
         heard = sum(
             peer.host.poison.is_poisonous(b"12345678", self.fleet.now)
@@ -316,7 +317,7 @@
     def test_attempt_is_passed_on_once(self) -> None:
         """An attempt that two hosts tell each other of is not kept alive."""
         ours, theirs = PoisonTracker(), PoisonTracker()
-        ours.record_own(b"12345678", make_engine("e1"), 0.0)
+        ours.record_own(b"12345678", make_engine("e1"), 0.0, 0.0)
         for step in range(1, 50):
             now = step * 0.1
             for source, target in ((ours, theirs), (theirs, ours)):
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -248,6 +248,24 @@
         reached = sum(bool(each.seen_calls) for each in fleet.model_upstreams)
         self.assertLessEqual(reached, 3)
 
+    async def test_popular_request_is_not_quarantined(self) -> None:
+        """Callers of a target are not refused for others' broken requests."""
+        fleet = await self.enter(GatewayFleet(size=2, plain_count=6))
+        upstreams = fleet.plain_upstreams
+        for upstream in upstreams:
+            upstream.faults = upstreams[0].faults
+        for number in range(6):
+            # Both upstreams of the first call break off.
+            upstreams[0].faults.add(ListedFault(Kind.RUN_THEN_DROP), 2)
+            statuses = []
+            for _ in range(2):
+                async with fleet.call(
+                    "/stock/x", method="GET", body=None, number=number % 2
+                ) as response:
+                    statuses.append(response.status)
+            self.assertEqual([502, 200], statuses, number)
+            await asyncio.sleep(0.5)
+
     async def test_unreachable_upstreams(self) -> None:
         """Calls succeed when only one upstream is reachable."""
         fleet = await self.enter(GatewayFleet(plain_count=3))
