Count upstreams that fall silent as ended by a request

What callers saw: a request that silences its upstreams was sent to them 35 times more than 3 s after the third had ended, of which three are allowed.

Cause: only connections that broke off were counted. A process that stops without closing them shows as a time-out of the attempt, as the deadline of the call, or as a caller that gave up.

Fix: these count too, if the upstream was silent for the objective, or the longest pause, of the route and has answered no other call of any host since. A slow upstream has: its answers to this host and the load readings that hosts pass on tell.

--- a/packages/teaselpond/src/teaselpond/gateway/health.py
+++ b/packages/teaselpond/src/teaselpond/gateway/health.py
@@ -1,6 +1,7 @@
 """Track request results of upstreams and eject failing upstreams."""
 
 import enum
+import math
 from collections.abc import Container
 
 from attrs import define, field
@@ -24,6 +25,7 @@
     SHED = "shed"
 
 
+ANSWERED_RESULTS = frozenset({Result.SUCCESS, Result.FAILED, Result.SHED})
 # Backoff for an unreachable upstream: its first ejection lasts the minimum,
 # and each further failure doubles the time up to the maximum.
 EJECT_MIN_SECONDS = 0.5
@@ -45,16 +47,19 @@
     """Track one upstream's failures and ejection.
 
     Times are on the boot clock. ``reason`` is the result that caused the last
-    ejection.
+    ejection, ``answered_at`` when a whole answer came last.
     """
 
     failure_rate: float = 0.0
     consecutive_failures: int = 0
     ejected_until: float = 0.0
     reason: str = ""
+    answered_at: float = -math.inf
 
     def record(self, result: Result, now: float) -> bool:
         """Record a result; return whether it newly ejects the upstream."""
+        if result in ANSWERED_RESULTS:
+            self.answered_at = now
         if result is Result.SHED:
             return False
         failed = result is not Result.SUCCESS
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -14,8 +14,9 @@
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
-    not run it, ``engine_id`` is the upstream of the latest attempt, and
-    ``sent_at`` the time of it.
+    not run it. Of the latest attempt, ``engine_id`` is the upstream and
+    ``sent_at`` the time. Since ``heard_at`` no bytes of its answer have come;
+    it is infinite while none are expected.
     """
 
     fingerprint: bytes
@@ -29,3 +30,4 @@
     last_failure: AttemptFailed | None = None
     engine_id: str = ""
     sent_at: float = 0.0
+    heard_at: float = 0.0
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -1,6 +1,7 @@
 """Send calls to upstreams, retry failed attempts, and relay the answers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -14,7 +15,7 @@
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
-from .engines import Engine
+from .engines import Engine, engine_key
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .journal import Journal
@@ -186,7 +187,7 @@
             heard_seconds=round(now - placement.record.received_at, 3),
             after_event=progress.last_event_id,
         )
-        progress.sent_at = now
+        progress.sent_at = progress.heard_at = now
         self.placer.record_sent(call, placement, now, self.host_count())
         with self.loads.track(engine.engine_id):
             may_run_before = progress.may_run
@@ -196,6 +197,10 @@
             except AttemptFailed as failed:
                 progress.may_run = may_run_before or not failed.not_run
                 raise
+            except asyncio.CancelledError:
+                # The deadline passed or the caller disconnected.
+                self._record_silence(call, progress, engine)
+                raise
         self.health.get(engine.engine_id).record(Result.SUCCESS, self.clock())
         self._record_answer(call, progress)
         return reply
@@ -223,6 +228,7 @@
                 try:
                     head = answer.head
                     self.reports.record(engine, head, self.clock())
+                    progress.heard_at = self.clock()
                     if call.route.type is not RouteType.STREAM or not head.is_success:
                         body = await answer.read(MAX_ANSWER_BYTES)
                         whole = WholeAnswer(head, body)
@@ -251,6 +257,7 @@
         last_id = progress.last_event_id
         events = SparseEventSplitter(_event_number(last_id))
         async for part in answer.parts():
+            progress.heard_at = self.clock()
             batch = events.feed(part)
             if not batch:
                 continue
@@ -259,7 +266,9 @@
             event_timeout.reschedule(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
+            progress.heard_at = math.inf
             await sink.write(answer.head, batch)
+            progress.heard_at = self.clock()
             if has_timeout:
                 pause = call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR
                 event_timeout.reschedule(asyncio.get_running_loop().time() + pause)
@@ -318,6 +327,8 @@
         )
         if failed.result is Result.BROKEN:
             self._record_ended_process(call, progress, engine, now)
+        elif failed.result is Result.SILENT:
+            self._record_silence(call, progress, engine)
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
@@ -326,6 +337,19 @@
                 "engine-gone", now, engine=engine.engine_id, reason="other engine"
             )
 
+    def _record_silence(self, call: Call, progress: Progress, engine: Engine) -> None:
+        """Record that an upstream ended if it has answered nobody since."""
+        now = self.clock()
+        shortest = min(call.route.objective_seconds, call.route.pause_seconds)
+        if now - progress.heard_at < shortest:
+            return
+        reading = self.loads.readings.newest(engine_key(engine.engine_id))
+        answered_at = self.health.get(engine.engine_id).answered_at
+        if reading is not None:
+            answered_at = max(answered_at, reading.read_at)
+        if answered_at <= progress.heard_at:
+            self._record_ended_process(call, progress, engine, now)
+
     def _record_ended_process(
         self, call: Call, progress: Progress, engine: Engine, now: float
     ) -> None:
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -266,6 +266,42 @@
             self.assertEqual([502, 200], statuses, number)
             await asyncio.sleep(0.5)
 
+    async def test_slow_upstream_is_not_taken_for_a_crashed_one(self) -> None:
+        """A call that is not answered counts only if no other one is."""
+        fleet = await self.enter(GatewayFleet(plain_count=6))
+        upstreams = fleet.plain_upstreams
+        for upstream in upstreams:
+            upstream.faults = upstreams[0].faults
+
+        async def ask(body: bytes, deadline_ms: int) -> int:
+            options = {"body": body, "deadline_ms": deadline_ms}
+            async with fleet.call("/orders/x", **options) as response:
+                await response.read()
+                return response.status
+
+        for number in range(6):
+            upstreams[0].faults.add(ListedFault(Kind.SILENCE), 1)
+            silent = asyncio.create_task(ask(b"same", 700))
+            await asyncio.sleep(0.2)
+            others = (ask(b"%d %d" % (number, n), 3000) for n in range(12))
+            self.assertEqual({200}, set(await asyncio.gather(*others)))
+            self.assertEqual(504, await silent)
+        self.assertEqual(200, await ask(b"same", 3000))
+
+    async def test_silent_upstreams_count_as_crashed(self) -> None:
+        """A request that upstreams never answer reaches at most three."""
+        fleet = await self.enter(GatewayFleet(size=2, plain_count=6))
+        for upstream in fleet.plain_upstreams:
+            upstream.add_fault(Kind.SILENCE, count=100)
+        for number in range(6):
+            async with fleet.call(
+                "/orders/x", number=number % 2, deadline_ms=400
+            ) as response:
+                self.assertIn(response.status, (503, 504))
+            await asyncio.sleep(0.5)
+        reached = sum(bool(each.seen_calls) for each in fleet.plain_upstreams)
+        self.assertLessEqual(reached, 3)
+
     async def test_unreachable_upstreams(self) -> None:
         """Calls succeed when only one upstream is reachable."""
         fleet = await self.enter(GatewayFleet(plain_count=3))
