Remind hosts of upstreams that left before the store was restored

What callers saw: after the store had returned from an older copy and hosts had restarted, calls went on to an upstream that had left, until its entry changed. Its process ends soon after, and such calls with it.

Cause: a departure by entry lived in the entry alone. Running hosts held on to what they had read, but passed on the store's rows. A host that started after the restore took the older entry for the truth; one that started between the removal and the restore took it for a new one. Departures by header were passed on for 1.5 s only, so that a host that started later did not hear of them either.

Fix: a draining entry counts as a departure of its process, like the header. Hosts remind one another for 30 s, in each heartbeat and with the age, of processes that left, of entries that were removed and in which era of the store, and, once it was restored, of the versions up to which an entry is outdated. Only an entry that is written again has a later version, so an upstream that lives is used again at once. A process that was removed and listed again is not affected.

StartedHostTests plays each order of removal, restore and start without a network.

--- a/packages/teaselpond/src/teaselpond/gateway/applying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/applying.py
@@ -17,7 +17,7 @@
     ZoneEvacuated,
     ZoneReturned,
 )
-from .engines import EngineState
+from .engines import Engine, EngineState
 from .journal import Journal
 from .routing_state import RoutingState
 from .rowcache import UNKNOWN_VERSION, RowCache
@@ -67,7 +67,9 @@
         rows = cache.merge_page(page, is_whole)
         if cache.era != page.era:
             return []
-        is_readable = self._apply_rows(table, rows, now, is_restored=is_restored)
+        is_readable = self._apply_rows(
+            table, rows, now, is_whole=is_whole, is_restored=is_restored
+        )
         self.routing_state.freshness.update_offset(asked_at, page.store_seconds)
         if table is Table.OPERATOR and is_readable:
             self.routing_state.freshness.confirm(page.store_seconds)
@@ -109,6 +111,7 @@
                 was_versions=list(self.versions()),
             )
         self.era = page.era
+        self.routing_state.departures.start_era(page.era)
 
     def record_store_answer(self, store_seconds: float, now: float) -> None:
         """Record that the store responded to some host at a time of its clock.
@@ -152,28 +155,42 @@
         rows: Iterable[Row],
         now: float,
         *,
+        is_whole: bool = False,
         is_restored: bool = False,
     ) -> bool:
         is_readable = True
         for row in rows:
             change = self.decode(table, row)
             is_readable &= not isinstance(change, EntryUnreadable)
-            if is_restored and self._is_outdated(change):
+            if is_restored and isinstance(change, ZoneReturned):
+                # The operator evacuates the zone again.
+                self.routing_state.lapse_evacuation(change.availability_zone)
+                continue
+            if isinstance(change, EngineListed) and self._is_outdated(
+                change.engine, row.version, now, is_whole=is_whole
+            ):
+                self.log_change(
+                    "entry-outdated",
+                    now,
+                    engine=change.engine.engine_id,
+                    version=row.version,
+                )
                 continue
             apply_change(change, self, now, row=row)
         return is_readable
 
-    def _is_outdated(self, change: Change) -> bool:
-        """Return whether a restored store only lacks what was known since.
+    def _is_outdated(
+        self, engine: Engine, version: int, now: float, *, is_whole: bool
+    ) -> bool:
+        """Return whether an entry is older than its process's departure.
 
-        Its writers write it again.
+        A restored store may list it again in the first read of the table.
         """
-        if isinstance(change, ZoneReturned):
-            self.routing_state.lapse_evacuation(change.availability_zone)
+        departures = self.routing_state.departures
+        if is_whole and departures.was_removed(engine, now):
+            departures.record_outdated(engine, version, now)
             return True
-        return isinstance(change, EngineListed) and self.routing_state.has_departed(
-            change.engine
-        )
+        return departures.is_outdated(engine, version)
 
     def log_change(self, event: str, now: float, **fields: Any) -> None:
         """Log a change of the routing state."""
@@ -245,7 +262,8 @@
     change: EngineListed, applier: StoreApplier, now: float, row: Row | None = None
 ) -> None:
     engine = change.engine
-    before = applier.routing_state.update_engine(engine, now)
+    version = row.version if row is not None else 0
+    before = applier.routing_state.update_engine(engine, now, version)
     if before is None or before.engine != engine or before.missing_since is not None:
         applier.log_change(
             "engine-listed",
--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -3,7 +3,7 @@
 import cbor2
 from attrs import frozen
 
-from .departures import DEPARTURE
+from .departures import DEPARTURE, REMINDER
 from .load_readings import READING
 from .members import Heartbeat, Introduction, MemberState
 from .poison import NEWS as POISON_NEWS
@@ -72,6 +72,7 @@
             heartbeat.fleet_size_age_seconds,
             heartbeat.prefix_news.ages,
             heartbeat.poison_news,
+            heartbeat.departure_reminders,
         ]
     )
 
@@ -126,7 +127,7 @@
     (departures, fleet_size, fleet_size_age, prefix_ages) = (
         values[20:24] if len(values) >= 24 else (b"", 0, 0.0, b"")
     )
-    poison_news = values[24] if len(values) >= 25 else b""
+    poison_news, reminders = values[24:26] if len(values) >= 26 else (b"", b"")
     return Heartbeat(
         host=str(host),
         incarnation=int(incarnation),
@@ -154,6 +155,9 @@
         fleet_size=int(fleet_size),
         fleet_size_age_seconds=max(0.0, float(fleet_size_age)),
         poison_news=_check_size("poison news", bytes(poison_news), POISON_NEWS.size),
+        departure_reminders=_check_size(
+            "departure reminders", bytes(reminders), REMINDER.size
+        ),
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -142,6 +142,7 @@
             fleet_size=sharing.hosts,
             fleet_size_age_seconds=now - sharing.observed_at + HOP_SECONDS,
             poison_news=self.poison.pack_news(now),
+            departure_reminders=routing_state.departures.pack_reminders(now),
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -58,8 +58,8 @@
     asks the store and gets no answer, and ``store_back_seconds`` is when, on
     the store's clock, the store's last outage ended, 0 if none was observed.
     ``sightings``, ``load_readings``, ``prefix_news``, ``starts``,
-    ``departures`` and ``poison_news`` are packed by the modules that keep
-    them. They pass on what others said.
+    ``departures``, ``departure_reminders`` and ``poison_news`` are packed by
+    the modules that keep them. They pass on what others said.
     ``fleet_size`` is the greatest number of hosts that any host observed
     lately. ``engines_by_prefix_key`` and ``engines_by_broken_request`` are
     sent by older builds only.
@@ -89,6 +89,7 @@
     fleet_size: int = 0
     fleet_size_age_seconds: float = 0.0
     poison_news: bytes = b""
+    departure_reminders: bytes = b""
 
 
 def member_id(host: str, incarnation: int) -> int:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -151,7 +151,12 @@
         self.prefixes.merge_news(
             heartbeat.prefix_news, self.routing_state.find_engine_id, now
         )
-        self.routing_state.merge_departures(heartbeat.departures, now)
+        for engine_id in self.routing_state.merge_departures(
+            heartbeat.departures, heartbeat.departure_reminders, heartbeat.era, now
+        ):
+            self.journal.write(
+                "engine-leaving", now, engine=engine_id, source=heartbeat.host
+            )
         for key, engine_id in heartbeat.engines_by_prefix_key.items():
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -19,7 +19,7 @@
 
 from attrs import define, field, frozen
 
-from .ages import AGE_UNIT_SECONDS, HOP_SECONDS
+from .ages import AGE_UNIT_SECONDS, HOP_SECONDS, encode_long_age
 from .calls import Call
 from .departures import process_key
 from .engines import Engine
@@ -47,7 +47,6 @@
 FINGERPRINT_BYTES = 8
 PROCESS_KEY_MASK = 0xFFFFFFFF
 NEWS = struct.Struct(f"<{FINGERPRINT_BYTES}sBIHH")
-MAX_AGE = 0xFFFF
 
 
 class NewsKind(enum.IntEnum):
@@ -332,10 +331,5 @@
     sent_age: float = 0.0,
 ) -> bytes:
     return NEWS.pack(
-        fingerprint, kind, process_key, _encode_age(age), _encode_age(sent_age)
+        fingerprint, kind, process_key, encode_long_age(age), encode_long_age(sent_age)
     )
-
-
-def _encode_age(seconds: float) -> int:
-    """Return an age as a number of two bytes, rounded up."""
-    return min(MAX_AGE, max(0, int(seconds / AGE_UNIT_SECONDS) + 1))
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -332,7 +332,7 @@
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
-            self.routing_state.remove_engine(engine.engine_id)
+            self.routing_state.remove_engine(engine.engine_id, now)
             self.journal.write(
                 "engine-gone", now, engine=engine.engine_id, reason="other engine"
             )
--- a/packages/teaselpond/src/teaselpond/gateway/reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/reports.py
@@ -28,7 +28,9 @@
                 engine.engine_id, head.cold_seconds, now
             )
         if head.is_leaving and self.routing_state.mark_engine_leaving(engine, now):
-            self.journal.write("engine-leaving", now, engine=engine.engine_id)
+            self.journal.write(
+                "engine-leaving", now, engine=engine.engine_id, source="answer"
+            )
         if head.backoff_seconds is not None:
             applied = self.backoffs.record(engine, head.backoff_seconds, now)
             self.journal.write(
--- a/packages/teaselpond/src/teaselpond/gateway/routing_state.py
+++ b/packages/teaselpond/src/teaselpond/gateway/routing_state.py
@@ -14,22 +14,22 @@
 # An upstream keeps serving for about this long after its entry is removed, and
 # others can still copy from its cache.
 COPY_SOURCE_SECONDS = 2.5
-# A store that was restored may list an upstream again that had left before.
-# Its copies are not older than this.
-DEPARTED_SECONDS = 30.0
+# A removed upstream, and the key of its id, are remembered for this long.
+REMOVED_SECONDS = 30.0
 
 
 @frozen
 class EngineRecord:
     """Hold an upstream's last known state; times are on the boot clock.
 
-    ``missing_since`` is when its entry was found missing after an outage of
-    the store, None if the entry exists.
+    ``version`` is that of its entry. ``missing_since`` is when the entry was
+    found missing after an outage of the store, None if it exists.
     """
 
     engine: Engine
     cold_until: float
     received_at: float
+    version: int = 0
     missing_since: float | None = None
 
 
@@ -72,8 +72,13 @@
             self.engines_by_id[engine_id] = evolve(record, cold_until=cold_until)
         return returned
 
-    def update_engine(self, engine: Engine, now: float) -> EngineRecord | None:
-        """Update an upstream from its entry; return its previous record."""
+    def update_engine(
+        self, engine: Engine, now: float, version: int = 0
+    ) -> EngineRecord | None:
+        """Update an upstream from its entry; return its previous record.
+
+        ``version`` is that of the entry.
+        """
         previous = self.engines_by_id.get(engine.engine_id)
         cold_until = now + engine.cold_seconds
         if previous is not None and previous.engine.born_ms == engine.born_ms:
@@ -85,7 +90,12 @@
                 engine = evolve(engine, state=EngineState.DRAINING)
         if self.departures.contains(engine, now):
             engine = evolve(engine, state=EngineState.DRAINING)
-        self.engines_by_id[engine.engine_id] = EngineRecord(engine, cold_until, now)
+        elif engine.state is EngineState.DRAINING and engine.born_ms:
+            self.departures.record(engine, now)
+        self.departures.record_listed(engine)
+        self.engines_by_id[engine.engine_id] = EngineRecord(
+            engine, cold_until, now, version
+        )
         self._ids_by_key[engine_key(engine.engine_id)] = engine.engine_id
         return previous
 
@@ -99,19 +109,33 @@
             self._apply_departures(now)
         return is_news
 
-    def merge_departures(self, packed: bytes, now: float) -> None:
-        """Send nothing more to processes that left by what a peer says."""
-        if self.departures.merge_news(packed, now):
-            self._apply_departures(now)
+    def merge_departures(
+        self, news: bytes, reminders: bytes, era: int, now: float
+    ) -> list[str]:
+        """Send nothing more to processes that left by what a peer says.
 
-    def _apply_departures(self, now: float) -> None:
-        for engine_id, record in self.engines_by_id.items():
+        ``era`` is that of the store as the peer knows it. Return the ids of
+        the upstreams.
+        """
+        is_news = self.departures.merge_news(news, now)
+        is_news |= self.departures.merge_reminders(reminders, era, now)
+        return self._apply_departures(now) if is_news else []
+
+    def _apply_departures(self, now: float) -> list[str]:
+        leaving_ids = []
+        for engine_id, record in list(self.engines_by_id.items()):
             engine = record.engine
+            if self.departures.is_outdated(engine, record.version):
+                self._remove(engine_id, now)
+                leaving_ids.append(engine_id)
+                continue
             if engine.state is EngineState.READY and self.departures.contains(
                 engine, now
             ):
                 leaving = evolve(engine, state=EngineState.DRAINING)
                 self.engines_by_id[engine_id] = evolve(record, engine=leaving)
+                leaving_ids.append(engine_id)
+        return leaving_ids
 
     def find_engine_id(self, key: int) -> str | None:
         """Return the id of the upstream that peers identify by a number."""
@@ -139,14 +163,13 @@
                 record, missing_since=record.missing_since or now
             )
             return False
-        self._removed_by_id[engine_id] = (record.engine, now)
-        del self.engines_by_id[engine_id]
+        self._remove(engine_id, now)
         return True
 
-    def has_departed(self, engine: Engine) -> bool:
-        """Return whether this process of an upstream was removed recently."""
-        removed, _ = self._removed_by_id.get(engine.engine_id, (None, 0.0))
-        return removed is not None and removed.born_ms == engine.born_ms
+    def _remove(self, engine_id: str, now: float) -> None:
+        engine = self.engines_by_id.pop(engine_id).engine
+        self._removed_by_id[engine_id] = (engine, now)
+        self.departures.record_removed(engine, now)
 
     def lapse_evacuation(self, availability_zone: str) -> None:
         """Keep a zone evacuated for a while that a restored store lacks."""
@@ -164,14 +187,17 @@
         engine, removed_at = self._removed_by_id.get(engine_id, (None, 0.0))
         return engine if now - removed_at < COPY_SOURCE_SECONDS else None
 
-    def remove_engine(self, engine_id: str) -> bool:
+    def remove_engine(self, engine_id: str, now: float) -> bool:
         """Remove an upstream; return whether it was known."""
-        return self.engines_by_id.pop(engine_id, None) is not None
+        record = self.engines_by_id.pop(engine_id, None)
+        if record is not None:
+            self.departures.record_removed(record.engine, now)
+        return record is not None
 
     def expire(self, now: float) -> list[str]:
         """Remove upstreams whose entries did not return; return their ids."""
         for engine_id, (_, removed_at) in list(self._removed_by_id.items()):
-            if now - removed_at >= DEPARTED_SECONDS:
+            if now - removed_at >= REMOVED_SECONDS:
                 del self._removed_by_id[engine_id]
                 if engine_id not in self.engines_by_id:
                     self._ids_by_key.pop(engine_key(engine_id), None)
@@ -187,7 +213,7 @@
             if record.missing_since is not None
         ]
         for engine_id in expired:
-            del self.engines_by_id[engine_id]
+            self._remove(engine_id, now)
         return expired
 
     def _is_recovering(self, now: float) -> bool:
--- a/packages/teaselpond/tests/gateway/test_restore.py
+++ b/packages/teaselpond/tests/gateway/test_restore.py
@@ -6,6 +6,7 @@
 
 from teaselpond.gateway.applying import StoreApplier
 from teaselpond.gateway.changes import EngineListed, EngineMissing
+from teaselpond.gateway.departures import REMINDED_SECONDS
 from teaselpond.gateway.engines import EngineState
 from teaselpond.gateway.journal import Journal
 from teaselpond.gateway.routing_state import ENTRY_RETURN_SECONDS, RoutingState
@@ -146,6 +147,113 @@
     return EngineListed(make_engine(row.key, state=EngineState(row.value.decode())))
 
 
+class StartedHostTests(testtools.TestCase):
+    """Start a host after an upstream has left, and restore the store."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.running = self.make_applier()
+        self.started = self.make_applier()
+        self.read(self.running, Row("e1", b"ready", 10), version=10, now=10.0)
+
+    def make_applier(self) -> StoreApplier:
+        """Return the applier of a process that knows nothing."""
+        return StoreApplier(RoutingState(), SilentJournal("", 0), decode)
+
+    def read(
+        self,
+        applier: StoreApplier,
+        *rows: Row,
+        version: int,
+        now: float,
+        era: int = 1,
+        is_whole: bool = True,
+    ) -> None:
+        """Let a host read rows of the engines' table."""
+        page = make_page(*rows, version=version, era=era, seconds=now)
+        applier.apply(Table.ENGINES, page, is_whole, now, now)
+
+    def remind(self, now: float) -> None:
+        """Send a heartbeat of the running host to the started one."""
+        packed = self.running.routing_state.departures.pack_reminders(now)
+        state = self.started.routing_state
+        state.merge_departures(b"", packed, self.running.era, now)
+
+    def is_used(self, applier: StoreApplier) -> bool:
+        """Return whether a host sends calls to the upstream."""
+        record = applier.routing_state.engines_by_id.get("e1")
+        return record is not None and record.engine.state is EngineState.READY
+
+    def remove(self, now: float) -> None:
+        """Remove the upstream's entry while only one host runs."""
+        removed = Row("e1", None, 11)
+        self.read(self.running, removed, version=11, now=now, is_whole=False)
+
+    def restore(self, applier: StoreApplier, now: float) -> None:
+        """Let a host read a copy in which the upstream is ready."""
+        self.read(applier, Row("e1", b"ready", 10), version=10, now=now, era=2)
+
+    def test_reminded_of_draining_upstream(self) -> None:
+        """The peer's word holds against the older entry, now or later."""
+        draining = Row("e1", b"draining", 11)
+        self.read(self.running, draining, version=11, now=11.0)
+        self.restore(self.started, 12.0)
+        self.assertTrue(self.is_used(self.started))
+        self.remind(12.2)
+        self.assertFalse(self.is_used(self.started))
+        self.restore(self.started, 13.0)
+        self.assertFalse(self.is_used(self.started))
+
+    def test_reminded_of_removal_before_restore(self) -> None:
+        """A host that never saw the entry does not take it for a new one."""
+        self.remove(11.0)
+        self.read(self.started, version=11, now=11.1)
+        self.remind(11.5)
+        self.restore(self.started, 12.0)
+        self.assertFalse(self.is_used(self.started))
+
+    def test_reminded_of_removal_after_restore(self) -> None:
+        """A host that started after the restore learns which entry is old."""
+        self.remove(11.0)
+        self.restore(self.running, 12.0)
+        self.restore(self.started, 12.1)
+        self.remind(12.3)
+        self.assertFalse(self.is_used(self.started))
+
+    def test_entry_that_is_written_again(self) -> None:
+        """An upstream that lives writes its entry anew, and is used."""
+        self.remove(11.0)
+        self.restore(self.running, 12.0)
+        self.restore(self.started, 12.1)
+        self.remind(12.3)
+        again = Row("e1", b"ready", 14)
+        for applier in (self.running, self.started):
+            self.read(applier, again, version=14, now=13.0, era=2, is_whole=False)
+            self.remind(13.2)
+            self.assertTrue(self.is_used(applier))
+
+    def test_removed_upstream_that_returned_before_the_restore(self) -> None:
+        """An entry that lapsed and was written again is not outdated."""
+        self.remove(11.0)
+        self.remind(11.1)
+        returned = Row("e1", b"ready", 12)
+        for applier in (self.running, self.started):
+            self.read(applier, returned, version=12, now=11.5)
+        for applier in (self.running, self.started):
+            self.read(applier, returned, version=12, now=12.0, era=2)
+            self.remind(12.2)
+            self.assertTrue(self.is_used(applier))
+
+    def test_reminders_end(self) -> None:
+        """Two hosts that remind each other soon stop."""
+        self.remove(11.0)
+        self.remind(11.1)
+        self.remind(40.0)
+        for applier in (self.running, self.started):
+            departures = applier.routing_state.departures
+            self.assertEqual(b"", departures.pack_reminders(11.1 + REMINDED_SECONDS))
+
+
 class RestoredFleetTests(AsyncTestCase):
     """Restore the store of running gateways."""
 
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -14,6 +14,7 @@
     encode_changes,
     encode_heartbeat,
 )
+from teaselpond.gateway.departures import REMINDER
 from teaselpond.gateway.engines import Engine, engine_key
 from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
 from teaselpond.gateway.poison import (
@@ -318,6 +319,7 @@
             ips_by_host={"g2": "10.0.0.2"},
             engines_by_prefix_key={b"12345678": "e1"},
             engines_by_broken_request={b"12345678": ("e2", "e3")},
+            departure_reminders=REMINDER.pack(1, 2**60, 3, 4),
             poison_news=POISON_NEWS.pack(b"12345678", 0, 7, 3, 4),
         )
         self.assertEqual(heartbeat, decode_datagram(encode_heartbeat(heartbeat)))
