Return the store to an older copy in the soak

No soak and no kind of disruption of the bench restored the store, so that neither could find what a restore does beside restarts. A copy of 0.5 to 4 s comes back, and the operator and the engines write again what was lost 1.2 s later.

--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/injection.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/injection.py
@@ -19,6 +19,9 @@
 ENTRY_TTL_SECONDS = 3.6
 # Engines write expired entries again this long after an outage of the store.
 RELIST_SECONDS = 1.5
+# The operator and the engines write again, this long after a restore, what the
+# store has lost.
+REWRITE_SECONDS = 1.2
 SLOW_CONNECTION_SECONDS = 0.3
 SLOW_STORE_SECONDS = 0.4
 CONFIGURATION_GAP_SECONDS = 0.06
@@ -235,6 +238,20 @@
             rows.answer_delay_seconds = 0.0
 
 
+@inject.register
+async def _(disturbance: schedule.RestoreStore, context: InjectionContext) -> None:
+    rows = context.site.platform.rows
+    with context.reserve(STORE) as is_free:
+        if not is_free:
+            return
+        copy = rows.copy()
+        await asyncio.sleep(disturbance.seconds)
+        with context.record_trouble(STORE, "restored"):
+            await rows.restore(copy)
+            await asyncio.sleep(REWRITE_SECONDS)
+            await context.site.write_all_again()
+
+
 async def _expire_entries(context: InjectionContext, seconds: float) -> None:
     """Remove the entries of engines, as the platform does without renewals.
 
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -72,6 +72,11 @@
     revokes_key: bool
 
 
+@frozen
+class RestoreStore(Disturbance):
+    """Return the store to a copy that is ``seconds`` old."""
+
+
 @frozen
 class CrashEngine(Disturbance):
     """Crash an engine, and restart it as a new incarnation."""
@@ -179,6 +184,10 @@
         revokes_key = self.random.random() < REVOCATION_IN_OUTAGE_RATIO
         return DisruptStore(at, self._choose_seconds(1, 12), fault, revokes_key)
 
+    def restore_store(self, at: float) -> Disturbance:
+        """Draw the age of the copy that the store returns to."""
+        return RestoreStore(at, self._choose_seconds(0.5, 4))
+
     def crash_engine(self, at: float) -> Disturbance:
         """Draw an engine to crash."""
         return CrashEngine(at, self._choose_seconds(0.5, 5), self._choose_engine())
@@ -239,6 +248,7 @@
     Drawing.disrupt_store_connections,
     Drawing.disrupt_store,
     Drawing.disrupt_store,
+    Drawing.restore_store,
     Drawing.crash_engine,
     Drawing.remove_engine,
     Drawing.remove_engine,
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
@@ -50,13 +50,18 @@
 
 @define(eq=False)
 class SoakEngine:
-    """Hold an upstream, the proxy in front of it and its incarnation."""
+    """Hold an upstream, the proxy in front of it and its incarnation.
+
+    ``listed_entry`` is what it last wrote to the store, None if its entry was
+    removed.
+    """
 
     upstream: ListedUpstream
     proxy: FaultyProxy
     service: str
     availability_zone: str
     incarnation: int = 1
+    listed_entry: dict[str, Any] | None = None
 
     def entry(self, **fields: object) -> dict[str, Any]:
         """Return the engine's entry for the store.
@@ -188,13 +193,27 @@
 
     async def list_engine(self, engine: SoakEngine, **fields: object) -> None:
         """Write an engine's entry to the store."""
-        await self.platform.rows.put_json(
-            "servers", engine.upstream.engine_id, engine.entry(**fields)
-        )
+        engine.listed_entry = engine.entry(**fields)
+        await self._write_entry(engine)
 
     async def unlist_engine(self, engine: SoakEngine) -> None:
         """Remove an engine's entry from the store."""
-        await self.platform.rows.remove("servers", engine.upstream.engine_id)
+        engine.listed_entry = None
+        await self._write_entry(engine)
+
+    async def write_all_again(self) -> None:
+        """Write the configuration and all entries to a restored store."""
+        async with self._configuration_lock:
+            await self.platform.rows.put_json("op", "config", self.configuration)
+        for engine in self.engines_by_id.values():
+            await self._write_entry(engine)
+
+    async def _write_entry(self, engine: SoakEngine) -> None:
+        rows, engine_id = self.platform.rows, engine.upstream.engine_id
+        if engine.listed_entry is not None:
+            await rows.put_json("servers", engine_id, engine.listed_entry)
+        elif rows.value("servers", engine_id) is not None:
+            await rows.remove("servers", engine_id)
 
     async def is_ready(self, gateway: SoakGateway) -> bool:
         """Return whether a gateway reports that it is ready for callers."""
--- a/packages/teaselpond-standins/tests/soak/test_soak.py
+++ b/packages/teaselpond-standins/tests/soak/test_soak.py
@@ -9,9 +9,9 @@
 from teaselpond_standins.soak import Soak, SoakPlan
 from teaselpond_standins.soak.checks import CHECKS
 
-# This seed draws a kill, a planned stop, a pause, a revoked key and a store
-# that loses answers within the 12 seconds.
-PLAN = SoakPlan(seed=1, seconds=12.0, gateways=4, callers=12)
+# This seed draws a kill, a planned stop, a pause, a revoked key, a store that
+# returns from an older copy and one that loses answers within the 12 seconds.
+PLAN = SoakPlan(seed=131, seconds=12.0, gateways=4, callers=12)
 
 
 @functools.cache
