Bound what upstreams that send without end cost a host

Cause: the limit of an answer that is read before it is passed on held for each call alone. Bytes that form no event counted as a part of the stream, and made the host wait on.

Fix: all calls of a host share the limit of one answer, and an answer that holds less than an equal share is still read to the end. A declared length above the limit is refused at once. What holds neither data nor an id is no event: it is not passed on, does not end the wait for an event, and 64 KiB of it break the stream.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -23,6 +23,8 @@
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+ENDLESS_BODY = bytes(64 * 1024)
+ENDLESS_COMMENTS = b": nothing yet\n\n" * 1024
 STREAM_PREFIXES = ("/stream/", "/single/")
 # SO_LINGER with a timeout of 0: closing sends a reset instead of a FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -51,6 +53,7 @@
     CUT_STREAM = "cut-stream"
     CUT_EVENT = "cut-event"
     STALL_STREAM = "stall-stream"
+    ENDLESS = "endless"
 
 
 NOT_RUN_KINDS = frozenset(
@@ -95,7 +98,8 @@
     ``is_leaving`` is set, all answers say so. ``retry_after`` is the header of
     that name in the answers to calls that get the fault BACK_OFF. A call whose
     target or body contains ``crash_marker`` runs, and is not answered:
-    ``crash`` is called instead.
+    ``crash`` is called instead. ``endless_bytes`` counts what answers with the
+    fault ENDLESS have sent.
     """
 
     engine_id: str
@@ -113,6 +117,7 @@
     runs_by_id: Counter[str] = field(factory=Counter)
     running: int = 0
     max_running: int = 0
+    endless_bytes: int = 0
     server: LoopbackServer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -249,6 +254,8 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.stream_events + 1):
             if fault is not None and number - first >= fault.events:
+                if fault.kind is ListedFaultKind.ENDLESS:
+                    return await self._send_endlessly(response, ENDLESS_COMMENTS)
                 if fault.kind is ListedFaultKind.STALL_STREAM:
                     await asyncio.Event().wait()
                 if fault.kind is ListedFaultKind.CUT_EVENT:
@@ -283,8 +290,22 @@
                 return await _send_unframed(request, response, fault)
             case ListedFaultKind.SILENCE:
                 await asyncio.Event().wait()
+            case ListedFaultKind.ENDLESS:
+                endless = web.StreamResponse(headers=response.headers)
+                await endless.prepare(request)
+                return await self._send_endlessly(endless, ENDLESS_BODY)
         return response
 
+    async def _send_endlessly(
+        self, response: web.StreamResponse, chunk: bytes
+    ) -> web.StreamResponse:
+        """Send chunks until the connection is closed, and count the bytes."""
+        while True:
+            await response.write(chunk)
+            self.endless_bytes += len(chunk)
+            # Let other calls run when a write does not wait.
+            await asyncio.sleep(0)
+
 
 async def _send_unframed(
     request: web.Request, response: web.Response, fault: ListedFault
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/held_answers.py
@@ -0,0 +1,61 @@
+"""Limit the memory for answers that are read before they are passed on."""
+
+import contextlib
+from collections.abc import Iterator
+
+from attrs import define
+
+from ..exceptions import UpstreamBroken
+
+# The largest answer, and also the limit of all that a host holds at a time. A
+# failing upstream may send without end.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+
+
+@define(eq=False)
+class HeldAnswer:
+    """Count the bytes of one answer."""
+
+    held_answers: "HeldAnswers"
+    held_bytes: int = 0
+
+    def add(self, count: int) -> None:
+        """Hold more bytes; raise UpstreamBroken if they are too many."""
+        self.held_bytes += count
+        self.held_answers.held_bytes += count
+        if self.held_answers.is_exceeded_by(self):
+            raise UpstreamBroken(
+                f"the answer has more than {self.held_bytes - count} bytes",
+                step="answer",
+            )
+
+
+@define(eq=False)
+class HeldAnswers:
+    """Count the bytes of all answers that a host holds."""
+
+    limit_bytes: int = MAX_HELD_BYTES
+    held_bytes: int = 0
+    _count: int = 0
+
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[HeldAnswer]:
+        """Yield the count of an answer, and release its bytes at the end."""
+        answer = HeldAnswer(self)
+        self._count += 1
+        try:
+            yield answer
+        finally:
+            self._count -= 1
+            self.held_bytes -= answer.held_bytes
+
+    def is_exceeded_by(self, answer: HeldAnswer) -> bool:
+        """Return whether an answer is the one that there is no room for.
+
+        Small answers are read to the end beside one that has taken all the
+        room, since they hold less than an equal share.
+        """
+        return (
+            self.held_bytes > self.limit_bytes
+            and answer.held_bytes > self.limit_bytes / self._count
+        )
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -18,6 +18,7 @@
 from .engines import Engine, engine_key
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
+from .held_answers import HeldAnswers
 from .journal import Journal
 from .loads import LoadTracker
 from .metrics import Metrics
@@ -39,7 +40,6 @@
 
 # Limits how many upstreams a call is sent to, counting those that shed it.
 MAX_PLACEMENTS = 4
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # An answer sent at the deadline arrives up to this much later.
 DEADLINE_SLACK_SECONDS = 0.12
 # Pause before a call that may have run is offered again to upstreams that shed
@@ -85,6 +85,7 @@
     host_count: Callable[[], int]
     make_budget: Callable[[], RetryBudget]
     rng: random.Random = field(factory=random.Random)
+    held_answers: HeldAnswers = field(factory=HeldAnswers)
     _retry_budgets_by_service: dict[str, RetryBudget] = field(factory=dict)
 
     async def run(self, call: Call, sink: EventSink) -> Reply | None:
@@ -230,7 +231,7 @@
                     self.reports.record(engine, head, self.clock())
                     progress.heard_at = self.clock()
                     if call.route.type is not RouteType.STREAM or not head.is_success:
-                        body = await answer.read(MAX_ANSWER_BYTES)
+                        body = await answer.read(self.held_answers)
                         whole = WholeAnswer(head, body)
                         check_answer(whole, peer)
                         return self._reply_from(whole)
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -22,6 +22,7 @@
 from .codec import HeaderCodec
 from .engines import Engine
 from .health import Result
+from .held_answers import HeldAnswers
 
 # An answer without a length ends with its connection. Limits the wait for the
 # close, which tells whether the answer is complete.
@@ -84,17 +85,18 @@
         if self.is_unframed:
             await self._check_end()
 
-    async def read(self, limit: int) -> bytes:
+    async def read(self, held_answers: HeldAnswers) -> bytes:
         """Return the body; raise UpstreamBroken if incomplete or too large."""
+        length = self.response.content_length
+        if length is not None and length > held_answers.limit_bytes:
+            raise UpstreamBroken(
+                f"the answer has {length} bytes", step="answer", peer=self.peer
+            )
         body = bytearray()
-        async for part in self.parts():
-            body += part
-            if len(body) > limit:
-                raise UpstreamBroken(
-                    f"the answer has more than {limit} bytes",
-                    step="answer",
-                    peer=self.peer,
-                )
+        with held_answers.hold() as held:
+            async for part in self.parts():
+                held.add(len(part))
+                body += part
         return bytes(body)
 
     async def _check_end(self) -> None:
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -13,6 +13,9 @@
 # The terminal event is short and last, so only the end of a batch is searched.
 TERMINAL_SEARCH_BYTES = 64
 MAX_EVENT_BYTES = 1024 * 1024
+EVENT_LINE = re.compile(rb"^(?:data|id)(?::|$)", re.MULTILINE)
+# Comments keep a connection open; a few bytes at a time do.
+MAX_EVENTLESS_BYTES = 64 * 1024
 
 
 @frozen
@@ -121,17 +124,20 @@
 class SparseEventSplitter:
     """Split a byte stream into complete events whose ids may have gaps.
 
-    Events with ids up to ``last_id`` are dropped as repeats. ``incomplete``
-    holds the received bytes of an event that has not ended yet.
+    Events with ids up to ``last_id`` are dropped as repeats, and what holds
+    neither data nor an id as no event. ``incomplete`` holds the received bytes
+    of an event that has not ended yet.
     """
 
     last_id: int = -1
     incomplete: bytes = b""
+    _eventless_bytes: int = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes and return the new events that they complete.
 
-        Raise UpstreamBroken for an event that is too large.
+        Raise UpstreamBroken for an event that is too large, and for too many
+        bytes without one.
         """
         data = self.incomplete + chunk
         end = data.rfind(EVENT_END) + len(EVENT_END)
@@ -144,6 +150,8 @@
             )
         events = data[:end]
         numbers = [int(number) for number in ID_LINE.findall(events)]
+        if len(numbers) < events.count(EVENT_END):
+            events = self._drop_eventless(events)
         if not numbers:
             return events
         is_new = numbers[0] > self.last_id
@@ -152,6 +160,21 @@
             return events
         return self._drop_repeats(events)
 
+    def _drop_eventless(self, blocks: bytes) -> bytes:
+        kept = []
+        for block in blocks.split(EVENT_END)[:-1]:
+            if EVENT_LINE.search(block):
+                kept.append(block + EVENT_END)
+                self._eventless_bytes = 0
+                continue
+            self._eventless_bytes += len(block) + len(EVENT_END)
+            if self._eventless_bytes > MAX_EVENTLESS_BYTES:
+                raise UpstreamBroken(
+                    f"received {self._eventless_bytes} bytes without an event",
+                    step="stream",
+                )
+        return b"".join(kept)
+
     def _drop_repeats(self, events: bytes) -> bytes:
         kept = []
         for event in events.split(EVENT_END)[:-1]:
--- /dev/null
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -0,0 +1,94 @@
+"""Test that upstreams that send without end cost a host little."""
+
+import asyncio
+import time
+
+import aiohttp
+import testtools
+
+from teaselpond.exceptions import UpstreamBroken
+from teaselpond.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
+from teaselpond.upstreams.events import MAX_EVENTLESS_BYTES, SparseEventSplitter
+from teaselpond_standins.service import ListedFaultKind as Kind
+from teaselpond_standins.testing import AsyncTestCase
+from teaselpond_standins.testing.gateways import GatewayFleet
+
+CALLS = 6
+# What the sockets of a call buffer on both sides, at most.
+BUFFERED_BYTES = 8 * 1024 * 1024
+ANSWER_SECONDS = 2.5
+
+
+class HeldAnswersTests(testtools.TestCase):
+    """Limit what all calls of a host hold together."""
+
+    def test_all_answers_share_the_limit(self) -> None:
+        """The largest answer is broken off, and its bytes are released."""
+        answers = HeldAnswers(1000)
+        with answers.hold() as large, answers.hold() as small:
+            large.add(900)
+            small.add(90)
+            with testtools.ExpectedException(UpstreamBroken):
+                large.add(200)
+            small.add(300)
+        self.assertEqual(0, answers.held_bytes)
+        with answers.hold() as alone:
+            alone.add(1000)
+
+
+class SparseEventSplitterTests(testtools.TestCase):
+    """Distinguish events from bytes that are none."""
+
+    def test_comments_are_no_events(self) -> None:
+        """A stream of comments alone is broken off."""
+        splitter = SparseEventSplitter()
+        self.assertEqual(b"", splitter.feed(b": one\n\n: two\n\n"))
+        self.assertEqual(b"data: x\n\n", splitter.feed(b": three\n\ndata: x\n\n"))
+        comment = b":" * 1022 + b"\n\n"
+        for _ in range(MAX_EVENTLESS_BYTES // len(comment)):
+            self.assertEqual(b"", splitter.feed(comment))
+        with testtools.ExpectedException(UpstreamBroken):
+            splitter.feed(comment)
+
+
+class EndlessAnswerTests(AsyncTestCase):
+    """Send calls to upstreams that send until the host closes."""
+
+    async def call_all(self, fleet: GatewayFleet, path: str) -> list[int | None]:
+        """Send some calls at once; return the statuses, None if cut."""
+
+        async def call() -> int | None:
+            try:
+                async with fleet.call(path) as response:
+                    await response.read()
+                    return response.status
+            except aiohttp.ClientPayloadError:
+                return None
+
+        return await asyncio.gather(*(call() for _ in range(CALLS)))
+
+    async def test_endless_bodies_share_the_memory_of_one(self) -> None:
+        """The calls end soon, and hold little together."""
+        fleet = await self.enter(GatewayFleet())
+        for upstream in fleet.plain_upstreams:
+            upstream.add_fault(Kind.ENDLESS, count=CALLS)
+        started_at = time.monotonic()
+        statuses = await self.call_all(fleet, "/orders/x")
+        self.assertEqual([502] * CALLS, statuses)
+        self.assertLess(time.monotonic() - started_at, ANSWER_SECONDS)
+        sent = sum(upstream.endless_bytes for upstream in fleet.plain_upstreams)
+        self.assertLess(sent, MAX_HELD_BYTES + CALLS * BUFFERED_BYTES)
+
+    async def test_endless_comments_are_no_stream(self) -> None:
+        """They reach no caller, and a resumable stream goes on elsewhere."""
+        fleet = await self.enter(GatewayFleet())
+        upstreams = fleet.model_upstreams
+        upstreams[1].faults = upstreams[0].faults
+        upstreams[0].add_fault(Kind.ENDLESS, count=1, events=2)
+        async with fleet.call("/stream/x") as response:
+            body = (await response.read()).decode()
+        events = "".join(f"id: {n}\ndata: event {n}\n\n" for n in range(1, 6))
+        self.assertEqual(events, body)
+        for upstream in upstreams:
+            upstream.add_fault(Kind.ENDLESS, count=CALLS)
+        self.assertEqual([502] * CALLS, await self.call_all(fleet, "/single/x"))
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -268,10 +268,12 @@
 
     async def test_slow_upstream_is_not_taken_for_a_crashed_one(self) -> None:
         """A call that is not answered counts only if no other one is."""
-        fleet = await self.enter(GatewayFleet(plain_count=6))
+        fleet = await self.enter(GatewayFleet(plain_count=3))
         upstreams = fleet.plain_upstreams
         for upstream in upstreams:
             upstream.faults = upstreams[0].faults
+            # Calls that take some time are spread over all upstreams.
+            upstream.work_seconds = 0.05
 
         async def ask(body: bytes, deadline_ms: int) -> int:
             options = {"body": body, "deadline_ms": deadline_ms}
@@ -282,10 +284,11 @@
         for number in range(6):
             upstreams[0].faults.add(ListedFault(Kind.SILENCE), 1)
             silent = asyncio.create_task(ask(b"same", 700))
-            await asyncio.sleep(0.2)
-            others = (ask(b"%d %d" % (number, n), 3000) for n in range(12))
-            self.assertEqual({200}, set(await asyncio.gather(*others)))
-            self.assertEqual(504, await silent)
+            await self.wait_until(lambda: any(each.running for each in upstreams))
+            await asyncio.sleep(0.1)
+            others = (ask(b"%d %d" % (number, n), 3000) for n in range(18))
+            self.assertEqual([200] * 18, await asyncio.gather(*others))
+            self.assertEqual(504, await silent, number)
         self.assertEqual(200, await ask(b"same", 3000))
 
     async def test_silent_upstreams_count_as_crashed(self) -> None:
