Keep quarantined requests in the platform's table

What callers saw: with all hosts killed at once, twice within 14 s, a request that crashes its upstreams was sent to them 6 times more than 3 s after the third crash, of which three are allowed. Other requests on them broke off each time.

Cause: quarantines lived in the memory of the hosts. Those that run remind a started one, but after a loss of power of all hosts none is left.

Fix: the host that begins or ends a quarantine writes it to the table of that name, and a process reads the table once at its start, unless the fleet starts for the first time.

--- a/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
+++ b/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
@@ -172,6 +172,20 @@
         await sending
         self.check(crashing)
 
+    async def test_crashing_request_after_all_gateways_restart_at_once(self) -> None:
+        """Gateways that have no peer to ask learn of it from the store."""
+        crashing = await self.start(6)
+        sending = asyncio.create_task(
+            crashing.send_repeatedly("/stock/x", b"it " + MARKER)
+        )
+        gateways = crashing.site.gateways
+        for _ in range(2):
+            await asyncio.sleep(PLAY_SECONDS / 3)
+            await asyncio.gather(*(each.kill() for each in gateways))
+            await asyncio.gather(*(each.start() for each in gateways))
+        await sending
+        self.check(crashing)
+
     async def test_crashing_request_among_others_that_are_cut(self) -> None:
         """Other requests that break off don't make it forgotten."""
         crashing = await self.start(6)
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -21,6 +21,7 @@
 from .journal import JournalHandler
 from .peers import PeerExchange
 from .public import PublicViews
+from .quarantines import QuarantineKeeper
 from .sending import Sender
 from .servers import HttpServer
 from .settings import GatewaySettings
@@ -125,6 +126,7 @@
                 "sharing": sharing.run,
                 "survey": survey.run,
                 "register": lambda: self._register(store),
+                "quarantines": self._make_quarantine_keeper(store).run,
                 "tick": self._tick,
             }
         )
@@ -185,6 +187,16 @@
             host.backoffs,
         )
 
+    def _make_quarantine_keeper(self, store: Store) -> QuarantineKeeper:
+        host = self.host
+        return QuarantineKeeper(
+            store,
+            host.poison,
+            host.journal,
+            host.clock,
+            host.settings.is_first_start,
+        )
+
     async def _open_servers(
         self, sender: Sender, sharing: RoutingStateSharing
     ) -> list[HttpServer]:
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -145,9 +145,16 @@
 
 @define
 class PoisonTracker:
-    """Count the processes that each request ended, on all hosts."""
+    """Count the processes that each request ended, on all hosts.
+
+    ``own_changes`` are the quarantines that began or ended by what this host
+    saw itself, until they are taken out.
+    """
 
     rng: random.Random = field(factory=random.Random)
+    own_changes: deque[QuarantineChange] = field(
+        factory=lambda: deque(maxlen=MAX_REPEATED_SUSPECTS)
+    )
     _suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
     _repeated_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
@@ -165,7 +172,10 @@
         Return whether the request is quarantined from now on.
         """
         key = process_key(engine) & PROCESS_KEY_MASK
-        return self.record(EndedProcess(fingerprint, key, sent_at, now))
+        is_new = self.record(EndedProcess(fingerprint, key, sent_at, now))
+        if is_new:
+            self.own_changes.append(QuarantineChange(fingerprint, True))
+        return is_new
 
     def record(self, ended: EndedProcess) -> bool:
         """Record what this host or a peer saw; return whether to quarantine.
@@ -190,7 +200,19 @@
 
     def record_answer(self, fingerprint: bytes, now: float) -> bool:
         """Record a whole answer; return whether that ends a quarantine."""
-        return self._clear(fingerprint, now)
+        is_new = self._clear(fingerprint, now)
+        if is_new:
+            self.own_changes.append(QuarantineChange(fingerprint, False))
+        return is_new
+
+    def quarantine(self, fingerprint: bytes, at: float) -> bool:
+        """Quarantine a request since a time; return whether that is news."""
+        suspect = self._find(fingerprint) or Suspect()
+        if suspect.quarantined_at is not None or suspect.is_older_than_answer(at):
+            return False
+        suspect.quarantined_at = at
+        self._keep(fingerprint, suspect)
+        return True
 
     def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
         """Return whether a request is quarantined."""
@@ -213,7 +235,7 @@
                 sent_at = heard_at - sent_age * AGE_UNIT_SECONDS
                 is_new = self.record(EndedProcess(fingerprint, key, sent_at, at))
             elif kind == NewsKind.QUARANTINED:
-                is_new = self._quarantine(fingerprint, at)
+                is_new = self.quarantine(fingerprint, at)
             elif kind == NewsKind.CLEARED:
                 is_new = self._clear(fingerprint, at)
             else:
@@ -257,14 +279,6 @@
         if len(suspects) > limit:
             suspects.popitem(last=False)
 
-    def _quarantine(self, fingerprint: bytes, at: float) -> bool:
-        suspect = self._find(fingerprint) or Suspect()
-        if suspect.quarantined_at is not None or suspect.is_older_than_answer(at):
-            return False
-        suspect.quarantined_at = at
-        self._keep(fingerprint, suspect)
-        return True
-
     def _clear(self, fingerprint: bytes, at: float) -> bool:
         """Clear a request that is known to have ended processes."""
         suspect = self._find(fingerprint)
--- a/packages/teaselpond/src/teaselpond/gateway/tables.py
+++ b/packages/teaselpond/src/teaselpond/gateway/tables.py
@@ -9,6 +9,7 @@
     OPERATOR = "operator"
     ENGINES = "engines"
     MEMBERS = "members"
+    QUARANTINES = "quarantines"
 
 
 # The tables that every host caches. Datagrams refer to them by their index.
--- a/packages/teaselpond/src/teaselpond/platform/store.py
+++ b/packages/teaselpond/src/teaselpond/platform/store.py
@@ -27,6 +27,7 @@
     Table.OPERATOR: "op",
     Table.ENGINES: "servers",
     Table.MEMBERS: "members",
+    Table.QUARANTINES: "quarantines",
 }
 
 
