Prolong a quarantine by a process that ends during it

Found by reading: a request that ended one more process during its quarantine, at a host that had not heard of it, kept the time of the first three. When that time had run out the request was sent again and never quarantined anew, as its record was still there. test_late_crash_prolongs_the_quarantine failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -74,6 +74,7 @@
 class Suspect:
     """Hold which processes a request ended, and since when it is refused.
 
+    ``quarantined_at`` is when the last of them ended, None if too few did.
     ``cleared_at`` is when it was last answered. ``is_repeated`` is true once
     one failing upstream alone did not explain what was seen of it.
     """
@@ -180,7 +181,8 @@
     def record(self, ended: EndedProcess) -> bool:
         """Record what this host or a peer saw; return whether to quarantine.
 
-        The answer is true only once, when the quarantine begins.
+        Return true only once, when the quarantine begins. A process that ends
+        later prolongs it.
         """
         suspect = self._find(ended.fingerprint) or Suspect()
         if (
@@ -193,8 +195,8 @@
         is_new = (
             suspect.quarantined_at is None and suspect.count_ends() >= POISON_THRESHOLD
         )
-        if is_new:
-            suspect.quarantined_at = ended.at
+        if is_new or suspect.quarantined_at is not None:
+            suspect.quarantined_at = max(ended.at, suspect.quarantined_at or 0.0)
         self._keep(ended.fingerprint, suspect)
         return is_new
 
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -196,6 +196,17 @@
         started.expire(end + 0.1)
         self.assertEqual(b"", started.pack_news(end + 0.1))
 
+    def test_late_crash_prolongs_the_quarantine(self) -> None:
+        """A host that had not heard of it in time does not end it either."""
+        tracker = PoisonTracker()
+        for number in range(POISON_THRESHOLD):
+            record_end(tracker, b"suspect.", make_engine(f"e{number}"), 1.0)
+        record_end(tracker, b"suspect.", make_engine("late"), 300.0)
+        self.assertTrue(tracker.is_poisonous(b"suspect.", 1.0 + POISON_SECONDS))
+        self.assertFalse(tracker.is_poisonous(b"suspect.", 300.0 + POISON_SECONDS))
+        record_end(tracker, b"suspect.", make_engine("later"), 1000.0)
+        self.assertTrue(tracker.is_poisonous(b"suspect.", 1000.0))
+
     def test_processes_that_end_together_count_once(self) -> None:
         """An outage of all upstreams says nothing of what they were sent."""
         tracker = PoisonTracker()
