--- a/packages/teaselpond/src/teaselpond/gateway/held_answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/held_answers.py
@@ -25,7 +25,8 @@
         self.held_answers.held_bytes += count
         if self.held_answers.is_exceeded_by(self):
             raise UpstreamBroken(
-                f"the answer has more than {self.held_bytes - count} bytes",
+                f"no room for {self.held_bytes} bytes of the answer, of"
+                f" {self.held_answers.held_bytes} that the host holds",
                 step="answer",
             )
 
