--- a/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
+++ b/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
@@ -7,8 +7,8 @@
 import aiohttp
 from attrs import define, field
 
-from teaselpond_standins.platform.operator import HOST, KEY
 from teaselpond_standins.service import ListedFaultKind as Kind
+from teaselpond_standins.soak.single_calls import send_call
 from teaselpond_standins.soak.site import SoakEngine, SoakPlan, SoakSite
 from teaselpond_standins.testing import AsyncTestCase
 
@@ -78,21 +78,8 @@
         gateways = self.site.gateways
         gateway = gateways[self._number % len(gateways)]
         address = self.site.get_entry_address(gateway)
-        headers = {
-            "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
-            "X-Teaselpond-Attempt-Id": f"id-{self._number}",
-            "X-Teaselpond-Deadline-Ms": "1000",
-        }
-        method = "GET" if body is None else "POST"
-        try:
-            async with self.session.request(
-                method, f"http://{address}{path}", data=body, headers=headers
-            ) as response:
-                await response.read()
-                return response.status
-        except (aiohttp.ClientError, TimeoutError):
-            return None
+        request_id = f"id-{self._number}"
+        return await send_call(self.session, address, path, request_id, body=body)
 
     async def send_repeatedly(self, path: str, body: bytes | None) -> None:
         """Send the same request again and again for the time of a play."""
--- a/packages/teaselpond-standins/tests/soak/test_departed_upstreams.py
+++ b/packages/teaselpond-standins/tests/soak/test_departed_upstreams.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from teaselpond_standins.platform.operator import HOST, KEY
+from teaselpond_standins.soak.single_calls import send_call
 from teaselpond_standins.soak.site import SoakPlan, SoakSite
 from teaselpond_standins.testing import AsyncTestCase
 
@@ -72,27 +72,12 @@
             for number in itertools.count():
                 gateway = site.gateways[number % len(site.gateways)]
                 address = site.get_entry_address(gateway)
-                tasks.create_task(self.send(session, address, f"id-{number}"))
+                call = send_call(
+                    session, address, "/orders/x", f"id-{number}", body=b"x"
+                )
+                tasks.create_task(call)
                 await asyncio.sleep(1 / CALLS_PER_SECOND)
 
-    async def send(
-        self, session: aiohttp.ClientSession, address: str, request_id: str
-    ) -> None:
-        """Send one call, whose answer does not matter."""
-        headers = {
-            "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
-            "X-Teaselpond-Attempt-Id": request_id,
-            "X-Teaselpond-Deadline-Ms": "1000",
-        }
-        try:
-            async with session.post(
-                f"http://{address}/orders/x", headers=headers, data=b"x"
-            ) as response:
-                await response.read()
-        except aiohttp.ClientError:
-            return
-
     async def test_draining_upstream_after_restore_and_restart(self) -> None:
         """One gateway that restarts asks others which upstreams drain."""
         self.assertEqual([], await self.play(is_announced=True, restarts=1))
--- a/packages/teaselpond-standins/tests/soak/test_restarted_gateways.py
+++ b/packages/teaselpond-standins/tests/soak/test_restarted_gateways.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 
-from teaselpond_standins.platform.operator import HOST, KEY
 from teaselpond_standins.service import ListedFaultKind as Kind
+from teaselpond_standins.soak.single_calls import send_call
 from teaselpond_standins.soak.site import SoakPlan, SoakSite
 from teaselpond_standins.testing import AsyncTestCase
 
@@ -70,24 +70,9 @@
                 gateway = site.gateways[number % len(site.gateways)]
                 address = site.get_entry_address(gateway)
                 sent.append(time.monotonic())
-                tasks.create_task(self.send(session, address, f"id-{number}"))
+                call = send_call(
+                    session, address, "/stock/x", f"id-{number}", deadline_ms=2000
+                )
+                tasks.create_task(call)
                 number += 1
                 await asyncio.sleep(1 / CALLS_PER_SECOND)
-
-    async def send(
-        self, session: aiohttp.ClientSession, address: str, request_id: str
-    ) -> None:
-        """Send one call, whose answer does not matter."""
-        headers = {
-            "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
-            "X-Teaselpond-Attempt-Id": request_id,
-            "X-Teaselpond-Deadline-Ms": "2000",
-        }
-        try:
-            async with session.get(
-                f"http://{address}/stock/x", headers=headers
-            ) as response:
-                await response.read()
-        except aiohttp.ClientError:
-            return
