Log the parts of prompts that were cut, and whether an answer had begun

The lines could not tell whether the hosts fail to recognise such requests or fail to see the crashes: attempt-failed named neither the parts of the prompt nor whether the attempt had received an event. Both are added; the logic is unchanged.

--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -189,6 +189,7 @@
             after_event=progress.last_event_id,
         )
         progress.sent_at = progress.heard_at = now
+        progress.has_begun = False
         self.placer.record_sent(call, placement, now, self.host_count())
         with self.loads.track(engine.engine_id):
             may_run_before = progress.may_run
@@ -267,6 +268,7 @@
             event_timeout.reschedule(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
+            progress.has_begun = True
             progress.heard_at = math.inf
             await sink.write(answer.head, batch)
             progress.heard_at = self.clock()
@@ -324,6 +326,8 @@
             not_run=failed.not_run,
             age_seconds=round(now - call.arrived_at, 3),
             after_event=progress.last_event_id,
+            has_begun=progress.has_begun,
+            parts=_shared_part_ids(call),
             engine_left_out=ejected,
         )
         if failed.result is Result.BROKEN:
@@ -465,6 +469,11 @@
         return self.refuse(refusal, call.head.request_id, retry_seconds)
 
 
+def _shared_part_ids(call: Call) -> list[str]:
+    prompt = call.head.prompt
+    return [part.part_id for part in prompt.shared_parts] if prompt else []
+
+
 def _event_number(event_id: str | None) -> int:
     """Return an event id as a number, -1 if it is not one."""
     try:
