Reproduce prompts with a part that crashes upstreams

What callers saw: engines crash one after another under requests of one kind, and sound requests beside them are cut or find engines gone.

Three tests on real gateway processes send prompts that share a part which crashes each upstream that begins to answer, no two of them alike, beside sound ones that share their caller and their other parts.

The site with upstreams that crash moves from the test of crashing requests to the soak, as both use it.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/__init__.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/__init__.py
@@ -5,10 +5,17 @@
 """
 
 from .faults import ServiceFault, ServiceFaultKind
-from .listed import ListedFault, ListedFaultKind, ListedUpstream, SeenCall
+from .listed import (
+    PREFIX_HASH,
+    ListedFault,
+    ListedFaultKind,
+    ListedUpstream,
+    SeenCall,
+)
 from .standin import ServiceStandin
 
 __all__ = [
+    "PREFIX_HASH",
     "ListedFault",
     "ListedFaultKind",
     "ListedUpstream",
--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -23,6 +23,7 @@
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+PREFIX_HASH = "X-Teaselpond-Prefix-Hash"
 ENDLESS_BODY = bytes(64 * 1024)
 ENDLESS_COMMENTS = b": nothing yet\n\n" * 1024
 STREAM_PREFIXES = ("/stream/", "/single/")
@@ -98,8 +99,9 @@
     ``is_leaving`` is set, all answers say so. ``retry_after`` is the header of
     that name in the answers to calls that get the fault BACK_OFF. A call whose
     target or body contains ``crash_marker`` runs, and is not answered:
-    ``crash`` is called instead. ``endless_bytes`` counts what answers with the
-    fault ENDLESS have sent.
+    ``crash`` is called instead; so does a stream on a prompt with a part of
+    that id, after the head of its answer. ``endless_bytes`` counts what
+    answers with the fault ENDLESS have sent.
     """
 
     engine_id: str
@@ -212,6 +214,13 @@
         sent = request.raw_path.encode() + await request.read()
         return self.crash_marker in sent
 
+    def _has_crashing_part(self, request: web.Request) -> bool:
+        if self.crash_marker is None:
+            return False
+        parts = request.headers.get(PREFIX_HASH, "").split(",")
+        marker = self.crash_marker.decode()
+        return any(part.partition(":")[0] == marker for part in parts)
+
     def _leaving_header(self) -> dict[str, str]:
         return {LEAVING: "1"} if self.is_leaving else {}
 
@@ -251,6 +260,10 @@
             headers={**headers, "Content-Type": "text/event-stream"}
         )
         await response.prepare(request)
+        if self._has_crashing_part(request):
+            await self.crash()
+            request.transport.abort()
+            return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.stream_events + 1):
             if fault is not None and number - first >= fault.events:
--- a/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
+++ b/packages/teaselpond-standins/tests/soak/test_crashing_requests.py
@@ -1,107 +1,21 @@
 """Send a request that crashes its upstreams to gateway processes."""
 
 import asyncio
-import time
-from collections.abc import Awaitable, Callable
 
 import aiohttp
-from attrs import define, field
 
 from teaselpond_standins.service import ListedFaultKind as Kind
-from teaselpond_standins.soak.single_calls import send_call
-from teaselpond_standins.soak.site import SoakEngine, SoakPlan, SoakSite
+from teaselpond_standins.soak.crashing import MARKER, PLAY_SECONDS, CrashingSite
+from teaselpond_standins.soak.site import SoakPlan, SoakSite
 from teaselpond_standins.testing import AsyncTestCase
 
-MARKER = b"crashes"
-GAP_SECONDS = 0.4
-PLAY_SECONDS = 14.0
 START_SECONDS = 20.0
-DOWN_SECONDS = 0.6
 # The request may reach upstreams this often later than CONTACT_SECONDS after
 # it has crashed the third.
 CRASHES = 3
-CONTACT_SECONDS = 3.0
 ALLOWED_LATE_CALLS = 3
 
 
-@define(eq=False)
-class CrashingSite:
-    """Run gateways before upstreams that a marked request crashes.
-
-    Each of the upstreams starts again under its id soon afterwards.
-    """
-
-    site: SoakSite
-    session: aiohttp.ClientSession
-    is_silent: bool = False
-    crashed_at: list[float] = field(factory=list)
-    _restarting: set[asyncio.Task] = field(factory=set)
-    _number: int = 0
-
-    def prepare(self) -> None:
-        """Make all upstreams crash when a marked request runs."""
-        for engine in self.site.engines_by_id.values():
-            engine.upstream.crash_marker = MARKER
-            engine.upstream.crash = self._make_crash(engine)
-
-    def _make_crash(self, engine: SoakEngine) -> Callable[[], Awaitable[None]]:
-        async def crash() -> None:
-            self.crashed_at.append(time.monotonic())
-            if self.is_silent:
-                # What was sent to it is never answered, nor is it refused.
-                await asyncio.Event().wait()
-            restart = asyncio.create_task(self._restart(engine))
-            self._restarting.add(restart)
-            restart.add_done_callback(self._restarting.discard)
-
-        return crash
-
-    async def _restart(self, engine: SoakEngine) -> None:
-        await engine.upstream.server.start_outage()
-        engine.proxy.reset()
-        await asyncio.sleep(DOWN_SECONDS)
-        await engine.upstream.server.end_outage()
-        engine.incarnation += 1
-        await self.site.list_engine(engine)
-
-    async def __aenter__(self) -> "CrashingSite":
-        return self
-
-    async def __aexit__(self, *exception: object) -> None:
-        for task in self._restarting:
-            task.cancel()
-        await asyncio.gather(*self._restarting, return_exceptions=True)
-
-    async def send(self, path: str, body: bytes | None) -> int | None:
-        """Send a request to the next gateway; return the answer's status."""
-        self._number += 1
-        gateways = self.site.gateways
-        gateway = gateways[self._number % len(gateways)]
-        address = self.site.get_entry_address(gateway)
-        request_id = f"id-{self._number}"
-        return await send_call(self.session, address, path, request_id, body=body)
-
-    async def send_repeatedly(self, path: str, body: bytes | None) -> None:
-        """Send the same request again and again for the time of a play."""
-        end = time.monotonic() + PLAY_SECONDS
-        async with asyncio.TaskGroup() as tasks:
-            while time.monotonic() < end:
-                tasks.create_task(self.send(path, body))
-                await asyncio.sleep(GAP_SECONDS)
-
-    def late_calls(self) -> list[float]:
-        """Return when marked requests reached upstreams after the bound."""
-        if len(self.crashed_at) < CRASHES:
-            return []
-        bound = sorted(self.crashed_at)[CRASHES - 1] + CONTACT_SECONDS
-        return [
-            call.at - bound
-            for engine in self.site.engines_by_id.values()
-            for call in engine.upstream.seen_calls
-            if call.at > bound and MARKER in call.target.encode() + call.body
-        ]
-
-
 class CrashingRequestTests(AsyncTestCase):
     """Keep a request away from upstreams that has crashed three of them."""
 
@@ -111,7 +25,7 @@
         site = await self.enter(SoakSite(plan))
         self.assertEqual([], await site.wait_until_ready(START_SECONDS))
         session = await self.enter(aiohttp.ClientSession())
-        crashing = await self.enter(CrashingSite(site, session, is_silent))
+        crashing = await self.enter(CrashingSite(site, session, is_silent, CRASHES))
         crashing.prepare()
         return crashing
 
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -15,9 +15,9 @@
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
     not run it. Of the latest attempt, ``engine_id`` is the upstream and
-    ``sent_at`` the time; ``has_begun`` is true once an event of its answer came.
-    Since ``heard_at`` no bytes of the answer have come; it is infinite while
-    none are expected.
+    ``sent_at`` the time, and ``has_begun`` whether an event of its answer has
+    come. Since ``heard_at`` no bytes of the answer have come; it is infinite
+    while none are expected.
     """
 
     fingerprint: bytes
