--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -6,7 +6,7 @@
 from .departures import DEPARTURE, REMINDER
 from .load_readings import READING
 from .members import Heartbeat, Introduction, MemberState
-from .poison import NEWS as POISON_NEWS
+from .poison_news import NEWS as POISON_NEWS
 from .prefixes import NEWS, PrefixNews
 from .rows import Page, Row
 from .sightings import SIGHTING
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -25,7 +25,7 @@
     Members,
     MemberState,
 )
-from .poison import EndedProcess, PoisonTracker
+from .poison import PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
 from .routing_state import RoutingState
 from .sightings import (
@@ -33,6 +33,8 @@
     choose_introductions,
     introduction_of,
 )
+from .suspects import EndedProcess
+from .traits import Scope, Trait
 
 HEARTBEAT_SECONDS = 0.2
 # In a larger fleet each round goes to the next hosts in rotation. This bounds
@@ -161,13 +163,15 @@
             self.prefixes.record(PrefixUse(key, engine_id, now))
         for fingerprint, engine_ids in heartbeat.engines_by_broken_request.items():
             for engine_id in engine_ids:
+                trait = Trait(fingerprint, Scope.REQUEST)
                 key = engine_key(engine_id)
-                self.poison.record(EndedProcess(fingerprint, key, now, now))
+                self.poison.record(EndedProcess(trait, key, now, now), now)
         for change in self.poison.merge_news(heartbeat.poison_news, now):
             self.journal.write(
                 "request-quarantined" if change.is_quarantined else "request-cleared",
                 now,
-                fingerprint=change.fingerprint.hex(),
+                fingerprint=change.trait.fingerprint.hex(),
+                scope=change.trait.scope.name.lower(),
                 source=heartbeat.host,
             )
         self.receive_heartbeat(heartbeat, now)
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -1,351 +1,332 @@
 """Detect requests that crash the upstreams that run them.
 
-A request that has ended several processes of upstreams, one after another, is
-quarantined: it is sent to none any more. Many callers may send the same one,
-so processes that end together count once, and a whole answer clears it.
-
-Hosts pass on which processes a request ended and whether it was answered, and
+Either one request does so, or all prompts with one part do. A trait of
+requests that has ended several processes of upstreams is quarantined: requests
+with it are sent to none any more. A crash also cuts harmless requests, so that
+evidence counts for and against each trait of the requests that were cut. A
+whole answer clears the request, the beginning of one the parts of its prompt;
+processes that a quarantined trait explains count little for others.
+
+Hosts pass on which processes a trait ended and whether it was answered, and
 keep reminding one another of the quarantined ones. So a process that starts,
 or was cut off, hears of them with its first heartbeats.
 """
 
-import enum
-import hashlib
+import itertools
 import math
 import random
-import struct
 from collections import OrderedDict, deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field, frozen
 
-from .ages import AGE_UNIT_SECONDS, HOP_SECONDS, encode_long_age
-from .calls import Call
 from .departures import process_key
 from .engines import Engine
+from .poison_news import News, NewsKind, news_of, pack_news, unpack_news
+from .suspects import EndedProcess, Suspect
+from .traits import Trait
 
-# A request that ended this many processes is not sent again; fewer may be
-# coincidental failures of the upstreams.
-POISON_THRESHOLD = 3
 # Callers that retry such a request do so within this time.
 POISON_SECONDS = 600.0
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
 RELAYED_SECONDS = 1.5
-# Bounds memory: some hundred bytes per request. Every upstream that fails
-# breaks off many harmless requests, which must not displace the others.
+# Bounds memory: some hundred bytes per trait. Every upstream that fails breaks
+# off many harmless requests, which must not displace the others.
 MAX_SUSPECTS = 4096
 MAX_REPEATED_SUSPECTS = 1024
+MAX_QUARANTINED = 1024
+MAX_BEGUN = 8192
 # Bounds a heartbeat: together below a kilobyte.
 MAX_RELAYED = 32
 MAX_REMINDERS = 16
 # Hosts that missed the answer remind others of the quarantine. They are told
 # of the answer for this long.
 CLEARED_SECONDS = 60.0
-# Two hosts may disagree by this much on the times of an event.
-TIME_ERROR_SECONDS = 0.05
-FINGERPRINT_BYTES = 8
 PROCESS_KEY_MASK = 0xFFFFFFFF
-NEWS = struct.Struct(f"<{FINGERPRINT_BYTES}sBIHH")
-
-
-class NewsKind(enum.IntEnum):
-    """List what hosts tell one another of a request."""
-
-    ENDED_PROCESS = 0
-    QUARANTINED = 1
-    CLEARED = 2
-
-
-@frozen
-class EndedProcess:
-    """Record that a request ended a process, and when it was sent to it.
-
-    Times are on the boot clock.
-    """
-
-    fingerprint: bytes
-    process_key: int
-    sent_at: float
-    at: float
-
-
-@define
-class Suspect:
-    """Hold which processes a request ended, and since when it is refused.
-
-    ``quarantined_at`` is when the last of them ended, None if too few did.
-    ``cleared_at`` is when it was last answered. ``is_repeated`` is true once
-    one failing upstream alone did not explain what was seen of it.
-    """
-
-    ended_by_process_key: dict[int, EndedProcess] = field(factory=dict)
-    quarantined_at: float | None = None
-    cleared_at: float | None = None
-    is_repeated: bool = False
-
-    @property
-    def changed_at(self) -> float:
-        """Return the time of the last event."""
-        ends = (ended.at for ended in self.ended_by_process_key.values())
-        return max((*ends, self.quarantined_at or 0.0, self.cleared_at or 0.0))
-
-    def is_older_than_answer(self, at: float) -> bool:
-        """Return whether the request was answered after a time."""
-        return self.cleared_at is not None and at <= self.cleared_at
-
-    def count_ends(self) -> int:
-        """Return how many processes ended, each after the one before it.
-
-        A request is sent to the next process after the last one ended;
-        processes that end at once have another cause.
-        """
-        count = 0
-        last_at = -math.inf
-        for ended in sorted(
-            self.ended_by_process_key.values(), key=lambda ended: ended.at
-        ):
-            if ended.sent_at > last_at - TIME_ERROR_SECONDS:
-                count += 1
-                last_at = ended.at
-        return count
-
-    def clear(self, at: float) -> None:
-        """Forget what was seen before a whole answer."""
-        self.cleared_at = at
-        self.ended_by_process_key = {
-            key: ended
-            for key, ended in self.ended_by_process_key.items()
-            if ended.at > at
-        }
-        if self.quarantined_at is not None and self.quarantined_at <= at:
-            self.quarantined_at = None
 
 
 @frozen
 class QuarantineChange:
-    """Report a request that is refused from now on, or no longer."""
+    """Report a trait that is refused from now on, or no longer."""
 
-    fingerprint: bytes
+    trait: Trait
     is_quarantined: bool
 
 
-def fingerprint_of(call: Call) -> bytes:
-    """Return a hash that identifies a request when it is sent again."""
-    workspace = call.workspace.name if call.workspace else ""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (
-        workspace.encode(),
-        call.head.method.encode(),
-        call.head.target.encode(),
-        call.body,
-    ):
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return digest.digest()
+@define
+class SuspectTable:
+    """Keep the newest suspects up to a limit, oldest first."""
+
+    limit: int
+    suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
+
+    def put(self, suspect: Suspect) -> None:
+        """Keep a changed suspect as the newest one."""
+        fingerprint = suspect.trait.fingerprint
+        self.suspects_by_fingerprint[fingerprint] = suspect
+        self.suspects_by_fingerprint.move_to_end(fingerprint)
+        if len(self.suspects_by_fingerprint) > self.limit:
+            self.suspects_by_fingerprint.popitem(last=False)
+
+    def remove(self, fingerprint: bytes) -> None:
+        """Remove a suspect if it is here."""
+        self.suspects_by_fingerprint.pop(fingerprint, None)
+
+    def expire(self, oldest: float) -> None:
+        """Remove the suspects that have not changed since a time."""
+        while self.suspects_by_fingerprint:
+            fingerprint, suspect = next(iter(self.suspects_by_fingerprint.items()))
+            if suspect.changed_at > oldest:
+                break
+            del self.suspects_by_fingerprint[fingerprint]
 
 
 @define
 class PoisonTracker:
-    """Count the processes that each request ended, on all hosts.
+    """Count the processes that each trait ended, on all hosts.
 
-    ``own_changes`` are the quarantines that began or ended by what this host
-    saw itself, until they are taken out.
+    ``own_changes`` are the quarantines that began by what this host saw, also
+    among others, or ended by an answer to it, until they are taken out.
     """
 
     rng: random.Random = field(factory=random.Random)
     own_changes: deque[QuarantineChange] = field(
-        factory=lambda: deque(maxlen=MAX_REPEATED_SUSPECTS)
+        factory=lambda: deque(maxlen=MAX_QUARANTINED)
     )
-    _suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
-    _repeated_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
+    _single: SuspectTable = field(factory=lambda: SuspectTable(MAX_SUSPECTS))
+    _repeated: SuspectTable = field(factory=lambda: SuspectTable(MAX_REPEATED_SUSPECTS))
+    _quarantined: SuspectTable = field(factory=lambda: SuspectTable(MAX_QUARANTINED))
+    _begun_at_by_fingerprint: OrderedDict[bytes, float] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
     )
-    _newest_cleared: deque[bytes] = field(
+    _newest_cleared: deque[tuple[bytes, float]] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
     )
+    _denied_until_by_fingerprint: OrderedDict[bytes, float] = field(
+        factory=OrderedDict, init=False
+    )
 
     def record_own(
-        self, fingerprint: bytes, engine: Engine, sent_at: float, now: float
-    ) -> bool:
+        self, traits: Iterable[Trait], engine: Engine, sent_at: float, now: float
+    ) -> list[Trait]:
         """Record that a request of this host ended an upstream's process.
 
-        Return whether the request is quarantined from now on.
+        ``traits`` are those that may have caused it, the narrowest first.
+        Return those that are quarantined from now on.
         """
         key = process_key(engine) & PROCESS_KEY_MASK
-        is_new = self.record(EndedProcess(fingerprint, key, sent_at, now))
-        if is_new:
-            self.own_changes.append(QuarantineChange(fingerprint, True))
-        return is_new
+        return [
+            trait
+            for trait in traits
+            if self.record(EndedProcess(trait, key, sent_at, now), now, is_own=True)
+        ]
 
-    def record(self, ended: EndedProcess) -> bool:
-        """Record what this host or a peer saw; return whether to quarantine.
+    def record(self, ended: EndedProcess, now: float, *, is_own: bool = False) -> bool:
+        """Record an ended process; return whether a quarantine begins.
 
-        Return true only once, when the quarantine begins. A process that ends
-        later prolongs it.
+        A process that ends later prolongs the quarantine.
         """
-        suspect = self._find(ended.fingerprint) or Suspect()
-        if (
-            ended.process_key in suspect.ended_by_process_key
-            or suspect.is_older_than_answer(ended.at)
-        ):
+        suspect = self._find(ended.trait.fingerprint) or Suspect(ended.trait)
+        if ended.process_key in suspect.ended_by_process_key:
+            return False
+        cleared_at = self._cleared_at(suspect)
+        if ended.sent_at <= cleared_at:
+            if not is_own and suspect.cleared_at < cleared_at:
+                self._tell_cleared(suspect, cleared_at, now)
             return False
-        suspect.ended_by_process_key[ended.process_key] = ended
+        suspect.add(ended)
+        suspect.is_own |= is_own
         self._newest.append(ended)
-        is_new = (
-            suspect.quarantined_at is None and suspect.count_ends() >= POISON_THRESHOLD
-        )
-        if is_new or suspect.quarantined_at is not None:
-            suspect.quarantined_at = max(ended.at, suspect.quarantined_at or 0.0)
-        self._keep(ended.fingerprint, suspect)
-        return is_new
-
-    def record_answer(self, fingerprint: bytes, now: float) -> bool:
-        """Record a whole answer; return whether that ends a quarantine."""
-        is_new = self._clear(fingerprint, now)
-        if is_new:
-            self.own_changes.append(QuarantineChange(fingerprint, False))
-        return is_new
-
-    def quarantine(self, fingerprint: bytes, at: float) -> bool:
-        """Quarantine a request since a time; return whether that is news."""
-        suspect = self._find(fingerprint) or Suspect()
-        if suspect.quarantined_at is not None or suspect.is_older_than_answer(at):
+        self._keep(suspect)
+        if suspect.quarantined_at is not None or not suspect.is_conclusive(
+            self._explained_keys()
+        ):
             return False
-        suspect.quarantined_at = at
-        self._keep(fingerprint, suspect)
+        self._begin_quarantine(suspect, ended.at)
+        return True
+
+    def record_answer(self, traits: Iterable[Trait], now: float) -> list[Trait]:
+        """Record a whole answer; return the traits not refused any more."""
+        return [trait for trait in traits if self._clear(trait, now, now, is_own=True)]
+
+    def record_begun(self, traits: Iterable[Trait], now: float) -> list[Trait]:
+        """Record the first event of an answer to a prompt.
+
+        It clears the parts of the prompt. Return those that are not refused
+        any more.
+        """
+        parts = [trait for trait in traits if trait.is_part]
+        for trait in parts:
+            self._begun_at_by_fingerprint[trait.fingerprint] = now
+            self._begun_at_by_fingerprint.move_to_end(trait.fingerprint)
+        while len(self._begun_at_by_fingerprint) > MAX_BEGUN:
+            self._begun_at_by_fingerprint.popitem(last=False)
+        return self.record_answer(parts, now)
+
+    def quarantine(self, trait: Trait, at: float, now: float) -> bool:
+        """Quarantine a trait since a time; return whether that is news.
+
+        If it was answered later, tell the peers so instead.
+        """
+        suspect = self._find(trait.fingerprint) or Suspect(trait)
+        cleared_at = self._cleared_at(suspect)
+        if at <= cleared_at:
+            suspect.cleared_at = cleared_at
+            self._keep(suspect)
+            self._deny(suspect, now)
+            return False
+        if suspect.quarantined_at is not None:
+            return False
+        self._begin_quarantine(suspect, at)
         return True
 
-    def is_poisonous(self, fingerprint: bytes, now: float) -> bool:
-        """Return whether a request is quarantined."""
-        suspect = self._repeated_by_fingerprint.get(fingerprint)
-        if suspect is None or suspect.quarantined_at is None:
+    def is_poisonous(self, traits: Iterable[Trait], now: float) -> bool:
+        """Return whether a request with these traits must not be sent."""
+        quarantined = self._quarantined.suspects_by_fingerprint
+        if not quarantined:
             return False
-        return now - suspect.quarantined_at < POISON_SECONDS
+        suspects = (quarantined.get(trait.fingerprint) for trait in traits)
+        return any(
+            suspect is not None and now - suspect.quarantined_at < POISON_SECONDS
+            for suspect in suspects
+        )
 
     def pack_news(self, now: float) -> bytes:
         """Encode recent events, and reminders of older ones, for peers."""
-        return b"".join((*self._pack_recent(now), *self._pack_reminders(now)))
+        news = (*self._recent_news(now), *self._reminders(now))
+        return b"".join(pack_news(each, now) for each in news)
 
     def merge_news(self, packed: bytes, now: float) -> list[QuarantineChange]:
         """Record a peer's news; return what is refused, or served, by them."""
         changes = []
-        heard_at = now - HOP_SECONDS
-        for fingerprint, kind, key, age, sent_age in NEWS.iter_unpack(packed):
-            at = heard_at - age * AGE_UNIT_SECONDS
-            if kind == NewsKind.ENDED_PROCESS:
-                sent_at = heard_at - sent_age * AGE_UNIT_SECONDS
-                is_new = self.record(EndedProcess(fingerprint, key, sent_at, at))
-            elif kind == NewsKind.QUARANTINED:
-                is_new = self.quarantine(fingerprint, at)
-            elif kind == NewsKind.CLEARED:
-                is_new = self._clear(fingerprint, at)
-            else:
-                # A newer build may tell more.
-                continue
-            if is_new:
-                is_quarantined = kind != NewsKind.CLEARED
-                changes.append(QuarantineChange(fingerprint, is_quarantined))
+        for news in unpack_news(packed, now):
+            if self._merge(news, now):
+                is_quarantined = news.kind is not NewsKind.CLEARED
+                changes.append(QuarantineChange(news.trait, is_quarantined))
         return changes
 
     def expire(self, now: float) -> None:
-        """Forget requests that have ended no process for a long time."""
-        oldest = now - POISON_SECONDS
-        for suspects_by_fingerprint in (
-            self._suspects_by_fingerprint,
-            self._repeated_by_fingerprint,
-        ):
-            while suspects_by_fingerprint:
-                fingerprint, suspect = next(iter(suspects_by_fingerprint.items()))
-                if suspect.changed_at > oldest:
-                    break
-                del suspects_by_fingerprint[fingerprint]
+        """Forget traits that have ended no process for a long time."""
+        for table in (self._single, self._repeated, self._quarantined):
+            table.expire(now - POISON_SECONDS)
+
+    def _merge(self, news: News, now: float) -> bool:
+        if news.kind is NewsKind.QUARANTINED:
+            return self.quarantine(news.trait, news.at, now)
+        if news.kind is NewsKind.CLEARED:
+            return self._clear(news.trait, news.at, now, is_own=False)
+        ended = EndedProcess(news.trait, news.process_key, news.sent_at, news.at)
+        return self.record(ended, now)
+
+    def _begin_quarantine(self, suspect: Suspect, at: float) -> None:
+        suspect.quarantined_at = at
+        self._keep(suspect)
+        if suspect.is_own:
+            self.own_changes.append(QuarantineChange(suspect.trait, True))
+
+    def _explained_keys(self) -> set[int]:
+        return {
+            key
+            for suspect in self._quarantined.suspects_by_fingerprint.values()
+            for key in suspect.ended_by_process_key
+        }
+
+    def _cleared_at(self, suspect: Suspect) -> float:
+        """Return when an answer last showed that a trait is harmless."""
+        begun_at = self._begun_at_by_fingerprint.get(suspect.trait.fingerprint)
+        return max(suspect.cleared_at, begun_at or -math.inf)
 
     def _find(self, fingerprint: bytes) -> Suspect | None:
-        suspect = self._repeated_by_fingerprint.get(fingerprint)
-        if suspect is None:
-            suspect = self._suspects_by_fingerprint.get(fingerprint)
-        return suspect
+        for table in (self._quarantined, self._repeated, self._single):
+            suspect = table.suspects_by_fingerprint.get(fingerprint)
+            if suspect is not None:
+                return suspect
+        return None
 
-    def _keep(self, fingerprint: bytes, suspect: Suspect) -> None:
+    def _keep(self, suspect: Suspect) -> None:
         """Keep a changed suspect as the newest one of its kind."""
-        suspect.is_repeated |= (
-            suspect.quarantined_at is not None or len(suspect.ended_by_process_key) > 1
-        )
-        suspects, limit = self._suspects_by_fingerprint, MAX_SUSPECTS
-        if suspect.is_repeated:
-            suspects.pop(fingerprint, None)
-            suspects, limit = self._repeated_by_fingerprint, MAX_REPEATED_SUSPECTS
-        suspects[fingerprint] = suspect
-        suspects.move_to_end(fingerprint)
-        if len(suspects) > limit:
-            suspects.popitem(last=False)
-
-    def _clear(self, fingerprint: bytes, at: float) -> bool:
-        """Clear a request that is known to have ended processes."""
-        suspect = self._find(fingerprint)
-        if suspect is None or suspect.is_older_than_answer(at):
-            return False
-        if not suspect.ended_by_process_key and suspect.quarantined_at is None:
+        fingerprint = suspect.trait.fingerprint
+        for table in (self._single, self._repeated, self._quarantined):
+            table.remove(fingerprint)
+        if suspect.quarantined_at is not None:
+            self._quarantined.put(suspect)
+        elif suspect.is_repeated:
+            self._repeated.put(suspect)
+        else:
+            self._single.put(suspect)
+
+    def _clear(self, trait: Trait, at: float, now: float, *, is_own: bool) -> bool:
+        """Clear a known suspect; return whether that ends a quarantine."""
+        suspect = self._find(trait.fingerprint)
+        if suspect is None or at <= suspect.cleared_at:
             return False
         was_quarantined = suspect.quarantined_at is not None
-        suspect.clear(at)
-        self._newest_cleared.append(fingerprint)
-        self._keep(fingerprint, suspect)
-        return was_quarantined and suspect.quarantined_at is None
+        if not suspect.clear(at):
+            return False
+        self._tell_cleared(suspect, at, now)
+        if not was_quarantined or suspect.quarantined_at is not None:
+            return False
+        self._deny(suspect, now)
+        if is_own or suspect.is_own:
+            self.own_changes.append(QuarantineChange(suspect.trait, False))
+        return True
 
-    def _pack_recent(self, now: float) -> Iterator[bytes]:
-        """Encode recent events, of suspects that ended several first."""
+    def _tell_cleared(self, suspect: Suspect, at: float, now: float) -> None:
+        """Tell peers of an answer soon."""
+        suspect.cleared_at = max(at, suspect.cleared_at)
+        self._newest_cleared.append((suspect.trait.fingerprint, now))
+        self._keep(suspect)
+
+    def _deny(self, suspect: Suspect, now: float) -> None:
+        """Keep telling peers for a while that a quarantine has ended."""
+        fingerprint = suspect.trait.fingerprint
+        denied = self._denied_until_by_fingerprint
+        denied[fingerprint] = now + CLEARED_SECONDS
+        denied.move_to_end(fingerprint)
+        if len(denied) > MAX_QUARANTINED:
+            denied.popitem(last=False)
+
+    def _recent_news(self, now: float) -> Iterator[News]:
+        """Return recent events, those of suspects with several ends first."""
         oldest = now - RELAYED_SECONDS
-        recent: list[tuple[bool, bytes]] = []
-        for fingerprint in reversed(self._newest_cleared):
-            suspect = self._find(fingerprint)
-            if suspect is None or suspect.cleared_at is None:
-                continue
-            if suspect.cleared_at <= oldest:
+        cleared: dict[bytes, News] = {}
+        for fingerprint, told_at in reversed(self._newest_cleared):
+            if told_at <= oldest:
                 break
-            item = _pack(fingerprint, NewsKind.CLEARED, now - suspect.cleared_at)
-            recent.append((suspect.is_repeated, item))
+            suspect = self._find(fingerprint)
+            if suspect is not None:
+                cleared[fingerprint] = _cleared_news(suspect)
+        ends: list[tuple[int, News]] = []
         for ended in reversed(self._newest):
             if ended.at <= oldest:
                 break
-            item = _pack(
-                ended.fingerprint,
-                NewsKind.ENDED_PROCESS,
-                now - ended.at,
-                ended.process_key,
-                now - ended.sent_at,
-            )
-            is_repeated = ended.fingerprint in self._repeated_by_fingerprint
-            recent.append((is_repeated, item))
-        recent.sort(key=lambda each: not each[0])
-        for _, item in recent[:MAX_RELAYED]:
-            yield item
-
-    def _pack_reminders(self, now: float) -> Iterator[bytes]:
-        reminders = []
-        for fingerprint, suspect in self._repeated_by_fingerprint.items():
-            if suspect.quarantined_at is not None:
-                age = now - suspect.quarantined_at
-                reminders.append(_pack(fingerprint, NewsKind.QUARANTINED, age))
-            elif (
-                suspect.cleared_at is not None
-                and now - suspect.cleared_at < CLEARED_SECONDS
+            suspect = self._find(ended.trait.fingerprint)
+            if suspect is not None and ended.process_key in (
+                suspect.ended_by_process_key
             ):
-                age = now - suspect.cleared_at
-                reminders.append(_pack(fingerprint, NewsKind.CLEARED, age))
+                ends.append((len(suspect.ended_by_process_key), news_of(ended)))
+        ends.sort(key=lambda each: each[0], reverse=True)
+        repeated = [news for count, news in ends if count > 1]
+        single = [news for count, news in ends if count == 1]
+        yield from itertools.islice(
+            (*repeated, *cleared.values(), *single), MAX_RELAYED
+        )
+
+    def _reminders(self, now: float) -> Iterator[News]:
+        reminders = [
+            News(suspect.trait, NewsKind.QUARANTINED, suspect.quarantined_at)
+            for suspect in self._quarantined.suspects_by_fingerprint.values()
+        ]
+        for fingerprint, until in self._denied_until_by_fingerprint.items():
+            suspect = self._find(fingerprint)
+            if now < until and suspect is not None and suspect.quarantined_at is None:
+                reminders.append(_cleared_news(suspect))
         if len(reminders) > MAX_REMINDERS:
             reminders = self.rng.sample(reminders, MAX_REMINDERS)
         yield from reminders
 
 
-def _pack(
-    fingerprint: bytes,
-    kind: NewsKind,
-    age: float,
-    process_key: int = 0,
-    sent_age: float = 0.0,
-) -> bytes:
-    return NEWS.pack(
-        fingerprint, kind, process_key, encode_long_age(age), encode_long_age(sent_age)
-    )
+def _cleared_news(suspect: Suspect) -> News:
+    return News(suspect.trait, NewsKind.CLEARED, suspect.cleared_at)
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -3,14 +3,15 @@
 from attrs import define, field
 
 from .sending import AttemptFailed
+from .traits import Trait
 
 
 @define
 class Progress:
     """Track the attempts of one call.
 
-    ``fingerprint`` identifies the request, also when it is sent again.
-    ``placements`` counts the upstreams that the call was placed on,
+    ``traits`` name what the request has in common with others that may crash
+    upstreams. ``placements`` counts the upstreams that the call was placed on,
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
@@ -20,7 +21,7 @@
     while none are expected.
     """
 
-    fingerprint: bytes
+    traits: tuple[Trait, ...]
     last_event_id: str | None
     tried_ids: set[str] = field(factory=set)
     shed_ids: set[str] = field(factory=set)
--- a/packages/teaselpond/src/teaselpond/gateway/quarantines.py
+++ b/packages/teaselpond/src/teaselpond/gateway/quarantines.py
@@ -1,4 +1,4 @@
-"""Keep quarantined requests in the store, for when all hosts restart at once.
+"""Keep quarantined traits in the store, for when all hosts restart at once.
 
 Running hosts remind one another of them. The store is written when a
 quarantine begins or ends, and read once at the start of a process.
@@ -14,16 +14,17 @@
 from teaselpond_model.exceptions import StoreUnavailable
 
 from .journal import Journal
-from .poison import FINGERPRINT_BYTES, POISON_SECONDS, PoisonTracker, QuarantineChange
+from .poison import POISON_SECONDS, PoisonTracker, QuarantineChange
 from .rows import Page, Row
 from .tables import Table
+from .traits import FINGERPRINT_BYTES, Scope, Trait
 
 # How soon a change is written, and a call to the store is repeated.
 INTERVAL_SECONDS = 0.5
 
 
 class QuarantineStore(Protocol):
-    """Read and write the table of quarantined requests."""
+    """Read and write the table of quarantined traits of requests."""
 
     async def read(self, table: Table, start: str = "") -> Page:
         """Return a page of rows; raise StoreUnavailable."""
@@ -39,7 +40,7 @@
 class QuarantineKeeper:
     """Read the quarantines of before the start, and write this host's own.
 
-    A row's key is the request's fingerprint in hexadecimal, its value the Unix
+    A row's key is the trait's fingerprint in hexadecimal, its value the Unix
     time at which the quarantine began, in seconds.
     """
 
@@ -72,8 +73,9 @@
             if age is None or age >= POISON_SECONDS:
                 outdated.append(row.key)
                 continue
-            fingerprint = bytes.fromhex(row.key)
-            if self.poison.quarantine(fingerprint, now - age):
+            # Requests with the trait are refused whatever its scope is.
+            trait = Trait(bytes.fromhex(row.key), Scope.REQUEST)
+            if self.poison.quarantine(trait, now - age, now):
                 self.journal.write(
                     "request-quarantined",
                     now,
@@ -89,7 +91,7 @@
             self.poison.own_changes.popleft()
 
     async def _write(self, change: QuarantineChange) -> None:
-        key = change.fingerprint.hex()
+        key = change.trait.fingerprint.hex()
         if change.is_quarantined:
             value = str(int(time.time())).encode()
             await self.store.put(Table.QUARANTINES, key, value)
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -23,7 +23,7 @@
 from .loads import LoadTracker
 from .metrics import Metrics
 from .placement import NoPlacement, Placement, Placer
-from .poison import PoisonTracker, fingerprint_of
+from .poison import PoisonTracker
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
 from .reports import AnswerReports
@@ -37,6 +37,7 @@
     check_answer,
     check_success_head,
 )
+from .traits import Trait, traits_of
 
 # Limits how many upstreams a call is sent to, counting those that shed it.
 MAX_PLACEMENTS = 4
@@ -93,7 +94,7 @@
 
         Raise StreamCut if an answer has begun and cannot be completed.
         """
-        progress = Progress(fingerprint_of(call), call.head.last_event_id)
+        progress = Progress(traits_of(call), call.head.last_event_id)
         self.retry_budget(call.service).record_request(call.arrived_at)
         remaining_seconds = call.expires_at - self.clock() + DEADLINE_SLACK_SECONDS
         try:
@@ -131,7 +132,7 @@
             now = self.clock()
             if call.expires_at - now < MIN_REMAINING_SECONDS:
                 raise TimeoutError
-            if self.poison.is_poisonous(progress.fingerprint, now):
+            if self.poison.is_poisonous(progress.traits, now):
                 return self._finish_with_refusal(
                     call, sink, progress, Refusal.POISONOUS
                 )
@@ -235,6 +236,8 @@
                         body = await answer.read(self.held_answers)
                         whole = WholeAnswer(head, body)
                         check_answer(whole, peer)
+                        if head.is_success:
+                            self._record_begun(call, progress)
                         return self._reply_from(whole)
                     check_success_head(head, peer)
                     await self._stream(call, answer, sink, progress, response_timeout)
@@ -268,7 +271,7 @@
             event_timeout.reschedule(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
-            progress.has_begun = True
+            self._record_begun(call, progress)
             progress.heard_at = math.inf
             await sink.write(answer.head, batch)
             progress.heard_at = self.clock()
@@ -331,7 +334,8 @@
             engine_left_out=ejected,
         )
         if failed.result is Result.BROKEN:
-            self._record_ended_process(call, progress, engine, now)
+            traits = _suspected_traits(progress)
+            self._record_ended_process(call, progress, engine, traits, now)
         elif failed.result is Result.SILENT:
             self._record_silence(call, progress, engine)
         answer = failed.answer
@@ -353,31 +357,47 @@
         if reading is not None:
             answered_at = max(answered_at, reading.read_at)
         if answered_at <= progress.heard_at:
-            self._record_ended_process(call, progress, engine, now)
+            traits = _suspected_traits(progress)
+            if progress.heard_at <= progress.sent_at:
+                # It may have fallen silent before it got the call, as others
+                # do; a call that is sent to many of those proves nothing.
+                traits = tuple(trait for trait in traits if not trait.is_part)
+            self._record_ended_process(call, progress, engine, traits, now)
 
     def _record_ended_process(
-        self, call: Call, progress: Progress, engine: Engine, now: float
+        self,
+        call: Call,
+        progress: Progress,
+        engine: Engine,
+        traits: tuple[Trait, ...],
+        now: float,
     ) -> None:
-        fingerprint = progress.fingerprint
-        if self.poison.record_own(fingerprint, engine, progress.sent_at, now):
-            self.journal.write(
-                "request-quarantined",
-                now,
-                id=call.head.request_id,
-                fingerprint=fingerprint.hex(),
-                source="own",
-            )
+        for trait in self.poison.record_own(traits, engine, progress.sent_at, now):
+            self._log_quarantine("request-quarantined", call, trait, now)
 
     def _record_answer(self, call: Call, progress: Progress) -> None:
         now = self.clock()
-        if self.poison.record_answer(progress.fingerprint, now):
-            self.journal.write(
-                "request-cleared",
-                now,
-                id=call.head.request_id,
-                fingerprint=progress.fingerprint.hex(),
-                source="own",
-            )
+        for trait in self.poison.record_answer(progress.traits[:1], now):
+            self._log_quarantine("request-cleared", call, trait, now)
+
+    def _record_begun(self, call: Call, progress: Progress) -> None:
+        """Record that the answer of the latest attempt has begun."""
+        if progress.has_begun:
+            return
+        progress.has_begun = True
+        now = self.clock()
+        for trait in self.poison.record_begun(progress.traits, now):
+            self._log_quarantine("request-cleared", call, trait, now)
+
+    def _log_quarantine(self, event: str, call: Call, trait: Trait, now: float) -> None:
+        self.journal.write(
+            event,
+            now,
+            id=call.head.request_id,
+            fingerprint=trait.fingerprint.hex(),
+            scope=trait.scope.name.lower(),
+            source="own",
+        )
 
     def _acquire_retry(self, call: Call, now: float) -> bool:
         acquired = self.retry_budget(call.service).try_acquire(now, self.host_count())
@@ -469,6 +489,16 @@
         return self.refuse(refusal, call.head.request_id, retry_seconds)
 
 
+def _suspected_traits(progress: Progress) -> tuple[Trait, ...]:
+    """Return what may have ended the upstream of the latest attempt.
+
+    A part that crashes upstreams does so before the answer has begun.
+    """
+    if not progress.has_begun:
+        return progress.traits
+    return tuple(trait for trait in progress.traits if not trait.is_part)
+
+
 def _shared_part_ids(call: Call) -> list[str]:
     prompt = call.head.prompt
     return [part.part_id for part in prompt.shared_parts] if prompt else []
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -0,0 +1,126 @@
+"""Weigh whether a trait of requests explains that upstreams crashed."""
+
+import math
+from collections.abc import Container
+
+from attrs import define, field, frozen
+
+from .traits import Scope, Trait
+
+# A trait that ended this many processes is refused; fewer may be coincidental
+# failures of the upstreams. Parts that more prompts share need more evidence:
+# the requests that crash upstreams have a narrower trait as well, which is
+# enough to refuse them.
+MIN_ENDS_BY_SCOPE = {
+    Scope.REQUEST: 3,
+    Scope.LAST_SHARED_PART: 3,
+    Scope.EARLIER_PART: 5,
+}
+# So many of these must have ended one after another. Processes that end
+# together have another cause. The same request may be running at several
+# upstreams at such a time; a part that is, is soon answered elsewhere.
+MIN_SEQUENTIAL_ENDS_BY_SCOPE = {
+    Scope.REQUEST: 3,
+    Scope.LAST_SHARED_PART: 2,
+    Scope.EARLIER_PART: 2,
+}
+# So many must not be explained by another trait that is refused already.
+MIN_UNEXPLAINED_ENDS = 2
+# Two hosts may disagree by this much on the times of an event.
+TIME_ERROR_SECONDS = 0.05
+
+
+@frozen
+class EndedProcess:
+    """Record that a request with a trait ended a process of an upstream.
+
+    Times are on the boot clock: when the request was sent to the process, and
+    when that ended.
+    """
+
+    trait: Trait
+    process_key: int
+    sent_at: float
+    at: float
+
+
+@define
+class Suspect:
+    """Hold which processes requests with a trait ended.
+
+    ``quarantined_at`` is when the last of them ended, None if the trait is
+    not refused. ``cleared_at`` is when it was last shown to be harmless.
+    ``is_own`` tells whether this host saw one of the processes end.
+    """
+
+    trait: Trait
+    ended_by_process_key: dict[int, EndedProcess] = field(factory=dict)
+    quarantined_at: float | None = None
+    cleared_at: float = -math.inf
+    is_own: bool = False
+
+    @property
+    def changed_at(self) -> float:
+        """Return the time of the last event."""
+        ends = (ended.at for ended in self.ended_by_process_key.values())
+        return max((*ends, self.quarantined_at or 0.0, self.cleared_at))
+
+    @property
+    def is_repeated(self) -> bool:
+        """Return whether one failing upstream alone does not explain it."""
+        return len(self.ended_by_process_key) > 1
+
+    def add(self, ended: EndedProcess) -> None:
+        """Add a process; a quarantine lasts longer from then on."""
+        if ended.trait.scope > self.trait.scope:
+            self.trait = ended.trait
+        self.ended_by_process_key[ended.process_key] = ended
+        if self.quarantined_at is not None:
+            self.quarantined_at = max(ended.at, self.quarantined_at)
+
+    def is_conclusive(self, explained_keys: Container[int]) -> bool:
+        """Return whether to refuse requests with the trait.
+
+        ``explained_keys`` are the processes ended by traits that are refused.
+        """
+        ended_keys = self.ended_by_process_key
+        unexplained = sum(key not in explained_keys for key in ended_keys)
+        scope = self.trait.scope
+        return (
+            len(ended_keys) >= MIN_ENDS_BY_SCOPE[scope]
+            and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
+            and unexplained >= MIN_UNEXPLAINED_ENDS
+        )
+
+    def count_sequential_ends(self) -> int:
+        """Return how many processes ended, each after the one before it.
+
+        Each was sent a request after the last one had ended.
+        """
+        count = 0
+        last_at = -math.inf
+        for ended in sorted(
+            self.ended_by_process_key.values(), key=lambda ended: ended.at
+        ):
+            if ended.sent_at > last_at - TIME_ERROR_SECONDS:
+                count += 1
+                last_at = ended.at
+        return count
+
+    def clear(self, at: float) -> bool:
+        """Forget what was sent before an answer; return whether any was.
+
+        A quarantine ends if it is older, or if all of its evidence is.
+        """
+        self.cleared_at = max(at, self.cleared_at)
+        kept = {
+            key: ended
+            for key, ended in self.ended_by_process_key.items()
+            if ended.sent_at > at
+        }
+        is_older = self.quarantined_at is not None and self.quarantined_at <= at
+        is_changed = len(kept) < len(self.ended_by_process_key) or is_older
+        if is_older or (is_changed and not kept):
+            self.quarantined_at = None
+        self.ended_by_process_key = kept
+        return is_changed
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/traits.py
@@ -0,0 +1,79 @@
+"""Name what requests have in common, to find what crashes upstreams.
+
+The same request may come again, or requests that are alike in one part of
+their prompts only. Hosts tell one another of such traits by fingerprints.
+"""
+
+import enum
+import functools
+import hashlib
+
+from attrs import frozen
+
+from .calls import Call
+
+FINGERPRINT_BYTES = 8
+# Bounds what one request can accuse. Prompts have a handful of parts.
+MAX_PARTS = 32
+
+
+class Scope(enum.IntEnum):
+    """List what a trait covers, the fewest requests first.
+
+    Other requests may have the same last shared part, and still more the
+    parts before it.
+    """
+
+    REQUEST = 0
+    LAST_SHARED_PART = 1
+    EARLIER_PART = 2
+
+
+@frozen
+class Trait:
+    """Identify one thing that requests may have in common."""
+
+    fingerprint: bytes
+    scope: Scope
+
+    @property
+    def is_part(self) -> bool:
+        """Return whether it is a part of a prompt."""
+        return self.scope is not Scope.REQUEST
+
+
+def traits_of(call: Call) -> tuple[Trait, ...]:
+    """Return the traits of a request, the narrowest first.
+
+    The part of a prompt that belongs only to the request is none.
+    """
+    traits = [Trait(fingerprint_of(call), Scope.REQUEST)]
+    prompt = call.head.prompt
+    shared = prompt.shared_parts[-MAX_PARTS:] if prompt is not None else ()
+    scope = Scope.LAST_SHARED_PART
+    for part in reversed(shared):
+        traits.append(Trait(part_fingerprint(part.part_id), scope))
+        scope = Scope.EARLIER_PART
+    return tuple(traits)
+
+
+def fingerprint_of(call: Call) -> bytes:
+    """Return a hash that identifies a request when it is sent again."""
+    workspace = call.workspace.name if call.workspace else ""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (
+        workspace.encode(),
+        call.head.method.encode(),
+        call.head.target.encode(),
+        call.body,
+    ):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()
+
+
+@functools.lru_cache(maxsize=4096)
+def part_fingerprint(part_id: str) -> bytes:
+    """Return a hash that identifies a part of prompts at all services."""
+    return hashlib.blake2b(
+        part_id.lower().encode(), digest_size=FINGERPRINT_BYTES, person=b"part"
+    ).digest()
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -14,14 +14,13 @@
     MemberState,
     member_id,
 )
-from teaselpond.gateway.poison import (
-    POISON_THRESHOLD,
-    PoisonTracker,
-)
+from teaselpond.gateway.poison import PoisonTracker
 from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
 from teaselpond.gateway.starts import COUNTED_SECONDS, StartTracker
 from teaselpond.gateway.surveying import RETURNED_RATIO
+from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
+from teaselpond.gateway.traits import Scope, Trait
 from teaselpond_standins.testing.exchanges import (
     SilentJournal,
     SimulatedFleet,
@@ -150,13 +149,14 @@
     def test_broken_request(self) -> None:
         """All hosts hear of a request that breaks upstreams."""
         first = self.fleet.live_peers[3]
-        for number in range(POISON_THRESHOLD):
+        trait = Trait(b"12345678", Scope.REQUEST)
+        for number in range(MIN_ENDS_BY_SCOPE[Scope.REQUEST]):
             engine = make_engine(f"e{number}")
             now = self.fleet.now
-            first.host.poison.record_own(b"12345678", engine, now, now)
+            first.host.poison.record_own((trait,), engine, now, now)
         self.fleet.run(2.0)
         heard = sum(
-            peer.host.poison.is_poisonous(b"12345678", self.fleet.now)
+            peer.host.poison.is_poisonous((trait,), self.fleet.now)
             for peer in self.fleet.live_peers
         )
         self.assertGreater(heard, MIN_NAMED_SHARE * FLEET_SIZE)
@@ -317,7 +317,8 @@
     def test_attempt_is_passed_on_once(self) -> None:
         """An attempt that two hosts tell each other of is not kept alive."""
         ours, theirs = PoisonTracker(), PoisonTracker()
-        ours.record_own(b"12345678", make_engine("e1"), 0.0, 0.0)
+        trait = Trait(b"12345678", Scope.REQUEST)
+        ours.record_own((trait,), make_engine("e1"), 0.0, 0.0)
         for step in range(1, 50):
             now = step * 0.1
             for source, target in ((ours, theirs), (theirs, ours)):
--- /dev/null
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -0,0 +1,320 @@
+"""Test which traits of requests are found to crash upstreams."""
+
+import testtools
+
+from teaselpond.gateway.configuration import Workspace
+from teaselpond.gateway.engines import Engine
+from teaselpond.gateway.poison import (
+    MAX_SUSPECTS,
+    POISON_SECONDS,
+    PoisonTracker,
+    QuarantineChange,
+)
+from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
+from teaselpond.gateway.traits import Scope, Trait, fingerprint_of, traits_of
+from teaselpond_standins.testing.gateways import (
+    make_call,
+    make_engine,
+    make_head,
+    make_prompt,
+)
+
+SUSPECT = Trait(b"suspect.", Scope.REQUEST)
+POPULAR = Trait(b"popular.", Scope.REQUEST)
+THRESHOLD = MIN_ENDS_BY_SCOPE[Scope.REQUEST]
+
+
+def record_end(
+    tracker: PoisonTracker, trait: Trait, engine: Engine, now: float
+) -> None:
+    """Record that a request that was just sent ended an upstream's process."""
+    tracker.record_own((trait,), engine, now, now)
+
+
+class PoisonTrackerTests(testtools.TestCase):
+    """Test counting the upstreams that broke off a request."""
+
+    def test_three_upstreams(self) -> None:
+        """A request that broke three upstreams is poisonous for a time."""
+        tracker = PoisonTracker()
+        for number in range(THRESHOLD):
+            self.assertFalse(tracker.is_poisonous((SUSPECT,), 1.0))
+            record_end(tracker, SUSPECT, make_engine(f"e{number}"), 1.0)
+        self.assertTrue(tracker.is_poisonous((SUSPECT,), 1.0))
+        self.assertFalse(tracker.is_poisonous((SUSPECT,), 1.0 + POISON_SECONDS))
+
+    def test_one_upstream(self) -> None:
+        """Repeated failures of one upstream count once."""
+        tracker = PoisonTracker()
+        for number in range(10):
+            record_end(tracker, SUSPECT, make_engine("e1"), float(number))
+        self.assertFalse(tracker.is_poisonous((SUSPECT,), 9.0))
+
+    def test_upstreams_that_start_again_count_as_new_ones(self) -> None:
+        """Each process counts, though all of them have the same id."""
+        tracker = PoisonTracker()
+        for number in range(THRESHOLD):
+            engine = make_engine("e1", born_ms=number + 1)
+            record_end(tracker, SUSPECT, engine, float(number))
+        self.assertTrue(tracker.is_poisonous((SUSPECT,), 3.0))
+
+    def test_other_failing_requests_do_not_displace_a_suspect(self) -> None:
+        """A request that ended two processes outlives many that ended one."""
+        tracker = PoisonTracker()
+        for number in range(2):
+            record_end(tracker, SUSPECT, make_engine(f"e{number}"), 1.0)
+        for number in range(MAX_SUSPECTS * 2):
+            other = Trait(number.to_bytes(8, "big"), Scope.REQUEST)
+            record_end(tracker, other, make_engine("e1"), 1.1)
+        record_end(tracker, SUSPECT, make_engine("e2"), 1.2)
+        self.assertTrue(tracker.is_poisonous((SUSPECT,), 1.2))
+
+    def test_suspects_are_passed_on_before_other_failing_requests(self) -> None:
+        """A heartbeat is short, and names the repeated ones first."""
+        tracker, peer = PoisonTracker(), PoisonTracker()
+        for number in range(2):
+            record_end(tracker, SUSPECT, make_engine(f"e{number}"), 1.0)
+        for number in range(500):
+            other = Trait(number.to_bytes(8, "big"), Scope.REQUEST)
+            record_end(tracker, other, make_engine("e1"), 1.1)
+        packed = tracker.pack_news(1.2)
+        self.assertLess(len(packed), 1000)
+        peer.merge_news(packed, 1.2)
+        record_end(peer, SUSPECT, make_engine("e2"), 1.3)
+        self.assertTrue(peer.is_poisonous((SUSPECT,), 1.3))
+
+    def test_process_that_starts_is_reminded_of_quarantined_requests(self) -> None:
+        """Long after the quarantine began, any heartbeat tells of it."""
+        tracker, started = PoisonTracker(), PoisonTracker()
+        for number in range(THRESHOLD):
+            record_end(tracker, SUSPECT, make_engine(f"e{number}"), 1.0)
+        news = started.merge_news(tracker.pack_news(100.0), 100.0)
+        self.assertEqual([QuarantineChange(SUSPECT, True)], news)
+        self.assertTrue(started.is_poisonous((SUSPECT,), 100.0))
+        self.assertEqual([], started.merge_news(tracker.pack_news(101.0), 101.0))
+        # Hosts that remind one another do not prolong it.
+        end = 1.0 + POISON_SECONDS
+        self.assertFalse(started.is_poisonous((SUSPECT,), end + 0.1))
+        started.expire(end + 0.1)
+        self.assertEqual(b"", started.pack_news(end + 0.1))
+
+    def test_late_crash_prolongs_the_quarantine(self) -> None:
+        """A host that had not heard of it in time does not end it either."""
+        tracker = PoisonTracker()
+        for number in range(THRESHOLD):
+            record_end(tracker, SUSPECT, make_engine(f"e{number}"), 1.0)
+        record_end(tracker, SUSPECT, make_engine("late"), 300.0)
+        self.assertTrue(tracker.is_poisonous((SUSPECT,), 1.0 + POISON_SECONDS))
+        self.assertFalse(tracker.is_poisonous((SUSPECT,), 300.0 + POISON_SECONDS))
+        record_end(tracker, SUSPECT, make_engine("later"), 1000.0)
+        self.assertTrue(tracker.is_poisonous((SUSPECT,), 1000.0))
+
+    def test_processes_that_end_together_count_once(self) -> None:
+        """An outage of all upstreams says nothing of what they were sent."""
+        tracker = PoisonTracker()
+        for number in range(THRESHOLD):
+            engine = make_engine(f"e{number}")
+            tracker.record_own((POPULAR,), engine, 1.0, 2.0 + number * 0.1)
+        self.assertFalse(tracker.is_poisonous((POPULAR,), 2.5))
+
+    def test_answered_request_is_not_quarantined(self) -> None:
+        """What broke off before a whole answer counts no more."""
+        tracker = PoisonTracker()
+        for number in range(10):
+            record_end(tracker, POPULAR, make_engine(f"e{number}"), float(number))
+            tracker.record_answer((POPULAR,), number + 0.5)
+        self.assertFalse(tracker.is_poisonous((POPULAR,), 10.0))
+
+    def test_answer_at_one_host_ends_the_quarantine_at_all(self) -> None:
+        """An answer that was on its way proves the request harmless."""
+        trackers = [PoisonTracker() for _ in range(3)]
+        for number in range(THRESHOLD):
+            record_end(trackers[0], POPULAR, make_engine(f"e{number}"), 1.0)
+        for tracker in trackers[1:]:
+            tracker.merge_news(trackers[0].pack_news(1.1), 1.1)
+            self.assertTrue(tracker.is_poisonous((POPULAR,), 1.1))
+        self.assertTrue(trackers[2].record_answer((POPULAR,), 1.2))
+        trackers[0].merge_news(trackers[2].pack_news(1.3), 1.3)
+        self.assertFalse(trackers[0].is_poisonous((POPULAR,), 1.3))
+        # One that missed the answer does not bring the quarantine back.
+        trackers[0].merge_news(trackers[1].pack_news(20.0), 20.0)
+        self.assertFalse(trackers[0].is_poisonous((POPULAR,), 20.0))
+        trackers[1].merge_news(trackers[0].pack_news(20.1), 20.1)
+        self.assertFalse(trackers[1].is_poisonous((POPULAR,), 20.1))
+
+    def test_host_that_only_hears_of_failures_hears_of_answers(self) -> None:
+        """Failures of many hosts do not add up where nothing is answered."""
+        quiet = PoisonTracker()
+        for number in range(10):
+            busy = PoisonTracker()
+            now = float(number)
+            record_end(busy, POPULAR, make_engine(f"e{number}"), now)
+            quiet.merge_news(busy.pack_news(now + 0.1), now + 0.1)
+            busy.record_answer((POPULAR,), now + 0.2)
+            quiet.merge_news(busy.pack_news(now + 0.3), now + 0.3)
+        self.assertFalse(quiet.is_poisonous((POPULAR,), 10.0))
+
+    def test_fingerprints(self) -> None:
+        """Equal requests share a fingerprint, also those without a body."""
+        call = make_call(body=b"x")
+        self.assertEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"x")))
+        self.assertNotEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"y")))
+        call = make_call()
+        self.assertEqual(fingerprint_of(call), fingerprint_of(make_call()))
+        for fields in ({"target": "/stream/y"}, {"method": "GET"}):
+            other = make_call(head=make_head(**fields))
+            self.assertNotEqual(fingerprint_of(call), fingerprint_of(other))
+        other = make_call(workspace=Workspace("w2", None))
+        self.assertNotEqual(fingerprint_of(call), fingerprint_of(other))
+
+
+def traits_of_prompt(*part_ids: str, number: int = 0) -> tuple[Trait, ...]:
+    """Return the traits of a prompt with these shared parts."""
+    prompt = make_prompt(*part_ids, f"own{number}")
+    return traits_of(make_call(head=make_head(prompt=prompt), body=b"%d" % number))
+
+
+class TraitTests(testtools.TestCase):
+    """Name what requests have in common."""
+
+    def test_parts_from_the_last_shared_one(self) -> None:
+        """The part of its own is none, and the place of a part counts not."""
+        traits = traits_of_prompt("a", "b")
+        self.assertEqual(
+            [Scope.REQUEST, Scope.LAST_SHARED_PART, Scope.EARLIER_PART],
+            [trait.scope for trait in traits],
+        )
+        other = traits_of_prompt("b", "c", number=1)
+        self.assertEqual(traits[1].fingerprint, other[2].fingerprint)
+        self.assertNotEqual(traits[0].fingerprint, other[0].fingerprint)
+
+    def test_request_without_a_prompt(self) -> None:
+        """The whole request is all that others may share."""
+        self.assertEqual(
+            [Scope.REQUEST], [each.scope for each in traits_of(make_call())]
+        )
+
+
+class CrashingPartTests(testtools.TestCase):
+    """Find the part of prompts that crashes upstreams among all others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tracker = PoisonTracker()
+        self.engines = 0
+        self.now = 100.0
+
+    def crash(self, *cut: tuple[Trait, ...]) -> None:
+        """End an upstream under prompts that it had not begun to answer."""
+        self.engines += 1
+        self.now += 1.0
+        engine = make_engine(f"e{self.engines}")
+        for traits in cut:
+            self.tracker.record_own(traits, engine, self.now - 0.1, self.now)
+
+    def begin(self, traits: tuple[Trait, ...]) -> None:
+        """Begin an answer to a prompt."""
+        self.now += 0.01
+        self.tracker.record_begun(traits, self.now)
+
+    def is_refused(self, *part_ids: str) -> bool:
+        """Return whether a new prompt with these parts is refused."""
+        traits = traits_of_prompt(*part_ids, number=999)
+        return self.tracker.is_poisonous(traits, self.now)
+
+    def test_part_of_different_prompts_is_refused_after_three_crashes(self) -> None:
+        """Prompts that only share parts before it are sent."""
+        for number in range(3):
+            self.assertFalse(self.is_refused("first", "document", "bad"))
+            self.crash(traits_of_prompt("first", "document", "bad", number=number))
+        self.assertTrue(self.is_refused("first", "document", "bad"))
+        self.assertTrue(self.is_refused("other", "bad"))
+        self.assertFalse(self.is_refused("first", "document"))
+
+    def test_neighbours_that_were_cut_too_are_sent(self) -> None:
+        """What the refused part explains does not count for other parts."""
+        for number in range(6):
+            bad = traits_of_prompt("first", "document", "bad", number=number)
+            beside = traits_of_prompt("first", "beside", number=10 + number)
+            self.crash(*((bad,) if number == 2 else (beside, bad)))
+        self.assertTrue(self.is_refused("first", "document", "bad"))
+        for parts in (("first", "beside"), ("first", "document")):
+            self.assertFalse(self.is_refused(*parts))
+
+    def test_part_is_refused_after_a_neighbour_was_taken_for_it(self) -> None:
+        """Its crashes go on without the neighbour."""
+        for number in range(5):
+            bad = traits_of_prompt("first", "document", "bad", number=number)
+            beside = traits_of_prompt("first", "beside", number=10 + number)
+            self.crash(*((beside, bad) if number < 3 else (bad,)))
+        self.assertTrue(self.is_refused("first", "document", "bad"))
+
+    def test_popular_part_is_sent_after_five_other_crashes(self) -> None:
+        """Its answers begin elsewhere between the crashes."""
+        for number in range(5):
+            self.crash(traits_of_prompt("first", "popular", number=number))
+            self.begin(traits_of_prompt("first", "popular", number=100 + number))
+        self.assertFalse(self.is_refused("first", "popular"))
+
+    def test_popular_part_is_sent_after_the_loss_of_a_zone(self) -> None:
+        """Upstreams that end together have another cause."""
+        for number in range(5):
+            self.tracker.record_own(
+                traits_of_prompt("first", "popular", number=number),
+                make_engine(f"e{number}"),
+                self.now,
+                self.now + 0.2 + number * 0.01,
+            )
+        self.assertFalse(self.is_refused("first", "popular"))
+
+    def test_part_before_many_others_is_refused_after_five_crashes(self) -> None:
+        """None of the parts after it is seen at most of the crashes."""
+        for number in range(5):
+            self.assertFalse(self.is_refused("bad", "chapter"))
+            self.crash(traits_of_prompt("bad", f"chapter{number}", number=number))
+        self.assertTrue(self.is_refused("bad", "chapter"))
+
+    def test_request_that_crashes_upstreams_leaves_its_parts_alone(self) -> None:
+        """Others with its document are sent."""
+        for _ in range(4):
+            self.crash(traits_of_prompt("first", "document"))
+        same = traits_of_prompt("first", "document")
+        self.assertTrue(self.tracker.is_poisonous(same, self.now))
+        self.assertFalse(self.is_refused("first", "document"))
+
+    def test_answer_that_had_begun_before_the_crash_clears_a_part(self) -> None:
+        """It began after the prompt that was cut had been sent."""
+        for number in range(3):
+            self.begin(traits_of_prompt("first", "document", number=50 + number))
+            engine = make_engine(f"late{number}")
+            sent_at, self.now = self.now - 0.005, self.now + 1.0
+            traits = traits_of_prompt("first", "document", number=number)
+            self.tracker.record_own(traits, engine, sent_at, self.now)
+        self.assertFalse(self.is_refused("first", "document"))
+
+    def test_host_that_began_answers_ends_the_quarantine_of_another(self) -> None:
+        """A host that was cut off may have accused a popular part."""
+        for number in range(3):
+            self.crash(traits_of_prompt("first", "popular", number=number))
+        self.assertTrue(self.is_refused("first", "popular"))
+        other = PoisonTracker()
+        other.record_begun(traits_of_prompt("first", "popular"), self.now + 0.5)
+        other.merge_news(self.tracker.pack_news(self.now + 2.0), self.now + 2.0)
+        traits = traits_of_prompt("first", "popular", number=7)
+        self.assertFalse(other.is_poisonous(traits, self.now + 2.0))
+        self.tracker.merge_news(other.pack_news(self.now + 2.1), self.now + 2.1)
+        self.assertFalse(self.is_refused("first", "popular"))
+
+    def test_quarantine_of_parts_is_written_by_hosts_that_saw_a_crash(self) -> None:
+        """Also if the evidence of several hosts was needed."""
+        others = [PoisonTracker() for _ in range(2)]
+        trackers = [self.tracker, *others]
+        for number, tracker in enumerate(trackers):
+            now = self.now + number
+            traits = traits_of_prompt("first", "bad", number=number)
+            tracker.record_own(traits, make_engine(f"e{number}"), now - 0.1, now)
+            for each in trackers:
+                each.merge_news(tracker.pack_news(now + 0.1), now + 0.1)
+        bad = traits_of_prompt("first", "bad")[1]
+        for tracker in trackers:
+            self.assertEqual([QuarantineChange(bad, True)], list(tracker.own_changes))
--- a/packages/teaselpond/tests/gateway/test_quarantines.py
+++ b/packages/teaselpond/tests/gateway/test_quarantines.py
@@ -5,20 +5,18 @@
 
 from attrs import define, field
 
-from teaselpond.gateway.poison import (
-    POISON_SECONDS,
-    POISON_THRESHOLD,
-    PoisonTracker,
-)
+from teaselpond.gateway.poison import POISON_SECONDS, PoisonTracker
 from teaselpond.gateway.quarantines import QuarantineKeeper
 from teaselpond.gateway.rows import Page, Row
+from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
 from teaselpond.gateway.tables import Table
+from teaselpond.gateway.traits import Scope, Trait
 from teaselpond_model.exceptions import StoreUnavailable
 from teaselpond_standins.testing import AsyncTestCase
 from teaselpond_standins.testing.exchanges import SilentJournal
 from teaselpond_standins.testing.gateways import make_engine
 
-FINGERPRINT = b"suspect."
+SUSPECT = Trait(b"suspect.", Scope.REQUEST)
 
 
 @define(eq=False)
@@ -74,9 +72,9 @@
         """A process that hears no peer reads it, also after an outage."""
         self.store.is_down = True
         self.run_keeper(self.tracker, is_first_start=True)
-        for number in range(POISON_THRESHOLD):
+        for number in range(MIN_ENDS_BY_SCOPE[Scope.REQUEST]):
             engine = make_engine(f"e{number}")
-            self.tracker.record_own(FINGERPRINT, engine, 1000.0, 1000.0)
+            self.tracker.record_own((SUSPECT,), engine, 1000.0, 1000.0)
         started = PoisonTracker()
         self.run_keeper(started, is_first_start=False)
         await asyncio.sleep(0)
@@ -84,23 +82,24 @@
         await self.wait_until(lambda: self.store.values_by_key)
         late = PoisonTracker()
         self.run_keeper(late, is_first_start=False)
-        await self.wait_until(lambda: late.is_poisonous(FINGERPRINT, 1000.0))
-        self.assertTrue(self.tracker.record_answer(FINGERPRINT, 1001.0))
+        await self.wait_until(lambda: late.is_poisonous((SUSPECT,), 1000.0))
+        self.assertTrue(self.tracker.record_answer((SUSPECT,), 1001.0))
         await self.wait_until(lambda: not self.store.values_by_key)
 
     async def test_old_and_malformed_rows_are_removed(self) -> None:
         """They quarantine nothing and do not stay for ever."""
+        third = Trait(b"a third.", Scope.REQUEST)
         old = str(int(time.time() - POISON_SECONDS) - 1).encode()
         now = str(int(time.time())).encode()
         self.store.values_by_key = {
-            FINGERPRINT.hex(): old,
+            SUSPECT.fingerprint.hex(): old,
             "not hexadecimal": now,
             "aa": now,
             b"another.".hex(): b"no time",
-            b"a third.".hex(): now,
+            third.fingerprint.hex(): now,
         }
         self.run_keeper(self.tracker, is_first_start=False)
-        kept = {b"a third.".hex()}
+        kept = {third.fingerprint.hex()}
         await self.wait_until(lambda: set(self.store.values_by_key) == kept)
-        self.assertTrue(self.tracker.is_poisonous(b"a third.", 1000.0))
-        self.assertFalse(self.tracker.is_poisonous(FINGERPRINT, 1000.0))
+        self.assertTrue(self.tracker.is_poisonous((third,), 1000.0))
+        self.assertFalse(self.tracker.is_poisonous((SUSPECT,), 1000.0))
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -7,7 +7,6 @@
 import cbor2
 import testtools
 
-from teaselpond.gateway.configuration import Workspace
 from teaselpond.gateway.datagrams import (
     TableChanges,
     decode_datagram,
@@ -15,17 +14,9 @@
     encode_heartbeat,
 )
 from teaselpond.gateway.departures import REMINDER
-from teaselpond.gateway.engines import Engine, engine_key
+from teaselpond.gateway.engines import engine_key
 from teaselpond.gateway.journal import BURST_LINES, Journal, JournalHandler
-from teaselpond.gateway.poison import (
-    MAX_SUSPECTS,
-    POISON_SECONDS,
-    POISON_THRESHOLD,
-    PoisonTracker,
-    QuarantineChange,
-    fingerprint_of,
-)
-from teaselpond.gateway.poison import NEWS as POISON_NEWS
+from teaselpond.gateway.poison_news import NEWS as POISON_NEWS
 from teaselpond.gateway.prefixes import (
     MAX_HOLDERS,
     MAX_KEYS,
@@ -43,9 +34,6 @@
 from teaselpond.gateway.tables import Table
 from teaselpond.gateway.windows import SlidingWindowCounter
 from teaselpond_standins.testing.gateways import (
-    make_call,
-    make_engine,
-    make_head,
     make_heartbeat,
 )
 
@@ -124,148 +112,6 @@
         self.assertEqual(["e1"], tracker.holders(b"8 bytes.", 1.0))
 
 
-def record_end(
-    tracker: PoisonTracker, fingerprint: bytes, engine: Engine, now: float
-) -> None:
-    """Record that a request that was just sent ended an upstream's process."""
-    tracker.record_own(fingerprint, engine, now, now)
-
-
-class PoisonTrackerTests(testtools.TestCase):
-    """Test counting the upstreams that broke off a request."""
-
-    def test_three_upstreams(self) -> None:
-        """A request that broke three upstreams is poisonous for a time."""
-        tracker = PoisonTracker()
-        for number in range(POISON_THRESHOLD):
-            self.assertFalse(tracker.is_poisonous(b"f", 1.0))
-            record_end(tracker, b"f", make_engine(f"e{number}"), 1.0)
-        self.assertTrue(tracker.is_poisonous(b"f", 1.0))
-        self.assertFalse(tracker.is_poisonous(b"f", 1.0 + POISON_SECONDS))
-
-    def test_one_upstream(self) -> None:
-        """Repeated failures of one upstream count once."""
-        tracker = PoisonTracker()
-        for number in range(10):
-            record_end(tracker, b"f", make_engine("e1"), float(number))
-        self.assertFalse(tracker.is_poisonous(b"f", 9.0))
-
-    def test_upstreams_that_start_again_count_as_new_ones(self) -> None:
-        """Each process counts, though all of them have the same id."""
-        tracker = PoisonTracker()
-        for number in range(POISON_THRESHOLD):
-            engine = make_engine("e1", born_ms=number + 1)
-            record_end(tracker, b"f", engine, float(number))
-        self.assertTrue(tracker.is_poisonous(b"f", 3.0))
-
-    def test_other_failing_requests_do_not_displace_a_suspect(self) -> None:
-        """A request that ended two processes outlives many that ended one."""
-        tracker = PoisonTracker()
-        for number in range(2):
-            record_end(tracker, b"suspect.", make_engine(f"e{number}"), 1.0)
-        for number in range(MAX_SUSPECTS * 2):
-            record_end(tracker, number.to_bytes(8, "big"), make_engine("e1"), 1.1)
-        record_end(tracker, b"suspect.", make_engine("e2"), 1.2)
-        self.assertTrue(tracker.is_poisonous(b"suspect.", 1.2))
-
-    def test_suspects_are_passed_on_before_other_failing_requests(self) -> None:
-        """A heartbeat is short, and names the repeated ones first."""
-        tracker, peer = PoisonTracker(), PoisonTracker()
-        for number in range(2):
-            record_end(tracker, b"suspect.", make_engine(f"e{number}"), 1.0)
-        for number in range(500):
-            record_end(tracker, number.to_bytes(8, "big"), make_engine("e1"), 1.1)
-        packed = tracker.pack_news(1.2)
-        self.assertLess(len(packed), 1000)
-        peer.merge_news(packed, 1.2)
-        record_end(peer, b"suspect.", make_engine("e2"), 1.3)
-        self.assertTrue(peer.is_poisonous(b"suspect.", 1.3))
-
-    def test_process_that_starts_is_reminded_of_quarantined_requests(self) -> None:
-        """Long after the quarantine began, any heartbeat tells of it."""
-        tracker, started = PoisonTracker(), PoisonTracker()
-        for number in range(POISON_THRESHOLD):
-            record_end(tracker, b"suspect.", make_engine(f"e{number}"), 1.0)
-        news = started.merge_news(tracker.pack_news(100.0), 100.0)
-        self.assertEqual([QuarantineChange(b"suspect.", True)], news)
-        self.assertTrue(started.is_poisonous(b"suspect.", 100.0))
-        self.assertEqual([], started.merge_news(tracker.pack_news(101.0), 101.0))
-        # Hosts that remind one another do not prolong it.
-        end = 1.0 + POISON_SECONDS
-        self.assertFalse(started.is_poisonous(b"suspect.", end + 0.1))
-        started.expire(end + 0.1)
-        self.assertEqual(b"", started.pack_news(end + 0.1))
-
-    def test_late_crash_prolongs_the_quarantine(self) -> None:
-        """A host that had not heard of it in time does not end it either."""
-        tracker = PoisonTracker()
-        for number in range(POISON_THRESHOLD):
-            record_end(tracker, b"suspect.", make_engine(f"e{number}"), 1.0)
-        record_end(tracker, b"suspect.", make_engine("late"), 300.0)
-        self.assertTrue(tracker.is_poisonous(b"suspect.", 1.0 + POISON_SECONDS))
-        self.assertFalse(tracker.is_poisonous(b"suspect.", 300.0 + POISON_SECONDS))
-        record_end(tracker, b"suspect.", make_engine("later"), 1000.0)
-        self.assertTrue(tracker.is_poisonous(b"suspect.", 1000.0))
-
-    def test_processes_that_end_together_count_once(self) -> None:
-        """An outage of all upstreams says nothing of what they were sent."""
-        tracker = PoisonTracker()
-        for number in range(POISON_THRESHOLD):
-            engine = make_engine(f"e{number}")
-            tracker.record_own(b"popular.", engine, 1.0, 2.0 + number * 0.1)
-        self.assertFalse(tracker.is_poisonous(b"popular.", 2.5))
-
-    def test_answered_request_is_not_quarantined(self) -> None:
-        """What broke off before a whole answer counts no more."""
-        tracker = PoisonTracker()
-        for number in range(10):
-            record_end(tracker, b"popular.", make_engine(f"e{number}"), float(number))
-            tracker.record_answer(b"popular.", number + 0.5)
-        self.assertFalse(tracker.is_poisonous(b"popular.", 10.0))
-
-    def test_answer_at_one_host_ends_the_quarantine_at_all(self) -> None:
-        """An answer that was on its way proves the request harmless."""
-        trackers = [PoisonTracker() for _ in range(3)]
-        for number in range(POISON_THRESHOLD):
-            record_end(trackers[0], b"popular.", make_engine(f"e{number}"), 1.0)
-        for tracker in trackers[1:]:
-            tracker.merge_news(trackers[0].pack_news(1.1), 1.1)
-            self.assertTrue(tracker.is_poisonous(b"popular.", 1.1))
-        self.assertTrue(trackers[2].record_answer(b"popular.", 1.2))
-        trackers[0].merge_news(trackers[2].pack_news(1.3), 1.3)
-        self.assertFalse(trackers[0].is_poisonous(b"popular.", 1.3))
-        # One that missed the answer does not bring the quarantine back.
-        trackers[0].merge_news(trackers[1].pack_news(20.0), 20.0)
-        self.assertFalse(trackers[0].is_poisonous(b"popular.", 20.0))
-        trackers[1].merge_news(trackers[0].pack_news(20.1), 20.1)
-        self.assertFalse(trackers[1].is_poisonous(b"popular.", 20.1))
-
-    def test_host_that_only_hears_of_failures_hears_of_answers(self) -> None:
-        """Failures of many hosts do not add up where nothing is answered."""
-        quiet = PoisonTracker()
-        for number in range(10):
-            busy = PoisonTracker()
-            now = float(number)
-            record_end(busy, b"popular.", make_engine(f"e{number}"), now)
-            quiet.merge_news(busy.pack_news(now + 0.1), now + 0.1)
-            busy.record_answer(b"popular.", now + 0.2)
-            quiet.merge_news(busy.pack_news(now + 0.3), now + 0.3)
-        self.assertFalse(quiet.is_poisonous(b"popular.", 10.0))
-
-    def test_fingerprints(self) -> None:
-        """Equal requests share a fingerprint, also those without a body."""
-        call = make_call(body=b"x")
-        self.assertEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"x")))
-        self.assertNotEqual(fingerprint_of(call), fingerprint_of(make_call(body=b"y")))
-        call = make_call()
-        self.assertEqual(fingerprint_of(call), fingerprint_of(make_call()))
-        for fields in ({"target": "/stream/y"}, {"method": "GET"}):
-            other = make_call(head=make_head(**fields))
-            self.assertNotEqual(fingerprint_of(call), fingerprint_of(other))
-        other = make_call(workspace=Workspace("w2", None))
-        self.assertNotEqual(fingerprint_of(call), fingerprint_of(other))
-
-
 class RowCacheTests(testtools.TestCase):
     """Test merging rows and selecting them for peers."""
 
