Pass on streams whose lines end in CRLF

What callers saw: 502 for a whole stream, or a cut one, from upstreams that end lines in CRLF.

Cause: events were split at an empty line that ends in LF only, so that such a stream seemed to end in the middle of its first event. The splitter now takes LF and CRLF, also mixed, as upstreams of one service may differ, and numbers with or without a space after 'id:'.

Tests: whole streams, streams that end inside an event and ones that are reset, without length or chunks, with either line end, on routes that may be resumed and on others.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -101,7 +101,9 @@
     target or body contains ``crash_marker`` runs, and is not answered:
     ``crash`` is called instead; so does a stream on a prompt with a part of
     that id, after the head of its answer. ``endless_bytes`` counts what
-    answers with the fault ENDLESS have sent.
+    answers with the fault ENDLESS have sent. While ``is_unframed`` is set, a
+    stream has neither a length nor chunks and ends with its connection; the
+    lines of its events end in ``line_end``.
     """
 
     engine_id: str
@@ -120,6 +122,8 @@
     running: int = 0
     max_running: int = 0
     endless_bytes: int = 0
+    is_unframed: bool = False
+    line_end: str = "\n"
     server: LoopbackServer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -256,7 +260,8 @@
         ):
             response = web.Response(body=b"failed", headers=headers)
             return await self._apply_fault(request, response, fault)
-        response = web.StreamResponse(
+        make_response = UnframedResponse if self.is_unframed else web.StreamResponse
+        response = make_response(
             headers={**headers, "Content-Type": "text/event-stream"}
         )
         await response.prepare(request)
@@ -272,11 +277,14 @@
                 if fault.kind is ListedFaultKind.STALL_STREAM:
                     await asyncio.Event().wait()
                 if fault.kind is ListedFaultKind.CUT_EVENT:
-                    await response.write(f"id: {number}\nda".encode())
+                    await response.write(f"id: {number}{self.line_end}da".encode())
+                if fault.kind is ListedFaultKind.UNFRAMED_RESET:
+                    return await _reset(request, response)
                 # Closing sends what was written; an abort would discard it.
                 request.transport.close()
                 return response
-            await response.write(f"id: {number}\ndata: event {number}\n\n".encode())
+            lines = (f"id: {number}", f"data: event {number}", "", "")
+            await response.write(self.line_end.join(lines).encode())
             await asyncio.sleep(self.event_seconds)
         await response.write_eof()
         return response
@@ -320,6 +328,26 @@
             await asyncio.sleep(0)
 
 
+class UnframedResponse(web.StreamResponse):
+    """Send a body without a length or chunks; it ends with the connection."""
+
+    async def prepare(self, request: web.Request) -> None:
+        """Send the head."""
+        self._transport = request.transport
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        self._transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._transport.write(data)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """End the body by closing the connection."""
+        self._transport.write(data)
+        self._transport.close()
+
+
 async def _send_unframed(
     request: web.Request, response: web.Response, fault: ListedFault
 ) -> web.Response:
@@ -332,9 +360,16 @@
     if is_complete:
         request.transport.close()
     else:
-        # Let the bytes reach the reader first: a reset discards unread ones.
-        await asyncio.sleep(0.05)
-        connection = request.transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        request.transport.abort()
+        return await _reset(request, response)
+    return response
+
+
+async def _reset(
+    request: web.Request, response: web.StreamResponse
+) -> web.StreamResponse:
+    """Reset a connection, after what was written has reached the reader."""
+    await asyncio.sleep(0.05)
+    connection = request.transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    request.transport.abort()
     return response
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -13,7 +13,11 @@
 # The terminal event is short and last, so only the end of a batch is searched.
 TERMINAL_SEARCH_BYTES = 64
 MAX_EVENT_BYTES = 1024 * 1024
-EVENT_LINE = re.compile(rb"^(?:data|id)(?::|$)", re.MULTILINE)
+EVENT_LINE = re.compile(rb"^(?:data|id)(?::|\r?$)", re.MULTILINE)
+# Lines may end in LF or CRLF; an empty line ends an event.
+LAST_LINE_ENDS = (b"\n\n", b"\n\r\n")
+ANY_EVENT = re.compile(rb".*?\n\r?\n", re.DOTALL)
+SPARSE_ID_LINE = re.compile(rb"^id: ?(\d{1,12})\r?$", re.MULTILINE)
 # Comments keep a connection open; a few bytes at a time do.
 MAX_EVENTLESS_BYTES = 64 * 1024
 
@@ -140,17 +144,15 @@
         bytes without one.
         """
         data = self.incomplete + chunk
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            end = 0
+        end = max(_end_of_last(data, line_ends) for line_ends in LAST_LINE_ENDS)
         self.incomplete = data[end:]
         if len(self.incomplete) > MAX_EVENT_BYTES:
             raise UpstreamBroken(
                 f"an event is larger than {MAX_EVENT_BYTES} bytes", step="stream"
             )
         events = data[:end]
-        numbers = [int(number) for number in ID_LINE.findall(events)]
-        if len(numbers) < events.count(EVENT_END):
+        numbers = [int(number) for number in SPARSE_ID_LINE.findall(events)]
+        if len(numbers) < len(ANY_EVENT.findall(events)):
             events = self._drop_eventless(events)
         if not numbers:
             return events
@@ -162,12 +164,12 @@
 
     def _drop_eventless(self, blocks: bytes) -> bytes:
         kept = []
-        for block in blocks.split(EVENT_END)[:-1]:
+        for block in ANY_EVENT.findall(blocks):
             if EVENT_LINE.search(block):
-                kept.append(block + EVENT_END)
+                kept.append(block)
                 self._eventless_bytes = 0
                 continue
-            self._eventless_bytes += len(block) + len(EVENT_END)
+            self._eventless_bytes += len(block)
             if self._eventless_bytes > MAX_EVENTLESS_BYTES:
                 raise UpstreamBroken(
                     f"received {self._eventless_bytes} bytes without an event",
@@ -177,11 +179,18 @@
 
     def _drop_repeats(self, events: bytes) -> bytes:
         kept = []
-        for event in events.split(EVENT_END)[:-1]:
-            number = _event_number(event)
+        for event in ANY_EVENT.findall(events):
+            found = SPARSE_ID_LINE.findall(event)
+            number = int(found[0]) if len(found) == 1 else None
             if number is not None and number <= self.last_id:
                 continue
             if number is not None:
                 self.last_id = number
-            kept.append(event + EVENT_END)
+            kept.append(event)
         return b"".join(kept)
+
+
+def _end_of_last(data: bytes, line_ends: bytes) -> int:
+    """Return the position after the last such line ends, 0 without any."""
+    position = data.rfind(line_ends)
+    return position + len(line_ends) if position >= 0 else 0
