Tell all hosts at once when a quarantine begins

Change: a host whose own evidence begins a quarantine sends a heartbeat to all peers then, at most one in 0.1 s.

--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -112,6 +112,7 @@
         )
         sharing = self._make_sharing(session)
         exchange = self._make_exchange(sharing)
+        host.poison.announce = exchange.announce
         host.followers = [
             make_follower(host, table, store, exchange) for table in FOLLOWED_TABLES
         ]
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -50,6 +50,8 @@
 WELCOME_INTRODUCTIONS = 16
 # More peers in a round are logged in one line.
 MAX_PEER_LINES = 5
+# What cannot wait for the next round is sent to all hosts this often at most.
+MIN_ANNOUNCEMENT_GAP_SECONDS = 0.1
 # Peers fetch larger changes over HTTP, which retransmits lost packets.
 MAX_CHANGES_BYTES = 8 * 1024
 
@@ -103,6 +105,7 @@
     _near_turn: Turn = field(factory=Turn)
     _far_turn: Turn = field(factory=Turn)
     _turn_rounds: int = 0
+    _announced_at: float = -math.inf
     _state_changes: list[tuple[str, MemberState | None, MemberState]] = field(
         factory=list
     )
@@ -244,6 +247,13 @@
         for ip in ips - {heartbeat.ip}:
             self._transport.sendto(content, (ip, self.port))
 
+    def announce(self) -> None:
+        """Tell all hosts at once of what is news, unless just done."""
+        now = self.clock()
+        if now - self._announced_at >= MIN_ANNOUNCEMENT_GAP_SECONDS:
+            self._announced_at = now
+            self.send_heartbeats(to_all=True)
+
     def send_changes(self, changes: TableChanges) -> None:
         """Send changed rows to every known host.
 
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -16,7 +16,7 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from attrs import define, field, frozen
 
@@ -88,9 +88,11 @@
 
     ``own_changes`` are the quarantines that began by what this host saw, also
     among others, or ended by an answer to it, until they are taken out.
+    ``announce`` sends news to all peers at once.
     """
 
     rng: random.Random = field(factory=random.Random)
+    announce: Callable[[], None] = lambda: None
     own_changes: deque[QuarantineChange] = field(
         factory=lambda: deque(maxlen=MAX_QUARANTINED)
     )
@@ -117,11 +119,14 @@
         Return those that are quarantined from now on.
         """
         key = process_key(engine) & PROCESS_KEY_MASK
-        return [
+        quarantined = [
             trait
             for trait in traits
             if self.record(EndedProcess(trait, key, sent_at, now), now, is_own=True)
         ]
+        if quarantined:
+            self.announce()
+        return quarantined
 
     def record(self, ended: EndedProcess, now: float, *, is_own: bool = False) -> bool:
         """Record an ended process; return whether a quarantine begins.
