Try a refused part of prompts again

What callers would see: a part that was refused wrongly, or whose upstreams were mended, stays refused for ten minutes, as no answer to it can begin any more.

Change: two minutes after the last crash one prompt with the part is sent, and again every two minutes. The host that does so tells the others at once, so that they wait. An answer ends the quarantine everywhere, a crash prolongs it. A host that hears of a later crash of a quarantined trait keeps the later time now. Whole requests are not tried: their callers may change them.

Tests: one trial among hosts that hear one another, service after an answer, refusal after a crash.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -28,6 +28,10 @@
 
 # Callers that retry such a request do so within this time.
 POISON_SECONDS = 600.0
+# One prompt with a refused part is sent after this time, and again and again
+# after it: the part may have been refused wrongly, or the upstreams mended. If
+# it still crashes an upstream, it costs one in this time.
+PART_TRIAL_SECONDS = 120.0
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
 RELAYED_SECONDS = 1.5
@@ -183,20 +187,42 @@
             self._deny(suspect, now)
             return False
         if suspect.quarantined_at is not None:
+            suspect.quarantined_at = max(at, suspect.quarantined_at)
             return False
         self._begin_quarantine(suspect, at)
         return True
 
     def is_poisonous(self, traits: Iterable[Trait], now: float) -> bool:
         """Return whether a request with these traits must not be sent."""
+        return any(self._refused(traits, now))
+
+    def start_trial(self, traits: Iterable[Trait], now: float) -> bool:
+        """Return whether to send a request although its parts are refused.
+
+        Hosts tell one another of it, so that few do so at a time. The answer
+        or the crash decides on the parts.
+        """
+        refused = list(self._refused(traits, now))
+        for trait, suspect in refused:
+            last_at = max(suspect.quarantined_at, suspect.tried_at)
+            if not trait.is_part or now - last_at < PART_TRIAL_SECONDS:
+                return False
+        for _, suspect in refused:
+            suspect.tried_at = now
+        self.announce()
+        return True
+
+    def _refused(
+        self, traits: Iterable[Trait], now: float
+    ) -> Iterator[tuple[Trait, Suspect]]:
+        """Yield the traits that are refused, with what is known of them."""
         quarantined = self._quarantined.suspects_by_fingerprint
         if not quarantined:
-            return False
-        suspects = (quarantined.get(trait.fingerprint) for trait in traits)
-        return any(
-            suspect is not None and now - suspect.quarantined_at < POISON_SECONDS
-            for suspect in suspects
-        )
+            return
+        for trait in traits:
+            suspect = quarantined.get(trait.fingerprint)
+            if suspect is not None and now - suspect.quarantined_at < POISON_SECONDS:
+                yield trait, suspect
 
     def pack_news(self, now: float) -> bytes:
         """Encode recent events, and reminders of older ones, for peers."""
@@ -222,6 +248,11 @@
             return self.quarantine(news.trait, news.at, now)
         if news.kind is NewsKind.CLEARED:
             return self._clear(news.trait, news.at, now, is_own=False)
+        if news.kind is NewsKind.TRIED:
+            suspect = self._find(news.trait.fingerprint)
+            if suspect is not None:
+                suspect.tried_at = max(news.at, suspect.tried_at)
+            return False
         ended = EndedProcess(news.trait, news.process_key, news.sent_at, news.at)
         return self.record(ended, now)
 
@@ -320,10 +351,13 @@
         )
 
     def _reminders(self, now: float) -> Iterator[News]:
-        reminders = [
-            News(suspect.trait, NewsKind.QUARANTINED, suspect.quarantined_at)
-            for suspect in self._quarantined.suspects_by_fingerprint.values()
-        ]
+        reminders = []
+        for suspect in self._quarantined.suspects_by_fingerprint.values():
+            at = suspect.quarantined_at
+            reminders.append(News(suspect.trait, NewsKind.QUARANTINED, at))
+            if now - suspect.tried_at < PART_TRIAL_SECONDS:
+                at = suspect.tried_at
+                reminders.append(News(suspect.trait, NewsKind.TRIED, at))
         for fingerprint, until in self._denied_until_by_fingerprint.items():
             suspect = self._find(fingerprint)
             if now < until and suspect is not None and suspect.quarantined_at is None:
--- a/packages/teaselpond/src/teaselpond/gateway/poison_news.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison_news.py
@@ -23,6 +23,7 @@
     ENDED_PROCESS = 0
     QUARANTINED = 1
     CLEARED = 2
+    TRIED = 3
 
 
 @frozen
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -132,7 +132,7 @@
             now = self.clock()
             if call.expires_at - now < MIN_REMAINING_SECONDS:
                 raise TimeoutError
-            if self.poison.is_poisonous(progress.traits, now):
+            if self._is_refused(call, progress, now):
                 return self._finish_with_refusal(
                     call, sink, progress, Refusal.POISONOUS
                 )
@@ -159,6 +159,15 @@
                     refusal = Refusal.SHED if failed.not_run else Refusal.BROKEN
                     return self._finish_with_refusal(call, sink, progress, refusal)
 
+    def _is_refused(self, call: Call, progress: Progress, now: float) -> bool:
+        """Return whether a call is quarantined, and not to be tried again."""
+        if not self.poison.is_poisonous(progress.traits, now):
+            return False
+        if not self.poison.start_trial(progress.traits, now):
+            return True
+        self.journal.write("quarantine-trial", now, id=call.head.request_id)
+        return False
+
     async def _attempt(
         self,
         call: Call,
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -50,6 +50,7 @@
 
     ``quarantined_at`` is when the last of them ended, None if the trait is
     not refused. ``cleared_at`` is when it was last shown to be harmless.
+    ``tried_at`` is when a request was last sent in spite of the quarantine.
     ``is_own`` tells whether this host saw one of the processes end.
     """
 
@@ -57,6 +58,7 @@
     ended_by_process_key: dict[int, EndedProcess] = field(factory=dict)
     quarantined_at: float | None = None
     cleared_at: float = -math.inf
+    tried_at: float = -math.inf
     is_own: bool = False
 
     @property
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -6,6 +6,7 @@
 from teaselpond.gateway.engines import Engine
 from teaselpond.gateway.poison import (
     MAX_SUSPECTS,
+    PART_TRIAL_SECONDS,
     POISON_SECONDS,
     PoisonTracker,
     QuarantineChange,
@@ -318,3 +319,81 @@
         bad = traits_of_prompt("first", "bad")[1]
         for tracker in trackers:
             self.assertEqual([QuarantineChange(bad, True)], list(tracker.own_changes))
+
+
+class TrialTests(testtools.TestCase):
+    """Try a part again that has been refused for long."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.trackers = [PoisonTracker() for _ in range(3)]
+        self.now = 100.0
+        self.ends = 0
+        for number in range(3):
+            self.crash(self.trackers[0], number)
+        self.tell()
+
+    def crash(self, tracker: PoisonTracker, number: int) -> None:
+        """End a process under a prompt with the part."""
+        self.now += 1.0
+        self.ends += 1
+        tracker.record_own(
+            traits_of_prompt("first", "bad", number=number),
+            make_engine(f"e{self.ends}"),
+            self.now - 0.1,
+            self.now,
+        )
+
+    def tell(self) -> None:
+        """Let all hosts hear one another."""
+        for tracker in self.trackers:
+            packed = tracker.pack_news(self.now)
+            for other in self.trackers:
+                other.merge_news(packed, self.now)
+
+    def trials(self) -> list[bool]:
+        """Return which hosts would send a prompt with the part."""
+        granted = []
+        for number, tracker in enumerate(self.trackers):
+            traits = traits_of_prompt("other", "bad", number=100 + number)
+            granted.append(tracker.start_trial(traits, self.now))
+            self.tell()
+        return granted
+
+    def test_one_host_tries_the_part_after_a_time(self) -> None:
+        """The others hear of it, and wait as long again."""
+        self.assertEqual([False, False, False], self.trials())
+        self.now += PART_TRIAL_SECONDS
+        self.assertEqual([True, False, False], self.trials())
+        self.now += PART_TRIAL_SECONDS
+        self.assertEqual([True, False, False], self.trials())
+
+    def test_part_that_is_answered_is_served_by_all(self) -> None:
+        """It was refused wrongly, or the upstreams were mended."""
+        self.now += PART_TRIAL_SECONDS
+        self.trials()
+        traits = traits_of_prompt("other", "bad", number=100)
+        self.trackers[0].record_begun(traits, self.now + 0.2)
+        self.now += 0.3
+        self.tell()
+        for tracker in self.trackers:
+            self.assertFalse(tracker.is_poisonous(traits, self.now))
+
+    def test_part_that_crashes_again_stays_refused(self) -> None:
+        """The quarantine lasts from that crash on, at all hosts."""
+        self.now += PART_TRIAL_SECONDS
+        self.trials()
+        self.crash(self.trackers[0], 100)
+        self.tell()
+        self.now += POISON_SECONDS - 1.0
+        traits = traits_of_prompt("other", "bad", number=101)
+        for tracker in self.trackers:
+            self.assertTrue(tracker.is_poisonous(traits, self.now))
+
+    def test_request_that_crashes_upstreams_is_not_tried(self) -> None:
+        """Its caller knows best whether to send it again."""
+        tracker = PoisonTracker()
+        traits = traits_of(make_call(body=b"x"))
+        for number in range(THRESHOLD):
+            tracker.record_own(traits, make_engine(f"e{number}"), 1.0, 1.0)
+        self.assertFalse(tracker.start_trial(traits, 1.0 + PART_TRIAL_SECONDS))
