--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -4,6 +4,7 @@
 
 from ..upstreams.connections import UpstreamClient
 from .adapters import Adapter, Store
+from .crash_reports import CrashReports
 from .datagrams import TableChanges
 from .entry import CallerRequestHandler
 from .following import Follower
@@ -68,7 +69,7 @@
         AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal),
         host.loads,
         host.health,
-        host.poison,
+        CrashReports(host.poison, host.loads, host.health, host.journal),
         host.journal,
         host.metrics,
         host.clock,
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -0,0 +1,108 @@
+"""Report what attempts tell of requests that crash upstreams."""
+
+from collections.abc import Iterable
+
+from attrs import define
+
+from .calls import Call
+from .engines import Engine, engine_key
+from .health import HealthTracker
+from .journal import Journal
+from .loads import LoadTracker
+from .poison import PoisonTracker
+from .progress import Progress
+from .traits import Trait
+
+
+@define(eq=False)
+class CrashReports:
+    """Record how attempts ended as evidence for and against their traits."""
+
+    poison: PoisonTracker
+    loads: LoadTracker
+    health: HealthTracker
+    journal: Journal
+
+    def is_refused(self, call: Call, progress: Progress, now: float) -> bool:
+        """Return whether a call is quarantined, and not to be tried again."""
+        if not self.poison.is_poisonous(progress.traits, now):
+            return False
+        if not self.poison.start_trial(progress.traits, now):
+            return True
+        self.journal.write("quarantine-trial", now, id=call.head.request_id)
+        return False
+
+    def record_broken(
+        self, call: Call, progress: Progress, engine: Engine, now: float
+    ) -> None:
+        """Record that an upstream broke off the latest attempt."""
+        traits = _suspected_traits(progress)
+        self._record_ended_process(call, progress, engine, traits, now)
+
+    def record_silence(
+        self, call: Call, progress: Progress, engine: Engine, now: float
+    ) -> None:
+        """Record that an upstream ended if it has answered nobody since."""
+        shortest = min(call.route.objective_seconds, call.route.pause_seconds)
+        if now - progress.heard_at < shortest:
+            return
+        reading = self.loads.readings.newest(engine_key(engine.engine_id))
+        answered_at = self.health.get(engine.engine_id).answered_at
+        if reading is not None:
+            answered_at = max(answered_at, reading.read_at)
+        if answered_at > progress.heard_at:
+            return
+        traits = _suspected_traits(progress)
+        if progress.heard_at <= progress.sent_at:
+            # The upstream may have fallen silent before it got the call. All
+            # prompts with a popular part may meet several such upstreams.
+            traits = _without_parts(traits)
+        self._record_ended_process(call, progress, engine, traits, now)
+
+    def record_begun(self, call: Call, progress: Progress, now: float) -> None:
+        """Record that the answer of the latest attempt has begun."""
+        if progress.has_begun:
+            return
+        progress.has_begun = True
+        lifted = self.poison.record_begun(progress.traits, now)
+        self._log("request-cleared", call, lifted, now)
+
+    def record_answer(self, call: Call, progress: Progress, now: float) -> None:
+        """Record that the call was answered whole."""
+        request = (trait for trait in progress.traits if not trait.is_part)
+        lifted = self.poison.record_answer(request, now)
+        self._log("request-cleared", call, lifted, now)
+
+    def _record_ended_process(
+        self,
+        call: Call,
+        progress: Progress,
+        engine: Engine,
+        traits: Iterable[Trait],
+        now: float,
+    ) -> None:
+        refused = self.poison.record_own(traits, engine, progress.sent_at, now)
+        self._log("request-quarantined", call, refused, now)
+
+    def _log(self, event: str, call: Call, traits: Iterable[Trait], now: float) -> None:
+        for trait in traits:
+            self.journal.write(
+                event,
+                now,
+                id=call.head.request_id,
+                fingerprint=trait.fingerprint.hex(),
+                scope=trait.scope.name.lower(),
+                source="own",
+            )
+
+
+def _suspected_traits(progress: Progress) -> tuple[Trait, ...]:
+    """Return what may have ended the upstream of the latest attempt.
+
+    A part that crashes upstreams does so before the answer has begun.
+    """
+    return _without_parts(progress.traits) if progress.has_begun else progress.traits
+
+
+def _without_parts(traits: Iterable[Trait]) -> tuple[Trait, ...]:
+    return tuple(trait for trait in traits if not trait.is_part)
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -149,9 +149,9 @@
         suspect.is_own |= is_own
         self._newest.append(ended)
         self._keep(suspect)
-        if suspect.quarantined_at is not None or not suspect.is_conclusive(
-            self._explained_keys()
-        ):
+        if suspect.quarantined_at is not None or not suspect.has_enough_ends():
+            return False
+        if not suspect.has_unexplained_ends(self._explained_keys()):
             return False
         self._begin_quarantine(suspect, ended.at)
         return True
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -15,7 +15,7 @@
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
-from .engines import Engine, engine_key
+from .crash_reports import CrashReports
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .held_answers import HeldAnswers
@@ -23,7 +23,6 @@
 from .loads import LoadTracker
 from .metrics import Metrics
 from .placement import NoPlacement, Placement, Placer
-from .poison import PoisonTracker
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
 from .reports import AnswerReports
@@ -37,7 +36,7 @@
     check_answer,
     check_success_head,
 )
-from .traits import Trait, traits_of
+from .traits import traits_of
 
 # Limits how many upstreams a call is sent to, counting those that shed it.
 MAX_PLACEMENTS = 4
@@ -79,7 +78,7 @@
     reports: AnswerReports
     loads: LoadTracker
     health: HealthTracker
-    poison: PoisonTracker
+    crash_reports: CrashReports
     journal: Journal
     metrics: Metrics
     clock: Callable[[], float]
@@ -132,7 +131,7 @@
             now = self.clock()
             if call.expires_at - now < MIN_REMAINING_SECONDS:
                 raise TimeoutError
-            if self._is_refused(call, progress, now):
+            if self.crash_reports.is_refused(call, progress, now):
                 return self._finish_with_refusal(
                     call, sink, progress, Refusal.POISONOUS
                 )
@@ -159,15 +158,6 @@
                     refusal = Refusal.SHED if failed.not_run else Refusal.BROKEN
                     return self._finish_with_refusal(call, sink, progress, refusal)
 
-    def _is_refused(self, call: Call, progress: Progress, now: float) -> bool:
-        """Return whether a call is quarantined, and not to be tried again."""
-        if not self.poison.is_poisonous(progress.traits, now):
-            return False
-        if not self.poison.start_trial(progress.traits, now):
-            return True
-        self.journal.write("quarantine-trial", now, id=call.head.request_id)
-        return False
-
     async def _attempt(
         self,
         call: Call,
@@ -211,10 +201,10 @@
                 raise
             except asyncio.CancelledError:
                 # The deadline passed or the caller disconnected.
-                self._record_silence(call, progress, engine)
+                self.crash_reports.record_silence(call, progress, engine, self.clock())
                 raise
         self.health.get(engine.engine_id).record(Result.SUCCESS, self.clock())
-        self._record_answer(call, progress)
+        self.crash_reports.record_answer(call, progress, self.clock())
         return reply
 
     async def _send(
@@ -246,7 +236,9 @@
                         whole = WholeAnswer(head, body)
                         check_answer(whole, peer)
                         if head.is_success:
-                            self._record_begun(call, progress)
+                            self.crash_reports.record_begun(
+                                call, progress, self.clock()
+                            )
                         return self._reply_from(whole)
                     check_success_head(head, peer)
                     await self._stream(call, answer, sink, progress, response_timeout)
@@ -280,7 +272,7 @@
             event_timeout.reschedule(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
-            self._record_begun(call, progress)
+            self.crash_reports.record_begun(call, progress, self.clock())
             progress.heard_at = math.inf
             await sink.write(answer.head, batch)
             progress.heard_at = self.clock()
@@ -343,10 +335,9 @@
             engine_left_out=ejected,
         )
         if failed.result is Result.BROKEN:
-            traits = _suspected_traits(progress)
-            self._record_ended_process(call, progress, engine, traits, now)
+            self.crash_reports.record_broken(call, progress, engine, now)
         elif failed.result is Result.SILENT:
-            self._record_silence(call, progress, engine)
+            self.crash_reports.record_silence(call, progress, engine, now)
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
@@ -355,59 +346,6 @@
                 "engine-gone", now, engine=engine.engine_id, reason="other engine"
             )
 
-    def _record_silence(self, call: Call, progress: Progress, engine: Engine) -> None:
-        """Record that an upstream ended if it has answered nobody since."""
-        now = self.clock()
-        shortest = min(call.route.objective_seconds, call.route.pause_seconds)
-        if now - progress.heard_at < shortest:
-            return
-        reading = self.loads.readings.newest(engine_key(engine.engine_id))
-        answered_at = self.health.get(engine.engine_id).answered_at
-        if reading is not None:
-            answered_at = max(answered_at, reading.read_at)
-        if answered_at <= progress.heard_at:
-            traits = _suspected_traits(progress)
-            if progress.heard_at <= progress.sent_at:
-                # It may have fallen silent before it got the call, as others
-                # do; a call that is sent to many of those proves nothing.
-                traits = tuple(trait for trait in traits if not trait.is_part)
-            self._record_ended_process(call, progress, engine, traits, now)
-
-    def _record_ended_process(
-        self,
-        call: Call,
-        progress: Progress,
-        engine: Engine,
-        traits: tuple[Trait, ...],
-        now: float,
-    ) -> None:
-        for trait in self.poison.record_own(traits, engine, progress.sent_at, now):
-            self._log_quarantine("request-quarantined", call, trait, now)
-
-    def _record_answer(self, call: Call, progress: Progress) -> None:
-        now = self.clock()
-        for trait in self.poison.record_answer(progress.traits[:1], now):
-            self._log_quarantine("request-cleared", call, trait, now)
-
-    def _record_begun(self, call: Call, progress: Progress) -> None:
-        """Record that the answer of the latest attempt has begun."""
-        if progress.has_begun:
-            return
-        progress.has_begun = True
-        now = self.clock()
-        for trait in self.poison.record_begun(progress.traits, now):
-            self._log_quarantine("request-cleared", call, trait, now)
-
-    def _log_quarantine(self, event: str, call: Call, trait: Trait, now: float) -> None:
-        self.journal.write(
-            event,
-            now,
-            id=call.head.request_id,
-            fingerprint=trait.fingerprint.hex(),
-            scope=trait.scope.name.lower(),
-            source="own",
-        )
-
     def _acquire_retry(self, call: Call, now: float) -> bool:
         acquired = self.retry_budget(call.service).try_acquire(now, self.host_count())
         if not acquired:
@@ -498,16 +436,6 @@
         return self.refuse(refusal, call.head.request_id, retry_seconds)
 
 
-def _suspected_traits(progress: Progress) -> tuple[Trait, ...]:
-    """Return what may have ended the upstream of the latest attempt.
-
-    A part that crashes upstreams does so before the answer has begun.
-    """
-    if not progress.has_begun:
-        return progress.traits
-    return tuple(trait for trait in progress.traits if not trait.is_part)
-
-
 def _shared_part_ids(call: Call) -> list[str]:
     prompt = call.head.prompt
     return [part.part_id for part in prompt.shared_parts] if prompt else []
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -80,19 +80,22 @@
         if self.quarantined_at is not None:
             self.quarantined_at = max(ended.at, self.quarantined_at)
 
-    def is_conclusive(self, explained_keys: Container[int]) -> bool:
-        """Return whether to refuse requests with the trait.
+    def has_enough_ends(self) -> bool:
+        """Return whether the trait explains enough processes that ended."""
+        scope = self.trait.scope
+        return (
+            len(self.ended_by_process_key) >= MIN_ENDS_BY_SCOPE[scope]
+            and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
+        )
+
+    def has_unexplained_ends(self, explained_keys: Container[int]) -> bool:
+        """Return whether other traits leave enough processes to explain.
 
         ``explained_keys`` are the processes ended by traits that are refused.
         """
         ended_keys = self.ended_by_process_key
         unexplained = sum(key not in explained_keys for key in ended_keys)
-        scope = self.trait.scope
-        return (
-            len(ended_keys) >= MIN_ENDS_BY_SCOPE[scope]
-            and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
-            and unexplained >= MIN_UNEXPLAINED_ENDS
-        )
+        return unexplained >= MIN_UNEXPLAINED_ENDS
 
     def count_sequential_ends(self) -> int:
         """Return how many processes ended, each after the one before it.
