--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -23,14 +23,14 @@
 from .departures import process_key
 from .engines import Engine
 from .poison_news import News, NewsKind, news_of, pack_news, unpack_news
-from .suspects import EndedProcess, Suspect
+from .suspects import EndedProcess, Suspect, SuspectTable
 from .traits import Trait
 
 # Callers that retry such a request do so within this time.
 POISON_SECONDS = 600.0
-# One prompt with a refused part is sent after this time, and again and again
-# after it: the part may have been refused wrongly, or the upstreams mended. If
-# it still crashes an upstream, it costs one in this time.
+# One prompt with a refused part is sent each time after this long: the part
+# may have been refused wrongly, or the upstreams mended. If it still crashes
+# upstreams, it costs one of them in this time.
 PART_TRIAL_SECONDS = 120.0
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
@@ -58,41 +58,13 @@
     is_quarantined: bool
 
 
-@define
-class SuspectTable:
-    """Keep the newest suspects up to a limit, oldest first."""
-
-    limit: int
-    suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
-
-    def put(self, suspect: Suspect) -> None:
-        """Keep a changed suspect as the newest one."""
-        fingerprint = suspect.trait.fingerprint
-        self.suspects_by_fingerprint[fingerprint] = suspect
-        self.suspects_by_fingerprint.move_to_end(fingerprint)
-        if len(self.suspects_by_fingerprint) > self.limit:
-            self.suspects_by_fingerprint.popitem(last=False)
-
-    def remove(self, fingerprint: bytes) -> None:
-        """Remove a suspect if it is here."""
-        self.suspects_by_fingerprint.pop(fingerprint, None)
-
-    def expire(self, oldest: float) -> None:
-        """Remove the suspects that have not changed since a time."""
-        while self.suspects_by_fingerprint:
-            fingerprint, suspect = next(iter(self.suspects_by_fingerprint.items()))
-            if suspect.changed_at > oldest:
-                break
-            del self.suspects_by_fingerprint[fingerprint]
-
-
 @define
 class PoisonTracker:
     """Count the processes that each trait ended, on all hosts.
 
-    ``own_changes`` are the quarantines that began by what this host saw, also
-    among others, or ended by an answer to it, until they are taken out.
-    ``announce`` sends news to all peers at once.
+    ``own_changes`` are the quarantines that began by evidence of which this
+    host saw a part, or that ended since or by an answer to this host, until
+    they are taken out. ``announce`` sends news to all peers at once.
     """
 
     rng: random.Random = field(factory=random.Random)
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -1,6 +1,7 @@
 """Weigh whether a trait of requests explains that upstreams crashed."""
 
 import math
+from collections import OrderedDict
 from collections.abc import Container
 
 from attrs import define, field, frozen
@@ -129,3 +130,31 @@
             self.quarantined_at = None
         self.ended_by_process_key = kept
         return is_changed
+
+
+@define
+class SuspectTable:
+    """Keep the newest suspects up to a limit, oldest first."""
+
+    limit: int
+    suspects_by_fingerprint: OrderedDict[bytes, Suspect] = field(factory=OrderedDict)
+
+    def put(self, suspect: Suspect) -> None:
+        """Keep a changed suspect as the newest one."""
+        fingerprint = suspect.trait.fingerprint
+        self.suspects_by_fingerprint[fingerprint] = suspect
+        self.suspects_by_fingerprint.move_to_end(fingerprint)
+        if len(self.suspects_by_fingerprint) > self.limit:
+            self.suspects_by_fingerprint.popitem(last=False)
+
+    def remove(self, fingerprint: bytes) -> None:
+        """Remove a suspect if it is here."""
+        self.suspects_by_fingerprint.pop(fingerprint, None)
+
+    def expire(self, oldest: float) -> None:
+        """Remove the suspects that have not changed since a time."""
+        while self.suspects_by_fingerprint:
+            fingerprint, suspect = next(iter(self.suspects_by_fingerprint.items()))
+            if suspect.changed_at > oldest:
+                break
+            del self.suspects_by_fingerprint[fingerprint]
