Test what an attempt's end says of a prompt's parts

Attempts that had begun, upstreams that sent nothing and upstreams that answered others accuse no part; attempts cut before their first event and upstreams that fell silent after a head do. Six tests, which pass on the present code.

--- /dev/null
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -0,0 +1,107 @@
+"""Test what the end of an attempt says of its request's traits."""
+
+import math
+
+import testtools
+
+from teaselpond.gateway.crash_reports import CrashReports
+from teaselpond.gateway.health import HealthTracker, Result
+from teaselpond.gateway.loads import LoadTracker
+from teaselpond.gateway.poison import PART_TRIAL_SECONDS, PoisonTracker
+from teaselpond.gateway.progress import Progress
+from teaselpond.gateway.traits import Scope, traits_of
+from teaselpond_standins.testing.exchanges import SilentJournal
+from teaselpond_standins.testing.gateways import (
+    make_call,
+    make_engine,
+    make_head,
+    make_prompt,
+)
+
+CRASHES = 3
+SILENT_SECONDS = 2.0
+
+
+class CrashReportsTests(testtools.TestCase):
+    """End some attempts of different prompts with one part in the same way."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.poison = PoisonTracker()
+        self.reports = CrashReports(
+            self.poison, LoadTracker(), HealthTracker(), SilentJournal("", 0)
+        )
+        self.now = 100.0
+
+    def make_progress(self, number: int) -> tuple:
+        """Return a call with the part, and an attempt of it that was sent."""
+        prompt = make_prompt("first", "part", f"own{number}")
+        call = make_call(head=make_head(prompt=prompt), body=b"%d" % number)
+        progress = Progress(traits_of(call), None)
+        progress.sent_at = progress.heard_at = self.now
+        return call, progress
+
+    def refused_scopes(self) -> list[Scope]:
+        """Return the scopes of a new prompt's traits that are refused."""
+        call, _ = self.make_progress(99)
+        return [
+            trait.scope
+            for trait in traits_of(call)
+            if self.poison.is_poisonous((trait,), self.now)
+        ]
+
+    def break_off(self, *, has_begun: bool) -> None:
+        """Break attempts off one after another."""
+        for number in range(CRASHES):
+            call, progress = self.make_progress(number)
+            progress.has_begun = has_begun
+            self.now += 0.5
+            engine = make_engine(f"e{number}")
+            self.reports.record_broken(call, progress, engine, self.now)
+
+    def fall_silent(self, *, after_seconds: float) -> None:
+        """Let upstreams fall silent some time after they were sent a call."""
+        for number in range(CRASHES):
+            call, progress = self.make_progress(number)
+            progress.heard_at += after_seconds
+            self.now += SILENT_SECONDS
+            engine = make_engine(f"e{number}")
+            self.reports.record_silence(call, progress, engine, self.now)
+
+    def test_attempts_that_had_not_begun_accuse_the_part(self) -> None:
+        """Prompts with the same last shared part are refused."""
+        self.break_off(has_begun=False)
+        self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
+
+    def test_attempts_that_had_begun_accuse_no_part(self) -> None:
+        """The upstream did not crash on a part that it wrote on before."""
+        self.break_off(has_begun=True)
+        self.assertEqual([], self.refused_scopes())
+
+    def test_upstreams_that_fell_silent_after_a_head_accuse_the_part(self) -> None:
+        """They lived when they were sent the prompt."""
+        self.fall_silent(after_seconds=0.1)
+        self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
+
+    def test_upstreams_that_sent_nothing_accuse_no_part(self) -> None:
+        """They may have been silent before, as in the loss of a zone."""
+        self.fall_silent(after_seconds=0.0)
+        self.assertEqual([], self.refused_scopes())
+
+    def test_upstream_that_answered_others_since_is_not_accused(self) -> None:
+        """It is slow."""
+        for number in range(CRASHES):
+            health = self.reports.health.get(f"e{number}")
+            health.record(Result.SUCCESS, math.inf)
+        self.fall_silent(after_seconds=0.1)
+        self.assertEqual([], self.refused_scopes())
+
+    def test_call_is_sent_in_spite_of_a_quarantine_once(self) -> None:
+        """The next one is refused until its result is known."""
+        self.break_off(has_begun=False)
+        self.now += PART_TRIAL_SECONDS
+        call, progress = self.make_progress(CRASHES)
+        self.assertFalse(self.reports.is_refused(call, progress, self.now))
+        self.assertTrue(self.reports.is_refused(call, progress, self.now))
+        self.reports.record_begun(call, progress, self.now + 0.1)
+        self.assertFalse(self.reports.is_refused(call, progress, self.now + 0.1))
