--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -81,7 +81,22 @@
         traits: Iterable[Trait],
         now: float,
     ) -> None:
+        traits = tuple(traits)
         refused = self.poison.record_own(traits, engine, progress.sent_at, now)
+        self.journal.write(
+            "process-ended",
+            now,
+            id=call.head.request_id,
+            engine=engine.engine_id,
+            born_ms=engine.born_ms,
+            ran_seconds=round(now - progress.sent_at, 3),
+            path=call.head.path,
+            suspected=[
+                f"{trait.scope.name.lower()} {trait.fingerprint.hex()}"
+                for trait in traits
+            ],
+            ends=[self.poison.count_ends(trait) for trait in traits],
+        )
         self._log("request-quarantined", call, refused, now)
 
     def _log(self, event: str, call: Call, traits: Iterable[Trait], now: float) -> None:
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -146,6 +146,11 @@
             self._begun_at_by_fingerprint.popitem(last=False)
         return self.record_answer(parts, now)
 
+    def count_ends(self, trait: Trait) -> int:
+        """Return how many processes are known to have ended by a trait."""
+        suspect = self._find(trait.fingerprint)
+        return len(suspect.ended_by_process_key) if suspect is not None else 0
+
     def quarantine(self, trait: Trait, at: float, now: float) -> bool:
         """Quarantine a trait since a time; return whether that is news.
 
