Recognise a crashing request that comes with another query

What callers saw: a request that crashes its upstreams went on reaching them when its query differed each time.

Change: the path with its caller and body is a trait of its own. Many sound requests may share it, so that it isn't refused at three crashes: it is put on probation, where one request is sent at a time, fleet-wide. An answer ends the probation at all hosts, another crash confirms it. A narrower trait that is refused explains a trial's crash. A call that may have run waits for the trial of another one instead of failing with 502.

Two tests of the list of traits name the new one; no check is dropped.

--- a/packages/teaselpond-standins/tests/soak/test_crashing_requests_that_vary.py
+++ b/packages/teaselpond-standins/tests/soak/test_crashing_requests_that_vary.py
@@ -1,6 +1,7 @@
 """Send a crashing request in other forms, and at several gateways at once."""
 
 import asyncio
+from collections import Counter
 
 from teaselpond_standins.soak.crashing import MARKER, PLAY_SECONDS
 from teaselpond_standins.testing.crashing import CrashingSiteTestCase
@@ -11,6 +12,9 @@
 # The request comes again before an upstream is back.
 DOWN_SECONDS = 1.5
 GAP_SECONDS = 0.8
+SOUND_GAP_SECONDS = 0.05
+# The share of sound requests that were served before paths were weighed.
+MIN_SERVED = 0.97
 
 
 class OtherQueryTests(CrashingSiteTestCase):
@@ -111,3 +115,24 @@
         )
         await crashing.send_repeatedly(PATH, None)
         self.check(crashing)
+
+
+class SharedPathTests(CrashingSiteTestCase):
+    """Serve the other queries of a path beside a crashing one."""
+
+    async def test_other_queries_are_served_beside_a_crashing_one(self) -> None:
+        """What is refused for the path is little."""
+        crashing = await self.start(6)
+        sound: list[asyncio.Task] = []
+        sending = asyncio.create_task(
+            crashing.send_repeatedly(f"/stock/list?page={MARKER.decode()}", None)
+        )
+        while not sending.done():
+            path = f"/stock/list?page={len(sound)}&sort=new"
+            sound.append(asyncio.create_task(crashing.send(path, None)))
+            await asyncio.sleep(SOUND_GAP_SECONDS)
+        await sending
+        statuses = await asyncio.gather(*sound)
+        self.check(crashing)
+        print(f"sound: {Counter(statuses)}")
+        self.assertGreaterEqual(statuses.count(200), MIN_SERVED * len(statuses))
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -69,7 +69,7 @@
         AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal),
         host.loads,
         host.health,
-        CrashReports(host.poison, host.loads, host.health, host.journal),
+        CrashReports(host.poison, host.loads, host.health, host.journal, host.clock),
         host.journal,
         host.metrics,
         host.clock,
--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -1,8 +1,10 @@
 """Report what attempts tell of requests that crash upstreams."""
 
-from collections.abc import Iterable
+import asyncio
+import random
+from collections.abc import Callable, Iterable
 
-from attrs import define
+from attrs import define, field
 
 from .calls import Call
 from .engines import Engine, engine_key
@@ -13,6 +15,9 @@
 from .progress import Progress
 from .traits import Trait
 
+# A host hears of a trial at another one within a few milliseconds.
+MAX_TRIAL_DELAY_SECONDS = 0.1
+
 
 @define(eq=False)
 class CrashReports:
@@ -22,6 +27,8 @@
     loads: LoadTracker
     health: HealthTracker
     journal: Journal
+    clock: Callable[[], float]
+    rng: random.Random = field(factory=random.Random)
 
     def is_refused(self, call: Call, progress: Progress, now: float) -> bool:
         """Return whether a call is quarantined, and not to be tried again."""
@@ -32,6 +39,25 @@
         self.journal.write("quarantine-trial", now, id=call.head.request_id)
         return False
 
+    def is_on_probation(self, progress: Progress) -> bool:
+        """Return whether a call must be tried before it is sent."""
+        return not progress.is_trial and self.poison.is_on_probation(progress.traits)
+
+    async def try_on_probation(self, call: Call, progress: Progress) -> bool:
+        """Return whether a call is the next one to be sent on probation.
+
+        It waits first, so that one of several hosts that have such a call at
+        the same time can tell the others.
+        """
+        if not self.poison.may_try(progress.traits, self.clock()):
+            return False
+        await asyncio.sleep(self.rng.uniform(0, MAX_TRIAL_DELAY_SECONDS))
+        now = self.clock()
+        progress.is_trial = self.poison.try_on_probation(progress.traits, now)
+        if progress.is_trial:
+            self.journal.write("probation-trial", now, id=call.head.request_id)
+        return progress.is_trial
+
     def record_broken(
         self, call: Call, progress: Progress, engine: Engine, now: float
     ) -> None:
@@ -81,6 +107,7 @@
         traits: Iterable[Trait],
         now: float,
     ) -> None:
+        progress.is_trial = False
         traits = tuple(traits)
         refused = self.poison.record_own(traits, engine, progress.sent_at, now)
         self.journal.write(
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -7,6 +7,10 @@
 whole answer clears the request, the beginning of one the parts of its prompt;
 processes that a quarantined trait explains count little for others.
 
+Where the evidence is weaker, as for a path with all of its queries, the trait
+is put on probation first: one request with it is sent at a time, until an
+answer clears it or another crash confirms it.
+
 Hosts pass on which processes a trait ended and whether it was answered, and
 keep reminding one another of the quarantined ones. So a process that starts,
 or was cut off, hears of them with its first heartbeats.
@@ -23,15 +27,18 @@
 from .departures import process_key
 from .engines import Engine
 from .poison_news import News, NewsKind, news_of, pack_news, unpack_news
-from .suspects import EndedProcess, Suspect, SuspectTable
-from .traits import Trait
+from .suspects import PROBATION_SCOPES, EndedProcess, Suspect, SuspectTable
+from .traits import Scope, Trait
 
 # Callers that retry such a request do so within this time.
 POISON_SECONDS = 600.0
-# One prompt with a refused part is sent each time after this long: the part
+# One request with a refused part or path is sent each time after this long: it
 # may have been refused wrongly, or the upstreams mended. If it still crashes
 # upstreams, it costs one of them in this time.
 PART_TRIAL_SECONDS = 120.0
+# On probation, requests are sent this far apart at least. The result of most
+# is known by then.
+PROBATION_GAP_SECONDS = 0.5
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
 RELAYED_SECONDS = 1.5
@@ -40,6 +47,7 @@
 MAX_SUSPECTS = 4096
 MAX_REPEATED_SUSPECTS = 1024
 MAX_QUARANTINED = 1024
+MAX_ON_PROBATION = 1024
 MAX_BEGUN = 8192
 # Bounds a heartbeat: together below a kilobyte.
 MAX_RELAYED = 32
@@ -75,6 +83,7 @@
     _single: SuspectTable = field(factory=lambda: SuspectTable(MAX_SUSPECTS))
     _repeated: SuspectTable = field(factory=lambda: SuspectTable(MAX_REPEATED_SUSPECTS))
     _quarantined: SuspectTable = field(factory=lambda: SuspectTable(MAX_QUARANTINED))
+    _on_probation: SuspectTable = field(factory=lambda: SuspectTable(MAX_ON_PROBATION))
     _begun_at_by_fingerprint: OrderedDict[bytes, float] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
@@ -121,12 +130,16 @@
         suspect.is_own |= is_own
         self._newest.append(ended)
         self._keep(suspect)
-        if suspect.quarantined_at is not None or not suspect.has_enough_ends():
-            return False
-        if not suspect.has_unexplained_ends(self._explained_keys()):
+        if suspect.quarantined_at is not None:
             return False
-        self._begin_quarantine(suspect, ended.at)
-        return True
+        if self._is_guilty(suspect, ended):
+            self._begin_quarantine(suspect, ended.at)
+            return True
+        if suspect.on_probation_at is None and suspect.needs_probation():
+            self._begin_probation(suspect, ended.at)
+            if is_own:
+                self.announce()
+        return False
 
     def record_answer(self, traits: Iterable[Trait], now: float) -> list[Trait]:
         """Record a whole answer; return the traits not refused any more."""
@@ -174,7 +187,9 @@
         return any(self._refused(traits, now))
 
     def start_trial(self, traits: Iterable[Trait], now: float) -> bool:
-        """Return whether to send a request although its parts are refused.
+        """Return whether to send a request although it is refused.
+
+        Only what other requests have too is tried: parts and paths.
 
         Hosts tell one another of it, so that few do so at a time. The answer
         or the crash decides on the parts.
@@ -182,13 +197,42 @@
         refused = list(self._refused(traits, now))
         for trait, suspect in refused:
             last_at = max(suspect.quarantined_at, suspect.tried_at)
-            if not trait.is_part or now - last_at < PART_TRIAL_SECONDS:
+            if trait.scope is Scope.REQUEST or now - last_at < PART_TRIAL_SECONDS:
                 return False
         for _, suspect in refused:
             suspect.tried_at = now
         self.announce()
         return True
 
+    def is_on_probation(self, traits: Iterable[Trait]) -> bool:
+        """Return whether requests with these traits are sent one at a time."""
+        on_probation = self._on_probation.suspects_by_fingerprint
+        return bool(on_probation) and any(
+            trait.fingerprint in on_probation for trait in traits
+        )
+
+    def may_try(self, traits: Iterable[Trait], now: float) -> bool:
+        """Return whether no other request was sent on probation lately."""
+        on_probation = self._on_probation.suspects_by_fingerprint
+        return all(
+            now - on_probation[trait.fingerprint].tried_at >= PROBATION_GAP_SECONDS
+            for trait in traits
+            if trait.fingerprint in on_probation
+        )
+
+    def try_on_probation(self, traits: Iterable[Trait], now: float) -> bool:
+        """Return whether to send a request now, and tell the peers so."""
+        if not self.is_on_probation(traits):
+            return True
+        if not self.may_try(traits, now):
+            return False
+        on_probation = self._on_probation.suspects_by_fingerprint
+        for trait in traits:
+            if trait.fingerprint in on_probation:
+                on_probation[trait.fingerprint].tried_at = now
+        self.announce()
+        return True
+
     def _refused(
         self, traits: Iterable[Trait], now: float
     ) -> Iterator[tuple[Trait, Suspect]]:
@@ -217,7 +261,7 @@
 
     def expire(self, now: float) -> None:
         """Forget traits that have ended no process for a long time."""
-        for table in (self._single, self._repeated, self._quarantined):
+        for table in self._tables():
             table.expire(now - POISON_SECONDS)
 
     def _merge(self, news: News, now: float) -> bool:
@@ -230,11 +274,38 @@
             if suspect is not None:
                 suspect.tried_at = max(news.at, suspect.tried_at)
             return False
+        if news.kind is NewsKind.ON_PROBATION:
+            self._merge_probation(news, now)
+            return False
         ended = EndedProcess(news.trait, news.process_key, news.sent_at, news.at)
         return self.record(ended, now)
 
+    def _merge_probation(self, news: News, now: float) -> None:
+        """Put a trait on probation as a peer has, or tell of an answer."""
+        suspect = self._find(news.trait.fingerprint) or Suspect(news.trait)
+        if news.at <= suspect.cleared_at:
+            self._tell_cleared(suspect, suspect.cleared_at, now)
+        elif suspect.quarantined_at is None and suspect.on_probation_at is None:
+            self._begin_probation(suspect, news.at)
+
+    def _is_guilty(self, suspect: Suspect, ended: EndedProcess) -> bool:
+        """Return whether the evidence is enough to refuse a trait."""
+        explained_keys = self._explained_keys()
+        if suspect.was_sent_on_probation(ended):
+            return ended.process_key not in explained_keys
+        return (
+            suspect.trait.scope not in PROBATION_SCOPES
+            and suspect.has_enough_ends()
+            and suspect.has_unexplained_ends(explained_keys)
+        )
+
+    def _begin_probation(self, suspect: Suspect, at: float) -> None:
+        suspect.on_probation_at = at
+        self._keep(suspect)
+
     def _begin_quarantine(self, suspect: Suspect, at: float) -> None:
         suspect.quarantined_at = at
+        suspect.on_probation_at = None
         self._keep(suspect)
         if suspect.is_own:
             self.own_changes.append(QuarantineChange(suspect.trait, True))
@@ -251,8 +322,11 @@
         begun_at = self._begun_at_by_fingerprint.get(suspect.trait.fingerprint)
         return max(suspect.cleared_at, begun_at or -math.inf)
 
+    def _tables(self) -> tuple[SuspectTable, ...]:
+        return (self._quarantined, self._on_probation, self._repeated, self._single)
+
     def _find(self, fingerprint: bytes) -> Suspect | None:
-        for table in (self._quarantined, self._repeated, self._single):
+        for table in self._tables():
             suspect = table.suspects_by_fingerprint.get(fingerprint)
             if suspect is not None:
                 return suspect
@@ -261,10 +335,12 @@
     def _keep(self, suspect: Suspect) -> None:
         """Keep a changed suspect as the newest one of its kind."""
         fingerprint = suspect.trait.fingerprint
-        for table in (self._single, self._repeated, self._quarantined):
+        for table in self._tables():
             table.remove(fingerprint)
         if suspect.quarantined_at is not None:
             self._quarantined.put(suspect)
+        elif suspect.on_probation_at is not None:
+            self._on_probation.put(suspect)
         elif suspect.is_repeated:
             self._repeated.put(suspect)
         else:
@@ -320,7 +396,8 @@
                 suspect.ended_by_process_key
             ):
                 ends.append((len(suspect.ended_by_process_key), news_of(ended)))
-        ends.sort(key=lambda each: each[0], reverse=True)
+        # Peers must hear of a narrow trait before wider ones that it explains.
+        ends.sort(key=lambda each: (-each[0], each[1].trait.scope))
         repeated = [news for count, news in ends if count > 1]
         single = [news for count, news in ends if count == 1]
         yield from itertools.islice(
@@ -335,6 +412,12 @@
             if now - suspect.tried_at < PART_TRIAL_SECONDS:
                 at = suspect.tried_at
                 reminders.append(News(suspect.trait, NewsKind.TRIED, at))
+        for suspect in self._on_probation.suspects_by_fingerprint.values():
+            at = suspect.on_probation_at
+            reminders.append(News(suspect.trait, NewsKind.ON_PROBATION, at))
+            if suspect.tried_at >= at:
+                at = suspect.tried_at
+                reminders.append(News(suspect.trait, NewsKind.TRIED, at))
         for fingerprint, until in self._denied_until_by_fingerprint.items():
             suspect = self._find(fingerprint)
             if now < until and suspect is not None and suspect.quarantined_at is None:
--- a/packages/teaselpond/src/teaselpond/gateway/poison_news.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison_news.py
@@ -24,6 +24,7 @@
     QUARANTINED = 1
     CLEARED = 2
     TRIED = 3
+    ON_PROBATION = 4
 
 
 @frozen
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -15,10 +15,14 @@
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
-    not run it. Of the latest attempt, ``engine_id`` is the upstream and
-    ``sent_at`` the time, and ``has_begun`` whether an event of its answer has
-    come. Since ``heard_at`` no bytes of the answer have come; it is infinite
-    while none are expected.
+    not run it. ``is_trial`` is true if the call may be sent in spite of a
+    probation, until it ends a process. It waits for the trial of another call
+    since ``held_since``.
+
+    Of the latest attempt, ``engine_id`` is the upstream and ``sent_at`` the
+    time, and ``has_begun`` whether an event of its answer has come. Since
+    ``heard_at`` no bytes of the answer have come; it is infinite while none
+    are expected.
     """
 
     traits: tuple[Trait, ...]
@@ -34,3 +38,5 @@
     sent_at: float = 0.0
     has_begun: bool = False
     heard_at: float = 0.0
+    is_trial: bool = False
+    held_since: float | None = None
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -45,6 +45,10 @@
 # Pause before a call that may have run is offered again to upstreams that shed
 # it. It cannot be refused any more, and they may have room by then.
 SHED_AGAIN_SECONDS = 0.1
+# A call that may have run waits for the result of another one's trial in steps
+# of the first time, and gives up after the second.
+TRIAL_WAIT_SECONDS = 0.1
+MAX_TRIAL_WAIT_SECONDS = 1.0
 # With less time remaining, a call is not sent at all.
 MIN_REMAINING_SECONDS = 0.01
 # A stream that may be repeated is retried on another upstream when its first
@@ -148,6 +152,15 @@
                     await asyncio.sleep(placement.retry_seconds)
                     continue
                 return self._refuse_unplaced(call, sink, progress, placement)
+            if self.crash_reports.is_on_probation(progress):
+                if await self.crash_reports.try_on_probation(call, progress):
+                    continue
+                if self._may_wait_for_trial(call, progress):
+                    await asyncio.sleep(TRIAL_WAIT_SECONDS)
+                    continue
+                return self._finish_with_refusal(
+                    call, sink, progress, Refusal.SUSPECTED
+                )
             if progress.arrivals and not self._acquire_retry(call, now):
                 return self._finish_with_refusal(call, sink, progress, Refusal.SHED)
             try:
@@ -379,6 +392,20 @@
             and now + seconds < call.expires_at - MIN_REMAINING_SECONDS
         )
 
+    def _may_wait_for_trial(self, call: Call, progress: Progress) -> bool:
+        """Return whether to wait until another call's trial has ended.
+
+        A call that cannot have run is refused instead, as in
+        ``_may_offer_again``.
+        """
+        now = self.clock()
+        progress.held_since = progress.held_since or now
+        return (
+            progress.may_run
+            and now - progress.held_since < MAX_TRIAL_WAIT_SECONDS
+            and now + TRIAL_WAIT_SECONDS < call.expires_at - MIN_REMAINING_SECONDS
+        )
+
     def _may_retry(self, call: Call, progress: Progress, failed: AttemptFailed) -> bool:
         if progress.placements >= MAX_PLACEMENTS:
             return False
--- a/packages/teaselpond/src/teaselpond/gateway/replies.py
+++ b/packages/teaselpond/src/teaselpond/gateway/replies.py
@@ -25,6 +25,7 @@
     OVERLOADED = "overloaded"
     SHED = "shed"
     POISONOUS = "poisonous"
+    SUSPECTED = "suspected"
     TIMEOUT_UNSENT = "timeout-unsent"
     TIMEOUT_SENT = "timeout-sent"
     BROKEN = "broken"
@@ -60,6 +61,8 @@
     Refusal.OVERLOADED: RefusalResponse(503, 0.4),
     Refusal.SHED: RefusalResponse(503, 0.2),
     Refusal.POISONOUS: RefusalResponse(503, 2.0),
+    # Another request like it is under way, and clears it if it is answered.
+    Refusal.SUSPECTED: RefusalResponse(503, 0.5),
     Refusal.TIMEOUT_UNSENT: RefusalResponse(503),
     Refusal.TIMEOUT_SENT: RefusalResponse(504),
     Refusal.BROKEN: RefusalResponse(502),
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -16,6 +16,7 @@
     Scope.REQUEST: 3,
     Scope.LAST_SHARED_PART: 3,
     Scope.EARLIER_PART: 5,
+    Scope.PATH: 3,
 }
 # So many of these must have ended one after another. Processes that end
 # together have another cause. The same request may be running at several
@@ -24,9 +25,14 @@
     Scope.REQUEST: 3,
     Scope.LAST_SHARED_PART: 2,
     Scope.EARLIER_PART: 2,
+    Scope.PATH: 1,
 }
 # So many must not be explained by another trait that is refused already.
 MIN_UNEXPLAINED_ENDS = 2
+# Traits of these scopes are refused only when a request with them has ended a
+# process while they were on probation: sound requests may have them too, and
+# may have been cut by the same crashes.
+PROBATION_SCOPES = frozenset({Scope.PATH})
 # Two hosts may disagree by this much on the times of an event.
 TIME_ERROR_SECONDS = 0.05
 
@@ -50,7 +56,9 @@
     """Hold which processes requests with a trait ended.
 
     ``quarantined_at`` is when the last of them ended, None if the trait is
-    not refused. ``cleared_at`` is when it was last shown to be harmless.
+    not refused. ``on_probation_at`` is when the last of them ended that was
+    needed to put the trait on probation, None if it is not on probation.
+    ``cleared_at`` is when it was last shown to be harmless.
     ``tried_at`` is when a request was last sent in spite of the quarantine.
     ``is_own`` tells whether this host saw one of the processes end.
     """
@@ -58,6 +66,7 @@
     trait: Trait
     ended_by_process_key: dict[int, EndedProcess] = field(factory=dict)
     quarantined_at: float | None = None
+    on_probation_at: float | None = None
     cleared_at: float = -math.inf
     tried_at: float = -math.inf
     is_own: bool = False
@@ -66,7 +75,8 @@
     def changed_at(self) -> float:
         """Return the time of the last event."""
         ends = (ended.at for ended in self.ended_by_process_key.values())
-        return max((*ends, self.quarantined_at or 0.0, self.cleared_at))
+        states = (self.quarantined_at or 0.0, self.on_probation_at or 0.0)
+        return max((*ends, *states, self.cleared_at))
 
     @property
     def is_repeated(self) -> bool:
@@ -81,6 +91,13 @@
         if self.quarantined_at is not None:
             self.quarantined_at = max(ended.at, self.quarantined_at)
 
+    def was_sent_on_probation(self, ended: EndedProcess) -> bool:
+        """Return whether a request was sent in spite of the probation."""
+        return (
+            self.on_probation_at is not None
+            and ended.sent_at > self.on_probation_at + TIME_ERROR_SECONDS
+        )
+
     def has_enough_ends(self) -> bool:
         """Return whether the trait explains enough processes that ended."""
         scope = self.trait.scope
@@ -89,6 +106,10 @@
             and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
         )
 
+    def needs_probation(self) -> bool:
+        """Return whether the trait explains enough processes to doubt it."""
+        return self.trait.scope in PROBATION_SCOPES and self.has_enough_ends()
+
     def has_unexplained_ends(self, explained_keys: Container[int]) -> bool:
         """Return whether other traits leave enough processes to explain.
 
@@ -116,7 +137,8 @@
     def clear(self, at: float) -> bool:
         """Forget what was sent before an answer; return whether any was.
 
-        A quarantine ends if it is older, or if all of its evidence is.
+        A quarantine ends if it is older, or if all of its evidence is. So does
+        a probation, or if some of its evidence is.
         """
         self.cleared_at = max(at, self.cleared_at)
         kept = {
@@ -128,6 +150,11 @@
         is_changed = len(kept) < len(self.ended_by_process_key) or is_older
         if is_older or (is_changed and not kept):
             self.quarantined_at = None
+        if self.on_probation_at is not None and (
+            is_changed or self.on_probation_at <= at
+        ):
+            self.on_probation_at = None
+            is_changed = True
         self.ended_by_process_key = kept
         return is_changed
 
--- a/packages/teaselpond/src/teaselpond/gateway/traits.py
+++ b/packages/teaselpond/src/teaselpond/gateway/traits.py
@@ -1,7 +1,8 @@
 """Name what requests have in common, to find what crashes upstreams.
 
-The same request may come again, or requests that are alike in one part of
-their prompts only. Hosts tell one another of such traits by fingerprints.
+The same request may come again, also with another query, or requests that are
+alike in one part of their prompts only. Hosts tell one another of such traits
+by fingerprints.
 """
 
 import enum
@@ -18,15 +19,21 @@
 
 
 class Scope(enum.IntEnum):
-    """List what a trait covers, the fewest requests first.
+    """List what a trait covers.
 
-    Other requests may have the same last shared part, and still more the
-    parts before it.
+    REQUEST: one request of a caller, when it comes again.
+    LAST_SHARED_PART: all prompts with this part.
+    EARLIER_PART: the same; other parts that prompts share may follow it.
+    PATH: all requests of a caller with one path and body, whatever the query.
+
+    Peers are told the values. Wider scopes are numbered higher than those of
+    which they are made up.
     """
 
     REQUEST = 0
     LAST_SHARED_PART = 1
     EARLIER_PART = 2
+    PATH = 3
 
 
 @frozen
@@ -39,7 +46,7 @@
     @property
     def is_part(self) -> bool:
         """Return whether it is a part of a prompt."""
-        return self.scope is not Scope.REQUEST
+        return self.scope in (Scope.LAST_SHARED_PART, Scope.EARLIER_PART)
 
 
 def traits_of(call: Call) -> tuple[Trait, ...]:
@@ -54,21 +61,25 @@
     for part in reversed(shared):
         traits.append(Trait(part_fingerprint(part.part_id), scope))
         scope = Scope.EARLIER_PART
+    traits.append(Trait(path_fingerprint_of(call), Scope.PATH))
     return tuple(traits)
 
 
 def fingerprint_of(call: Call) -> bytes:
     """Return a hash that identifies a request when it is sent again."""
-    workspace = call.workspace.name if call.workspace else ""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (
-        workspace.encode(),
+    return _hash_parts(
+        _caller_of(call),
         call.head.method.encode(),
         call.head.target.encode(),
         call.body,
-    ):
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return digest.digest()
+    )
+
+
+def path_fingerprint_of(call: Call) -> bytes:
+    """Return a hash that identifies a request's caller, path and body."""
+    return _hash_parts(
+        _caller_of(call), call.head.path.encode(), call.body, person=b"path"
+    )
 
 
 @functools.lru_cache(maxsize=4096)
@@ -77,3 +88,15 @@
     return hashlib.blake2b(
         part_id.lower().encode(), digest_size=FINGERPRINT_BYTES, person=b"part"
     ).digest()
+
+
+def _caller_of(call: Call) -> bytes:
+    """Return what identifies a caller, who may use several keys."""
+    return call.workspace.name.encode() if call.workspace else b""
+
+
+def _hash_parts(*parts: bytes, person: bytes = b"") -> bytes:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=person)
+    for part in parts:
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -29,7 +29,11 @@
         super().setUp()
         self.poison = PoisonTracker()
         self.reports = CrashReports(
-            self.poison, LoadTracker(), HealthTracker(), SilentJournal("", 0)
+            self.poison,
+            LoadTracker(),
+            HealthTracker(),
+            SilentJournal("", 0),
+            lambda: self.now,
         )
         self.now = 100.0
 
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -1,6 +1,7 @@
 """Test which traits of requests are found to crash upstreams."""
 
 import testtools
+from multidict import CIMultiDict
 
 from teaselpond.gateway.configuration import Workspace
 from teaselpond.gateway.engines import Engine
@@ -8,6 +9,7 @@
     MAX_SUSPECTS,
     PART_TRIAL_SECONDS,
     POISON_SECONDS,
+    PROBATION_GAP_SECONDS,
     PoisonTracker,
     QuarantineChange,
 )
@@ -182,7 +184,12 @@
         """The part of its own is none, and the place of a part counts not."""
         traits = traits_of_prompt("a", "b")
         self.assertEqual(
-            [Scope.REQUEST, Scope.LAST_SHARED_PART, Scope.EARLIER_PART],
+            [
+                Scope.REQUEST,
+                Scope.LAST_SHARED_PART,
+                Scope.EARLIER_PART,
+                Scope.PATH,
+            ],
             [trait.scope for trait in traits],
         )
         other = traits_of_prompt("b", "c", number=1)
@@ -190,11 +197,44 @@
         self.assertNotEqual(traits[0].fingerprint, other[0].fingerprint)
 
     def test_request_without_a_prompt(self) -> None:
-        """The whole request is all that others may share."""
+        """The whole request, or its path and body, is all they share."""
         self.assertEqual(
-            [Scope.REQUEST], [each.scope for each in traits_of(make_call())]
+            [Scope.REQUEST, Scope.PATH],
+            [each.scope for each in traits_of(make_call())],
         )
 
+    def test_what_may_change_when_a_request_comes_again(self) -> None:
+        """Its caller, path and body remain, and with them one trait."""
+        first = make_call(head=make_head(target="/stock/x?page=1"), body=b"x")
+        others = {
+            "query": make_head(target="/stock/x?page=2&sort=new"),
+            "no query": make_head(target="/stock/x"),
+            "attempt id": make_head(target="/stock/x?page=1", request_id="other"),
+            "deadline": make_head(target="/stock/x?page=1", deadline_seconds=0.1),
+            "key": make_head(target="/stock/x?page=1", key="another of its keys"),
+            "host": make_head(target="/stock/x?page=1", host="other.example"),
+            "method": make_head(target="/stock/x?page=1", method="PUT"),
+            "header": make_head(
+                target="/stock/x?page=1", headers=CIMultiDict({"Accept": "*/*"})
+            ),
+            "last event": make_head(target="/stock/x?page=1", last_event_id="3"),
+        }
+        for name, head in others.items():
+            traits = traits_of(make_call(head=head, body=b"x"))
+            self.assertEqual(traits_of(first)[-1], traits[-1], name)
+
+    def test_what_makes_another_request(self) -> None:
+        """Another caller, path or body shares no trait."""
+        head = make_head(target="/stock/x?page=1")
+        first = set(traits_of(make_call(head=head, body=b"x")))
+        others = {
+            "body": make_call(head=head, body=b"y"),
+            "path": make_call(head=make_head(target="/stock/y?page=1"), body=b"x"),
+            "caller": make_call(head=head, body=b"x", workspace=Workspace("w2", None)),
+        }
+        for name, call in others.items():
+            self.assertEqual(set(), first & set(traits_of(call)), name)
+
 
 class CrashingPartTests(testtools.TestCase):
     """Find the part of prompts that crashes upstreams among all others."""
@@ -321,6 +361,119 @@
             self.assertEqual([QuarantineChange(bad, True)], list(tracker.own_changes))
 
 
+class PathTests(testtools.TestCase):
+    """Find the path of requests that crash upstreams with any query."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.trackers = [PoisonTracker() for _ in range(3)]
+        self.now = 100.0
+        self.ends = 0
+
+    def traits(self, query: str) -> tuple[Trait, ...]:
+        """Return the traits of a request with a query."""
+        return traits_of(make_call(head=make_head(target=f"/list?{query}")))
+
+    def tell(self) -> None:
+        """Let all hosts hear one another."""
+        for tracker in self.trackers:
+            packed = tracker.pack_news(self.now)
+            for other in self.trackers:
+                other.merge_news(packed, self.now)
+
+    def crash(self, query: str) -> None:
+        """End a process under a request to the hosts in turn."""
+        self.now += 1.0
+        self.ends += 1
+        self.trackers[self.ends % 3].record_own(
+            self.traits(query), make_engine(f"e{self.ends}"), self.now - 0.1, self.now
+        )
+        self.tell()
+
+    def answer(self, query: str) -> None:
+        """Answer a request at one host."""
+        self.now += 0.1
+        self.trackers[0].record_answer(self.traits(query), self.now)
+        self.tell()
+
+    def is_refused(self, query: str) -> bool:
+        """Return whether any host refuses a request with a query."""
+        return any(
+            tracker.is_poisonous(self.traits(query), self.now)
+            for tracker in self.trackers
+        )
+
+    def may_send(self, query: str) -> list[bool]:
+        """Return which hosts send a request in spite of a probation."""
+        allowed = []
+        for tracker in self.trackers:
+            allowed.append(tracker.try_on_probation(self.traits(query), self.now))
+            self.tell()
+        return allowed
+
+    def test_path_is_refused_whatever_the_query(self) -> None:
+        """After three crashes one is sent at a time, after four none."""
+        for number in range(3):
+            self.assertEqual([True] * 3, self.may_send(f"page={number}"))
+            self.crash(f"page={number}")
+        self.assertEqual([True, False, False], self.may_send("page=3"))
+        self.assertEqual([False] * 3, self.may_send("page=3"))
+        self.now += PROBATION_GAP_SECONDS
+        self.assertEqual([True, False, False], self.may_send("page=3"))
+        self.assertFalse(self.is_refused("page=3"))
+        self.crash("page=3")
+        self.assertTrue(self.is_refused("page=4"))
+
+    def test_other_queries_of_a_crashing_query_are_sent(self) -> None:
+        """The query explains the crashes, as the first answer shows."""
+        for _ in range(3):
+            self.crash("page=1")
+        self.assertTrue(self.is_refused("page=1"))
+        self.assertEqual([True, False, False], self.may_send("page=2"))
+        self.answer("page=2")
+        self.assertEqual([True] * 3, self.may_send("page=3"))
+        self.assertTrue(self.is_refused("page=1"))
+
+    def test_path_is_sent_after_the_loss_of_all_upstreams(self) -> None:
+        """One answer ends its probation at all hosts."""
+        for number in range(3):
+            self.crash(f"page={number}")
+        self.assertEqual([True, False, False], self.may_send("page=3"))
+        self.answer("page=3")
+        self.assertEqual([True] * 3, self.may_send("page=4"))
+        self.crash("page=5")
+        self.assertEqual([True] * 3, self.may_send("page=4"))
+
+    def test_popular_path_is_sent_beside_other_crashes(self) -> None:
+        """It is answered elsewhere between the crashes."""
+        for number in range(8):
+            self.crash(f"page={number}")
+            self.answer(f"page={number}")
+            self.assertEqual([True] * 3, self.may_send("page=9"))
+
+    def test_started_host_hears_of_a_probation(self) -> None:
+        """It sends no requests beside the others' one."""
+        for number in range(3):
+            self.crash(f"page={number}")
+        self.now += 10.0
+        self.trackers[2] = PoisonTracker()
+        self.tell()
+        self.assertEqual([True, False, False], self.may_send("page=3"))
+
+    def test_host_that_missed_the_answer_does_not_bring_a_probation_back(
+        self,
+    ) -> None:
+        """It hears of the answer instead."""
+        for number in range(3):
+            self.crash(f"page={number}")
+        self.now += 10.0
+        self.trackers[0].record_answer(self.traits("page=3"), self.now)
+        self.now += 10.0
+        self.tell()
+        self.tell()
+        self.assertEqual([True] * 3, self.may_send("page=4"))
+
+
 class TrialTests(testtools.TestCase):
     """Try a part again that has been refused for long."""
 
