Try a request whose crashes came together or were a neighbour's too

What callers saw: a request that crashes upstreams went on after its third crash.

Change: such a request is put on probation, like a path, instead of being sent freely. Its next crash confirms it, an answer clears it. Crashes that a refused part of prompts explains count for neither.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -7,9 +7,10 @@
 whole answer clears the request, the beginning of one the parts of its prompt;
 processes that a quarantined trait explains count little for others.
 
-Where the evidence is weaker, as for a path with all of its queries, the trait
-is put on probation first: one request with it is sent at a time, until an
-answer clears it or another crash confirms it.
+Where the evidence is weaker, the trait is put on probation first: one request
+with it is sent at a time, until an answer clears it or another crash confirms
+it. That is so for a path with all of its queries, and for requests whose
+processes ended together or are explained by another request that is refused.
 
 Hosts pass on which processes a trait ended and whether it was answered, and
 keep reminding one another of the quarantined ones. So a process that starts,
@@ -27,7 +28,7 @@
 from .departures import process_key
 from .engines import Engine
 from .poison_news import News, NewsKind, news_of, pack_news, unpack_news
-from .suspects import PROBATION_SCOPES, EndedProcess, Suspect, SuspectTable
+from .suspects import PROBATION_ONLY_SCOPES, EndedProcess, Suspect, SuspectTable
 from .traits import Scope, Trait
 
 # Callers that retry such a request do so within this time.
@@ -135,7 +136,9 @@
         if self._is_guilty(suspect, ended):
             self._begin_quarantine(suspect, ended.at)
             return True
-        if suspect.on_probation_at is None and suspect.needs_probation():
+        if suspect.on_probation_at is None and suspect.needs_probation(
+            self._explained_keys(parts_only=True)
+        ):
             self._begin_probation(suspect, ended.at)
             if is_own:
                 self.announce()
@@ -294,7 +297,7 @@
         if suspect.was_sent_on_probation(ended):
             return ended.process_key not in explained_keys
         return (
-            suspect.trait.scope not in PROBATION_SCOPES
+            suspect.trait.scope not in PROBATION_ONLY_SCOPES
             and suspect.has_enough_ends()
             and suspect.has_unexplained_ends(explained_keys)
         )
@@ -310,10 +313,12 @@
         if suspect.is_own:
             self.own_changes.append(QuarantineChange(suspect.trait, True))
 
-    def _explained_keys(self) -> set[int]:
+    def _explained_keys(self, *, parts_only: bool = False) -> set[int]:
+        """Return the processes that refused traits have ended."""
         return {
             key
             for suspect in self._quarantined.suspects_by_fingerprint.values()
+            if suspect.trait.is_part or not parts_only
             for key in suspect.ended_by_process_key
         }
 
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -25,14 +25,14 @@
     Scope.REQUEST: 3,
     Scope.LAST_SHARED_PART: 2,
     Scope.EARLIER_PART: 2,
-    Scope.PATH: 1,
 }
 # So many must not be explained by another trait that is refused already.
 MIN_UNEXPLAINED_ENDS = 2
-# Traits of these scopes are refused only when a request with them has ended a
-# process while they were on probation: sound requests may have them too, and
-# may have been cut by the same crashes.
-PROBATION_SCOPES = frozenset({Scope.PATH})
+# Traits of these scopes are put on probation if that is not enough to refuse
+# them. Parts are not: an answer that begins to any prompt clears them.
+PROBATION_SCOPES = frozenset({Scope.REQUEST, Scope.PATH})
+# These are refused only after one, as sound requests may have them too.
+PROBATION_ONLY_SCOPES = frozenset({Scope.PATH})
 # Two hosts may disagree by this much on the times of an event.
 TIME_ERROR_SECONDS = 0.05
 
@@ -106,9 +106,16 @@
             and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
         )
 
-    def needs_probation(self) -> bool:
-        """Return whether the trait explains enough processes to doubt it."""
-        return self.trait.scope in PROBATION_SCOPES and self.has_enough_ends()
+    def needs_probation(self, explained_keys: Container[int]) -> bool:
+        """Return whether the trait may explain enough processes that ended.
+
+        ``explained_keys`` are the processes ended by parts that are refused.
+        """
+        return (
+            self.trait.scope in PROBATION_SCOPES
+            and len(self.ended_by_process_key) >= MIN_ENDS_BY_SCOPE[self.trait.scope]
+            and self.has_unexplained_ends(explained_keys)
+        )
 
     def has_unexplained_ends(self, explained_keys: Container[int]) -> bool:
         """Return whether other traits leave enough processes to explain.
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -474,6 +474,91 @@
         self.assertEqual([True] * 3, self.may_send("page=4"))
 
 
+class ProbationTests(testtools.TestCase):
+    """Doubt a request of which the evidence is weak."""
+
+    crashing = "/list?page=crashing"
+    sound = "/stock?page=sound"
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tracker = PoisonTracker()
+        self.now = 100.0
+        self.ends = 0
+
+    def traits(self, target: str) -> tuple[Trait, ...]:
+        """Return the traits of a request with a target."""
+        return traits_of(make_call(head=make_head(target=target)))
+
+    def crash(self, *targets: str, sent_at: float | None = None) -> None:
+        """End a process under requests, and answer others with their paths."""
+        self.now += 0.1
+        self.ends += 1
+        engine = make_engine(f"e{self.ends}")
+        for target in targets:
+            self.tracker.record_own(
+                self.traits(target), engine, sent_at or self.now - 0.1, self.now
+            )
+        for path in ("/list", "/stock"):
+            self.answer(f"{path}?page=other")
+
+    def answer(self, target: str) -> None:
+        """Answer a request."""
+        self.now += 1.0
+        self.tracker.record_answer(self.traits(target), self.now)
+
+    def is_refused(self, target: str) -> bool:
+        """Return whether a request is refused."""
+        return self.tracker.is_poisonous(self.traits(target), self.now)
+
+    def may_send(self, target: str) -> bool:
+        """Return whether a request is sent in spite of a probation."""
+        return self.tracker.try_on_probation(self.traits(target), self.now)
+
+    def test_request_is_refused_although_a_neighbour_was_taken_for_it(self) -> None:
+        """One more crash tells it from the neighbour."""
+        for _ in range(3):
+            self.crash(self.sound, self.crashing)
+        self.assertTrue(self.may_send(self.crashing))
+        self.assertFalse(self.may_send(self.crashing))
+        self.crash(self.crashing)
+        self.assertTrue(self.is_refused(self.crashing))
+
+    def test_neighbour_is_sent_after_an_answer(self) -> None:
+        """Requests that were cut by the same crashes are sent one by one."""
+        for _ in range(3):
+            self.crash(self.crashing, self.sound)
+        self.assertTrue(self.is_refused(self.crashing))
+        self.assertTrue(self.may_send(self.sound))
+        self.assertFalse(self.may_send(self.sound))
+        self.answer(self.sound)
+        for _ in range(2):
+            self.assertTrue(self.may_send(self.sound))
+
+    def test_crashes_that_come_together_again(self) -> None:
+        """Several hosts send the request at once, and then one does."""
+        sent_at = self.now
+        for _ in range(3):
+            self.crash(self.crashing, sent_at=sent_at)
+        self.assertFalse(self.is_refused(self.crashing))
+        self.assertTrue(self.may_send(self.crashing))
+        self.assertFalse(self.may_send(self.crashing))
+        self.crash(self.crashing)
+        self.assertTrue(self.is_refused(self.crashing))
+
+    def test_prompt_that_was_cut_beside_a_refused_part_is_sent(self) -> None:
+        """The part explains the crashes."""
+        beside = traits_of_prompt("first", "beside", number=1)
+        for number in range(6):
+            self.now += 1.0
+            engine = make_engine(f"e{number}")
+            bad = traits_of_prompt("first", "bad", number=10 + number)
+            for traits in (bad, beside) if number > 2 else (bad,):
+                self.tracker.record_own(traits, engine, self.now - 0.1, self.now)
+        for _ in range(2):
+            self.assertTrue(self.tracker.try_on_probation(beside, self.now))
+
+
 class TrialTests(testtools.TestCase):
     """Try a part again that has been refused for long."""
 
