Count an upstream that a request ends again before its entry is written

What callers saw: a request went on crashing upstreams whose entries stay as they were when they start again, as while the store is away. Cause: a process is known by the id and time of start in its entry, so that its second end was taken for the first one heard again.

Change: the same process ends again if the request was sent to it later than it can have started anew. Such ends put a request on probation and do not refuse it at once, as an upstream that breaks off all that it is sent looks the same; one upstream alone is never enough.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -21,7 +21,7 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from attrs import define, field, frozen
 
@@ -120,7 +120,7 @@
         A process that ends later prolongs the quarantine.
         """
         suspect = self._find(ended.trait.fingerprint) or Suspect(ended.trait)
-        if ended.process_key in suspect.ended_by_process_key:
+        if suspect.knows(ended):
             return False
         cleared_at = self._cleared_at(suspect)
         if ended.sent_at <= cleared_at:
@@ -136,9 +136,8 @@
         if self._is_guilty(suspect, ended):
             self._begin_quarantine(suspect, ended.at)
             return True
-        if suspect.on_probation_at is None and suspect.needs_probation(
-            self._explained_keys(parts_only=True)
-        ):
+        refused_parts = (each for each in self._refused_suspects if each.trait.is_part)
+        if suspect.on_probation_at is None and suspect.needs_probation(refused_parts):
             self._begin_probation(suspect, ended.at)
             if is_own:
                 self.announce()
@@ -165,7 +164,7 @@
     def count_ends(self, trait: Trait) -> int:
         """Return how many processes are known to have ended by a trait."""
         suspect = self._find(trait.fingerprint)
-        return len(suspect.ended_by_process_key) if suspect is not None else 0
+        return len(suspect.ends) if suspect is not None else 0
 
     def quarantine(self, trait: Trait, at: float, now: float) -> bool:
         """Quarantine a trait since a time; return whether that is news.
@@ -293,13 +292,12 @@
 
     def _is_guilty(self, suspect: Suspect, ended: EndedProcess) -> bool:
         """Return whether the evidence is enough to refuse a trait."""
-        explained_keys = self._explained_keys()
         if suspect.was_sent_on_probation(ended):
-            return ended.process_key not in explained_keys
+            return not any(each.knows(ended) for each in self._refused_suspects)
         return (
             suspect.trait.scope not in PROBATION_ONLY_SCOPES
             and suspect.has_enough_ends()
-            and suspect.has_unexplained_ends(explained_keys)
+            and suspect.has_unexplained_ends(self._refused_suspects)
         )
 
     def _begin_probation(self, suspect: Suspect, at: float) -> None:
@@ -313,14 +311,9 @@
         if suspect.is_own:
             self.own_changes.append(QuarantineChange(suspect.trait, True))
 
-    def _explained_keys(self, *, parts_only: bool = False) -> set[int]:
-        """Return the processes that refused traits have ended."""
-        return {
-            key
-            for suspect in self._quarantined.suspects_by_fingerprint.values()
-            if suspect.trait.is_part or not parts_only
-            for key in suspect.ended_by_process_key
-        }
+    @property
+    def _refused_suspects(self) -> Collection[Suspect]:
+        return self._quarantined.suspects_by_fingerprint.values()
 
     def _cleared_at(self, suspect: Suspect) -> float:
         """Return when an answer last showed that a trait is harmless."""
@@ -397,10 +390,8 @@
             if ended.at <= oldest:
                 break
             suspect = self._find(ended.trait.fingerprint)
-            if suspect is not None and ended.process_key in (
-                suspect.ended_by_process_key
-            ):
-                ends.append((len(suspect.ended_by_process_key), news_of(ended)))
+            if suspect is not None and ended in suspect.ends:
+                ends.append((len(suspect.ends), news_of(ended)))
         # Peers must hear of a narrow trait before wider ones that it explains.
         ends.sort(key=lambda each: (-each[0], each[1].trait.scope))
         repeated = [news for count, news in ends if count > 1]
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -1,8 +1,9 @@
 """Weigh whether a trait of requests explains that upstreams crashed."""
 
+import bisect
 import math
 from collections import OrderedDict
-from collections.abc import Container
+from collections.abc import Iterable
 
 from attrs import define, field, frozen
 
@@ -26,6 +27,8 @@
     Scope.LAST_SHARED_PART: 2,
     Scope.EARLIER_PART: 2,
 }
+# A trait is put on probation by as many ends, of two processes at least.
+MIN_PROCESSES_ON_PROBATION = 2
 # So many must not be explained by another trait that is refused already.
 MIN_UNEXPLAINED_ENDS = 2
 # Traits of these scopes are put on probation if that is not enough to refuse
@@ -33,6 +36,12 @@
 PROBATION_SCOPES = frozenset({Scope.REQUEST, Scope.PATH})
 # These are refused only after one, as sound requests may have them too.
 PROBATION_ONLY_SCOPES = frozenset({Scope.PATH})
+# Bounds memory. A refused request that still comes may end many processes.
+MAX_ENDS = 32
+# No upstream that ended is back sooner. A host may go on with what it has read
+# of its entry before, as while the store is away, and take the new process for
+# the one that ended.
+MIN_RESTART_SECONDS = 0.4
 # Two hosts may disagree by this much on the times of an event.
 TIME_ERROR_SECONDS = 0.05
 
@@ -50,10 +59,18 @@
     sent_at: float
     at: float
 
+    def is_of_same_process(self, other: "EndedProcess") -> bool:
+        """Return whether both tell of the end of one process."""
+        return (
+            self.process_key == other.process_key
+            and self.sent_at < other.at + MIN_RESTART_SECONDS
+            and other.sent_at < self.at + MIN_RESTART_SECONDS
+        )
+
 
 @define
 class Suspect:
-    """Hold which processes requests with a trait ended.
+    """Hold which processes requests with a trait ended, in order.
 
     ``quarantined_at`` is when the last of them ended, None if the trait is
     not refused. ``on_probation_at`` is when the last of them ended that was
@@ -64,7 +81,7 @@
     """
 
     trait: Trait
-    ended_by_process_key: dict[int, EndedProcess] = field(factory=dict)
+    ends: list[EndedProcess] = field(factory=list)
     quarantined_at: float | None = None
     on_probation_at: float | None = None
     cleared_at: float = -math.inf
@@ -74,20 +91,30 @@
     @property
     def changed_at(self) -> float:
         """Return the time of the last event."""
-        ends = (ended.at for ended in self.ended_by_process_key.values())
+        ends = (ended.at for ended in self.ends)
         states = (self.quarantined_at or 0.0, self.on_probation_at or 0.0)
         return max((*ends, *states, self.cleared_at))
 
     @property
     def is_repeated(self) -> bool:
         """Return whether one failing upstream alone does not explain it."""
-        return len(self.ended_by_process_key) > 1
+        return len(self.ends) > 1
+
+    @property
+    def process_count(self) -> int:
+        """Return how many processes ended that the store told apart."""
+        return len({ended.process_key for ended in self.ends})
+
+    def knows(self, ended: EndedProcess) -> bool:
+        """Return whether the end of a process is known."""
+        return any(ended.is_of_same_process(known) for known in self.ends)
 
     def add(self, ended: EndedProcess) -> None:
         """Add a process; a quarantine lasts longer from then on."""
         if ended.trait.scope > self.trait.scope:
             self.trait = ended.trait
-        self.ended_by_process_key[ended.process_key] = ended
+        bisect.insort(self.ends, ended, key=lambda known: known.at)
+        del self.ends[:-MAX_ENDS]
         if self.quarantined_at is not None:
             self.quarantined_at = max(ended.at, self.quarantined_at)
 
@@ -102,28 +129,29 @@
         """Return whether the trait explains enough processes that ended."""
         scope = self.trait.scope
         return (
-            len(self.ended_by_process_key) >= MIN_ENDS_BY_SCOPE[scope]
+            self.process_count >= MIN_ENDS_BY_SCOPE[scope]
             and self.count_sequential_ends() >= MIN_SEQUENTIAL_ENDS_BY_SCOPE[scope]
         )
 
-    def needs_probation(self, explained_keys: Container[int]) -> bool:
+    def needs_probation(self, refused: Iterable["Suspect"]) -> bool:
         """Return whether the trait may explain enough processes that ended.
 
-        ``explained_keys`` are the processes ended by parts that are refused.
+        ``refused`` are parts of prompts. An upstream that started again counts
+        twice, unless it is the only one: others may break off all it is sent.
         """
         return (
             self.trait.scope in PROBATION_SCOPES
-            and len(self.ended_by_process_key) >= MIN_ENDS_BY_SCOPE[self.trait.scope]
-            and self.has_unexplained_ends(explained_keys)
+            and len(self.ends) >= MIN_ENDS_BY_SCOPE[self.trait.scope]
+            and self.process_count >= MIN_PROCESSES_ON_PROBATION
+            and self.has_unexplained_ends(refused)
         )
 
-    def has_unexplained_ends(self, explained_keys: Container[int]) -> bool:
-        """Return whether other traits leave enough processes to explain.
-
-        ``explained_keys`` are the processes ended by traits that are refused.
-        """
-        ended_keys = self.ended_by_process_key
-        unexplained = sum(key not in explained_keys for key in ended_keys)
+    def has_unexplained_ends(self, refused: Iterable["Suspect"]) -> bool:
+        """Return whether refused traits leave enough processes to explain."""
+        refused = tuple(refused)
+        unexplained = sum(
+            not any(suspect.knows(ended) for suspect in refused) for ended in self.ends
+        )
         return unexplained >= MIN_UNEXPLAINED_ENDS
 
     def count_sequential_ends(self) -> int:
@@ -133,9 +161,7 @@
         """
         count = 0
         last_at = -math.inf
-        for ended in sorted(
-            self.ended_by_process_key.values(), key=lambda ended: ended.at
-        ):
+        for ended in self.ends:
             if ended.sent_at > last_at - TIME_ERROR_SECONDS:
                 count += 1
                 last_at = ended.at
@@ -148,13 +174,9 @@
         a probation, or if some of its evidence is.
         """
         self.cleared_at = max(at, self.cleared_at)
-        kept = {
-            key: ended
-            for key, ended in self.ended_by_process_key.items()
-            if ended.sent_at > at
-        }
+        kept = [ended for ended in self.ends if ended.sent_at > at]
         is_older = self.quarantined_at is not None and self.quarantined_at <= at
-        is_changed = len(kept) < len(self.ended_by_process_key) or is_older
+        is_changed = len(kept) < len(self.ends) or is_older
         if is_older or (is_changed and not kept):
             self.quarantined_at = None
         if self.on_probation_at is not None and (
@@ -162,7 +184,7 @@
         ):
             self.on_probation_at = None
             is_changed = True
-        self.ended_by_process_key = kept
+        self.ends = kept
         return is_changed
 
 
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -559,6 +559,60 @@
             self.assertTrue(self.tracker.try_on_probation(beside, self.now))
 
 
+class RestartedUpstreamTests(testtools.TestCase):
+    """Count each process of an upstream that a request ended once."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tracker = PoisonTracker()
+        self.now = 100.0
+
+    def crash(self, engine: Engine, after_seconds: float = 3.0) -> None:
+        """End a process some time after the one before."""
+        self.now += after_seconds
+        self.tracker.record_own((SUSPECT,), engine, self.now - 0.1, self.now)
+
+    def is_held_back(self) -> bool:
+        """Return whether a second request is not sent right after one."""
+        return not all(
+            self.tracker.try_on_probation((SUSPECT,), self.now) for _ in range(2)
+        )
+
+    def test_what_may_change_when_an_upstream_starts_again(self) -> None:
+        """Its id, its time of start, both, or nothing that hosts know of."""
+        pairs = {
+            "id": (make_engine("b"), make_engine("c")),
+            "start": (make_engine("a", born_ms=2), make_engine("a", born_ms=3)),
+            "both": (make_engine("b", born_ms=2), make_engine("c", born_ms=3)),
+            "entry late": (make_engine("a"), make_engine("a", born_ms=2)),
+            "entry not written": (make_engine("b"), make_engine("a")),
+        }
+        for name, engines in pairs.items():
+            self.tracker = PoisonTracker()
+            for engine in (make_engine("a"), *engines):
+                self.assertFalse(self.is_held_back(), name)
+                self.crash(engine)
+            held_back = self.is_held_back()
+            is_refused = self.tracker.is_poisonous((SUSPECT,), self.now)
+            self.assertTrue(held_back or is_refused, name)
+            self.crash(make_engine("b"))
+            self.assertTrue(self.tracker.is_poisonous((SUSPECT,), self.now), name)
+
+    def test_end_of_which_several_hosts_tell(self) -> None:
+        """They had sent it the request, and saw its end, at other times."""
+        for engine in (make_engine("a"), make_engine("b")):
+            self.crash(engine)
+            for _ in range(5):
+                self.crash(engine, after_seconds=0.02)
+        self.assertFalse(self.is_held_back())
+
+    def test_one_upstream_that_breaks_off_all_it_is_sent(self) -> None:
+        """Others may serve the request."""
+        for _ in range(10):
+            self.crash(make_engine("a"))
+        self.assertFalse(self.is_held_back())
+
+
 class TrialTests(testtools.TestCase):
     """Try a part again that has been refused for long."""
 
