--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -392,8 +392,8 @@
             suspect = self._find(ended.trait.fingerprint)
             if suspect is not None and ended in suspect.ends:
                 ends.append((len(suspect.ends), news_of(ended)))
-        # Peers must hear of a narrow trait before wider ones that it explains.
-        ends.sort(key=lambda each: (-each[0], each[1].trait.scope))
+        # Peers must hear of what explains the crashes of a path before it.
+        ends.sort(key=lambda each: (each[1].trait.scope is Scope.PATH, -each[0]))
         repeated = [news for count, news in ends if count > 1]
         single = [news for count, news in ends if count == 1]
         yield from itertools.islice(
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -451,6 +451,13 @@
             self.answer(f"page={number}")
             self.assertEqual([True] * 3, self.may_send("page=9"))
 
+    def test_peers_hear_of_the_query_before_its_path(self) -> None:
+        """The query that crashed on probation explains it there too."""
+        for query in ("page=1", "page=1", "page=2", "page=1"):
+            self.crash(query)
+        self.assertTrue(self.is_refused("page=1"))
+        self.assertFalse(self.is_refused("page=9"))
+
     def test_started_host_hears_of_a_probation(self) -> None:
         """It sends no requests beside the others' one."""
         for number in range(3):
