Move the probation of suspects into a module of its own

The tracker of crashing requests had three methods that only decide which request of a suspect is sent next. PART_TRIAL_SECONDS holds for paths too and is named QUARANTINE_TRIAL_SECONDS. No behaviour is changed; the tests of the tracker and of the varied requests on real processes hold.

--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -41,7 +41,7 @@
 
     def is_on_probation(self, progress: Progress) -> bool:
         """Return whether a call must be tried before it is sent."""
-        return not progress.is_trial and self.poison.is_on_probation(progress.traits)
+        return not progress.is_trial and self.poison.probation.holds(progress.traits)
 
     async def try_on_probation(self, call: Call, progress: Progress) -> bool:
         """Return whether a call is the next one to be sent on probation.
@@ -49,7 +49,7 @@
         It waits first, so that one of several hosts that have such a call at
         the same time can tell the others.
         """
-        if not self.poison.may_try(progress.traits, self.clock()):
+        if not self.poison.probation.is_free(progress.traits, self.clock()):
             return False
         await asyncio.sleep(self.rng.uniform(0, MAX_TRIAL_DELAY_SECONDS))
         now = self.clock()
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -28,6 +28,7 @@
 from .departures import process_key
 from .engines import Engine
 from .poison_news import News, NewsKind, news_of, pack_news, unpack_news
+from .probation import Probation
 from .suspects import PROBATION_ONLY_SCOPES, EndedProcess, Suspect, SuspectTable
 from .traits import Scope, Trait
 
@@ -36,10 +37,7 @@
 # One request with a refused part or path is sent each time after this long: it
 # may have been refused wrongly, or the upstreams mended. If it still crashes
 # upstreams, it costs one of them in this time.
-PART_TRIAL_SECONDS = 120.0
-# On probation, requests are sent this far apart at least. The result of most
-# is known by then.
-PROBATION_GAP_SECONDS = 0.5
+QUARANTINE_TRIAL_SECONDS = 120.0
 # The end of a process is passed on to peers for this long after it became
 # known, in which most hosts of a large fleet hear of it.
 RELAYED_SECONDS = 1.5
@@ -48,7 +46,6 @@
 MAX_SUSPECTS = 4096
 MAX_REPEATED_SUSPECTS = 1024
 MAX_QUARANTINED = 1024
-MAX_ON_PROBATION = 1024
 MAX_BEGUN = 8192
 # Bounds a heartbeat: together below a kilobyte.
 MAX_RELAYED = 32
@@ -73,7 +70,8 @@
 
     ``own_changes`` are the quarantines that began by evidence of which this
     host saw a part, or that ended since or by an answer to this host, until
-    they are taken out. ``announce`` sends news to all peers at once.
+    they are taken out. ``probation`` decides on requests that may crash
+    upstreams. ``announce`` sends news to all peers at once.
     """
 
     rng: random.Random = field(factory=random.Random)
@@ -81,10 +79,10 @@
     own_changes: deque[QuarantineChange] = field(
         factory=lambda: deque(maxlen=MAX_QUARANTINED)
     )
+    probation: Probation = field(factory=Probation)
     _single: SuspectTable = field(factory=lambda: SuspectTable(MAX_SUSPECTS))
     _repeated: SuspectTable = field(factory=lambda: SuspectTable(MAX_REPEATED_SUSPECTS))
     _quarantined: SuspectTable = field(factory=lambda: SuspectTable(MAX_QUARANTINED))
-    _on_probation: SuspectTable = field(factory=lambda: SuspectTable(MAX_ON_PROBATION))
     _begun_at_by_fingerprint: OrderedDict[bytes, float] = field(factory=OrderedDict)
     _newest: deque[EndedProcess] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
@@ -199,39 +197,19 @@
         refused = list(self._refused(traits, now))
         for trait, suspect in refused:
             last_at = max(suspect.quarantined_at, suspect.tried_at)
-            if trait.scope is Scope.REQUEST or now - last_at < PART_TRIAL_SECONDS:
+            if trait.scope is Scope.REQUEST or now - last_at < QUARANTINE_TRIAL_SECONDS:
                 return False
         for _, suspect in refused:
             suspect.tried_at = now
         self.announce()
         return True
 
-    def is_on_probation(self, traits: Iterable[Trait]) -> bool:
-        """Return whether requests with these traits are sent one at a time."""
-        on_probation = self._on_probation.suspects_by_fingerprint
-        return bool(on_probation) and any(
-            trait.fingerprint in on_probation for trait in traits
-        )
-
-    def may_try(self, traits: Iterable[Trait], now: float) -> bool:
-        """Return whether no other request was sent on probation lately."""
-        on_probation = self._on_probation.suspects_by_fingerprint
-        return all(
-            now - on_probation[trait.fingerprint].tried_at >= PROBATION_GAP_SECONDS
-            for trait in traits
-            if trait.fingerprint in on_probation
-        )
-
     def try_on_probation(self, traits: Iterable[Trait], now: float) -> bool:
         """Return whether to send a request now, and tell the peers so."""
-        if not self.is_on_probation(traits):
+        if not self.probation.holds(traits):
             return True
-        if not self.may_try(traits, now):
+        if not self.probation.start_trial(traits, now):
             return False
-        on_probation = self._on_probation.suspects_by_fingerprint
-        for trait in traits:
-            if trait.fingerprint in on_probation:
-                on_probation[trait.fingerprint].tried_at = now
         self.announce()
         return True
 
@@ -321,7 +299,8 @@
         return max(suspect.cleared_at, begun_at or -math.inf)
 
     def _tables(self) -> tuple[SuspectTable, ...]:
-        return (self._quarantined, self._on_probation, self._repeated, self._single)
+        on_probation = self.probation.table
+        return (self._quarantined, on_probation, self._repeated, self._single)
 
     def _find(self, fingerprint: bytes) -> Suspect | None:
         for table in self._tables():
@@ -338,7 +317,7 @@
         if suspect.quarantined_at is not None:
             self._quarantined.put(suspect)
         elif suspect.on_probation_at is not None:
-            self._on_probation.put(suspect)
+            self.probation.table.put(suspect)
         elif suspect.is_repeated:
             self._repeated.put(suspect)
         else:
@@ -405,10 +384,10 @@
         for suspect in self._quarantined.suspects_by_fingerprint.values():
             at = suspect.quarantined_at
             reminders.append(News(suspect.trait, NewsKind.QUARANTINED, at))
-            if now - suspect.tried_at < PART_TRIAL_SECONDS:
+            if now - suspect.tried_at < QUARANTINE_TRIAL_SECONDS:
                 at = suspect.tried_at
                 reminders.append(News(suspect.trait, NewsKind.TRIED, at))
-        for suspect in self._on_probation.suspects_by_fingerprint.values():
+        for suspect in self.probation.table.suspects_by_fingerprint.values():
             at = suspect.on_probation_at
             reminders.append(News(suspect.trait, NewsKind.ON_PROBATION, at))
             if suspect.tried_at >= at:
--- a/packages/teaselpond/src/teaselpond/gateway/suspects.py
+++ b/packages/teaselpond/src/teaselpond/gateway/suspects.py
@@ -27,14 +27,16 @@
     Scope.LAST_SHARED_PART: 2,
     Scope.EARLIER_PART: 2,
 }
-# A trait is put on probation by as many ends, of two processes at least.
-MIN_PROCESSES_ON_PROBATION = 2
 # So many must not be explained by another trait that is refused already.
 MIN_UNEXPLAINED_ENDS = 2
-# Traits of these scopes are put on probation if that is not enough to refuse
-# them. Parts are not: an answer that begins to any prompt clears them.
+# Traits of these scopes are put on probation by as many ends that are not
+# enough to refuse them. Parts are not: an answer that begins to any prompt
+# with a part clears it.
 PROBATION_SCOPES = frozenset({Scope.REQUEST, Scope.PATH})
-# These are refused only after one, as sound requests may have them too.
+# So many of these ends must be of processes that the store told apart.
+MIN_PROCESSES_ON_PROBATION = 2
+# Traits of these scopes are refused only after a probation, as sound requests
+# may have them too.
 PROBATION_ONLY_SCOPES = frozenset({Scope.PATH})
 # Bounds memory. A refused request that still comes may end many processes.
 MAX_ENDS = 32
@@ -73,10 +75,11 @@
     """Hold which processes requests with a trait ended, in order.
 
     ``quarantined_at`` is when the last of them ended, None if the trait is
-    not refused. ``on_probation_at`` is when the last of them ended that was
-    needed to put the trait on probation, None if it is not on probation.
+    not refused. ``on_probation_at`` is when the one ended that put the trait
+    on probation, None if it is not on probation.
     ``cleared_at`` is when it was last shown to be harmless.
-    ``tried_at`` is when a request was last sent in spite of the quarantine.
+    ``tried_at`` is when a request was last sent in spite of the quarantine or
+    the probation.
     ``is_own`` tells whether this host saw one of the processes end.
     """
 
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -7,7 +7,7 @@
 from teaselpond.gateway.crash_reports import CrashReports
 from teaselpond.gateway.health import HealthTracker, Result
 from teaselpond.gateway.loads import LoadTracker
-from teaselpond.gateway.poison import PART_TRIAL_SECONDS, PoisonTracker
+from teaselpond.gateway.poison import QUARANTINE_TRIAL_SECONDS, PoisonTracker
 from teaselpond.gateway.progress import Progress
 from teaselpond.gateway.traits import Scope, traits_of
 from teaselpond_standins.testing.exchanges import SilentJournal
@@ -103,7 +103,7 @@
     def test_call_is_sent_in_spite_of_a_quarantine_once(self) -> None:
         """The next one is refused until its result is known."""
         self.break_off(has_begun=False)
-        self.now += PART_TRIAL_SECONDS
+        self.now += QUARANTINE_TRIAL_SECONDS
         call, progress = self.make_progress(CRASHES)
         self.assertFalse(self.reports.is_refused(call, progress, self.now))
         self.assertTrue(self.reports.is_refused(call, progress, self.now))
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -7,12 +7,12 @@
 from teaselpond.gateway.engines import Engine
 from teaselpond.gateway.poison import (
     MAX_SUSPECTS,
-    PART_TRIAL_SECONDS,
     POISON_SECONDS,
-    PROBATION_GAP_SECONDS,
+    QUARANTINE_TRIAL_SECONDS,
     PoisonTracker,
     QuarantineChange,
 )
+from teaselpond.gateway.probation import TRIAL_GAP_SECONDS
 from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
 from teaselpond.gateway.traits import Scope, Trait, fingerprint_of, traits_of
 from teaselpond_standins.testing.gateways import (
@@ -418,7 +418,7 @@
             self.crash(f"page={number}")
         self.assertEqual([True, False, False], self.may_send("page=3"))
         self.assertEqual([False] * 3, self.may_send("page=3"))
-        self.now += PROBATION_GAP_SECONDS
+        self.now += TRIAL_GAP_SECONDS
         self.assertEqual([True, False, False], self.may_send("page=3"))
         self.assertFalse(self.is_refused("page=3"))
         self.crash("page=3")
@@ -662,14 +662,14 @@
     def test_one_host_tries_the_part_after_a_time(self) -> None:
         """The others hear of it, and wait as long again."""
         self.assertEqual([False, False, False], self.trials())
-        self.now += PART_TRIAL_SECONDS
+        self.now += QUARANTINE_TRIAL_SECONDS
         self.assertEqual([True, False, False], self.trials())
-        self.now += PART_TRIAL_SECONDS
+        self.now += QUARANTINE_TRIAL_SECONDS
         self.assertEqual([True, False, False], self.trials())
 
     def test_part_that_is_answered_is_served_by_all(self) -> None:
         """It was refused wrongly, or the upstreams were mended."""
-        self.now += PART_TRIAL_SECONDS
+        self.now += QUARANTINE_TRIAL_SECONDS
         self.trials()
         traits = traits_of_prompt("other", "bad", number=100)
         self.trackers[0].record_begun(traits, self.now + 0.2)
@@ -680,7 +680,7 @@
 
     def test_part_that_crashes_again_stays_refused(self) -> None:
         """The quarantine lasts from that crash on, at all hosts."""
-        self.now += PART_TRIAL_SECONDS
+        self.now += QUARANTINE_TRIAL_SECONDS
         self.trials()
         self.crash(self.trackers[0], 100)
         self.tell()
@@ -695,4 +695,4 @@
         traits = traits_of(make_call(body=b"x"))
         for number in range(THRESHOLD):
             tracker.record_own(traits, make_engine(f"e{number}"), 1.0, 1.0)
-        self.assertFalse(tracker.start_trial(traits, 1.0 + PART_TRIAL_SECONDS))
+        self.assertFalse(tracker.start_trial(traits, 1.0 + QUARANTINE_TRIAL_SECONDS))
