Connect again after a pause of the process instead of leaving the upstream out

What callers saw: after a pause of a gateway of 0.25 s, calls were refused with no-upstream although all upstreams could serve them. Cause: the limit of a connection expires in the same turn of the event loop that finds it made.

Change: a connection whose limit expired over 0.05 s late is made once more; nothing was sent on it. The time left that the upstream is told is that of the second connection.

--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -27,6 +27,8 @@
 # An answer without a length ends with its connection. Limits the wait for the
 # close, which tells whether the answer is complete.
 CLOSE_TIMEOUT_SECONDS = 0.2
+# A timeout that expires so late was delayed by a pause of this process.
+MIN_PAUSE_SECONDS = 0.05
 
 
 @frozen
@@ -139,21 +141,33 @@
         """
         client = self.pooled_client if call.may_repeat else self.single_use_client
         peer = str(engine.address)
-        head = call.head
-        headers = self.codec.encode_request(
-            call, engine, remaining_seconds, last_event_id, copy_from
-        )
-        try:
-            response = await client.open(
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+
+        async def send() -> aiohttp.ClientResponse:
+            left_seconds = remaining_seconds - (loop.time() - started_at)
+            return await client.open(
                 engine.address,
-                head.method,
-                head.target,
-                request_id=head.request_id,
-                headers_by_name=headers,
+                call.head.method,
+                call.head.target,
+                request_id=call.head.request_id,
+                headers_by_name=self.codec.encode_request(
+                    call, engine, left_seconds, last_event_id, copy_from
+                ),
                 body=call.body or None,
-                host=head.host,
+                host=call.head.host,
                 allow_errors_without_id=True,
             )
+
+        try:
+            try:
+                response = await send()
+            except UpstreamUnavailable:
+                late_seconds = loop.time() - started_at - client.connect_seconds
+                if late_seconds < MIN_PAUSE_SECONDS:
+                    raise
+                # This process stood still, and may have been connected then.
+                response = await send()
         except (UpstreamUnavailable, UpstreamBroken) as error:
             raise attempt_failure(error, peer) from error
         protocol = response.connection.protocol if response.connection else None
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -107,7 +107,7 @@
         self.idle_seconds = idle_seconds
         self.max_answer_bytes = max_answer_bytes
         self._reuse = reuse
-        self._connect_seconds = connect_seconds
+        self.connect_seconds = connect_seconds
         self._keepalive_seconds = keepalive_seconds
         self._id_header = id_header
         self._skip_auto_headers = skip_auto_headers
@@ -178,7 +178,7 @@
         check_path(path)
         idle = self.idle_seconds if idle_seconds is None else idle_seconds
         timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=self._connect_seconds, sock_read=idle
+            total=None, sock_connect=self.connect_seconds, sock_read=idle
         )
         if self._session is None:
             self._session = self._open_session()
