Read what arrived during a pause before an upstream counts as silent

The limit of a wait expires in the same turn of the event loop that finds the bytes.

Change: PauseAwareTimeout waits 0.05 s more if it expires as late as that. Attempts of calls use it for the answer and for each event of a stream.

Measured: test_answer_that_came_during_a_pause_is_read holds, and fails with asyncio.timeout in its place. 317 tests of the gateway pass.

--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -36,6 +36,7 @@
     check_answer,
     check_success_head,
 )
+from .timeouts import PauseAwareTimeout
 from .traits import traits_of
 
 # Limits how many upstreams a call is sent to, counting those that shed it.
@@ -232,7 +233,7 @@
         remaining_seconds = call.expires_at - self.clock()
         timeout_seconds = self._response_timeout(call, progress)
         try:
-            async with asyncio.timeout(timeout_seconds) as response_timeout:
+            async with PauseAwareTimeout(timeout_seconds) as response_timeout:
                 answer = await self.sender.open(
                     call,
                     engine,
@@ -271,7 +272,7 @@
         answer: OpenAnswer,
         sink: EventSink,
         progress: Progress,
-        event_timeout: asyncio.Timeout,
+        event_timeout: PauseAwareTimeout,
     ) -> None:
         last_id = progress.last_event_id
         events = SparseEventSplitter(_event_number(last_id))
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -23,12 +23,11 @@
 from .engines import Engine
 from .health import Result
 from .held_answers import HeldAnswers
+from .timeouts import PAUSE_SECONDS
 
 # An answer without a length ends with its connection. Limits the wait for the
 # close, which tells whether the answer is complete.
 CLOSE_TIMEOUT_SECONDS = 0.2
-# A timeout that expires so late was delayed by a pause of this process.
-MIN_PAUSE_SECONDS = 0.05
 
 
 @frozen
@@ -164,7 +163,7 @@
                 response = await send()
             except UpstreamUnavailable:
                 late_seconds = loop.time() - started_at - client.connect_seconds
-                if late_seconds < MIN_PAUSE_SECONDS:
+                if late_seconds < PAUSE_SECONDS:
                     raise
                 # This process stood still, and may have been connected then.
                 response = await send()
