Ask an upstream for its health before it gets a request that has ended one

Callers that poll a path were refused for ten minutes after an outage of its upstreams of 1.5 s, and a request that had crashed two upstreams was refused as one that had crashed three.

Cause: an attempt that broke off counted as the end of a process that ran it. A path to an upstream that is away may accept connections and reset them, so that each further attempt counted.

A request that has ended a process is sent on only to upstreams that have answered some host since, or answer a health check now. An attempt that breaks off after that was sent to a process that lived.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -21,6 +21,7 @@
 SIGNATURE = "X-Teaselpond-Server-Seal"
 NOT_RUN = "X-Teaselpond-Not-Executed"
 EXPECT_ENGINE = "X-Teaselpond-Expect-Instance"
+ENGINE_ID = "X-Teaselpond-Instance-Id"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 PREFIX_HASH = "X-Teaselpond-Prefix-Hash"
@@ -170,6 +171,7 @@
         app.add_routes(
             [
                 web.get("/v1/kv-list", self._list_cache),
+                web.get("/healthz", self._tell_health),
                 web.route("*", "/{path:.*}", self._call),
             ]
         )
@@ -179,6 +181,10 @@
         held = [["", part_id, tokens, "m"] for part_id, tokens in self.cached_parts]
         return web.json_response({"epoch": 1, "Next": 1, "held": held})
 
+    async def _tell_health(self, request: web.Request) -> web.Response:
+        headers = {ENGINE_ID: self.engine_id}
+        return web.Response(status=503 if self.is_leaving else 200, headers=headers)
+
     async def _call(self, request: web.Request) -> web.StreamResponse:
         self.seen_calls.append(
             SeenCall(
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -9,6 +9,7 @@
 from .entry import CallerRequestHandler
 from .following import Follower
 from .host import GatewayHost
+from .liveness import LivenessChecker
 from .peers import PeerExchange
 from .placement import Placer
 from .readers import FIRST_MEETING_SECONDS, ReadScheduler
@@ -35,13 +36,17 @@
     options: dict[str, Any] = {
         "connect_seconds": CONNECT_TIMEOUT_SECONDS,
         "idle_seconds": IDLE_TIMEOUT_SECONDS,
-        "id_header": adapter.headers.REQUEST_ID,
         "skip_auto_headers": SKIPPED_AUTO_HEADERS,
     }
+    id_option = {"id_header": adapter.headers.REQUEST_ID}
     return Sender(
         adapter.headers,
-        pooled_client=UpstreamClient(keepalive_seconds=KEEPALIVE_SECONDS, **options),
-        single_use_client=UpstreamClient(reuse=False, **options),
+        pooled_client=UpstreamClient(
+            keepalive_seconds=KEEPALIVE_SECONDS, **id_option, **options
+        ),
+        single_use_client=UpstreamClient(reuse=False, **id_option, **options),
+        # A health check is no request of a caller, and has no such id.
+        check_client=UpstreamClient(reuse=False, **options),
     )
 
 
@@ -70,6 +75,15 @@
         host.loads,
         host.health,
         CrashReports(host.poison, host.loads, host.health, host.journal, host.clock),
+        LivenessChecker(
+            sender,
+            host.routing_state,
+            host.poison,
+            host.health,
+            host.loads,
+            host.journal,
+            host.clock,
+        ),
         host.journal,
         host.metrics,
         host.clock,
--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -7,9 +7,10 @@
 from attrs import define, field
 
 from .calls import Call
-from .engines import Engine, engine_key
+from .engines import Engine
 from .health import HealthTracker
 from .journal import Journal
+from .liveness import answered_at
 from .loads import LoadTracker
 from .poison import PoisonTracker
 from .progress import Progress
@@ -72,11 +73,8 @@
         shortest = min(call.route.objective_seconds, call.route.pause_seconds)
         if now - progress.heard_at < shortest:
             return
-        reading = self.loads.readings.newest(engine_key(engine.engine_id))
-        answered_at = self.health.get(engine.engine_id).answered_at
-        if reading is not None:
-            answered_at = max(answered_at, reading.read_at)
-        if answered_at > progress.heard_at:
+        last_at = answered_at(engine.engine_id, self.health, self.loads)
+        if last_at > progress.heard_at:
             return
         traits = _suspected_traits(progress)
         if progress.heard_at <= progress.sent_at:
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -164,6 +164,12 @@
         suspect = self._find(trait.fingerprint)
         return len(suspect.ends) if suspect is not None else 0
 
+    def last_end_at(self, traits: Iterable[Trait]) -> float | None:
+        """Return when a request or path last ended a process, or None."""
+        suspects = (self._find(each.fingerprint) for each in traits if not each.is_part)
+        ends = (each.ends[-1].at for each in suspects if each is not None and each.ends)
+        return max(ends, default=None)
+
     def quarantine(self, trait: Trait, at: float, now: float) -> bool:
         """Quarantine a trait since a time; return whether that is news.
 
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -20,6 +20,7 @@
 from .health import HealthTracker, Result
 from .held_answers import HeldAnswers
 from .journal import Journal
+from .liveness import LivenessChecker
 from .loads import LoadTracker
 from .metrics import Metrics
 from .placement import NoPlacement, Placement, Placer
@@ -84,6 +85,7 @@
     loads: LoadTracker
     health: HealthTracker
     crash_reports: CrashReports
+    liveness: LivenessChecker
     journal: Journal
     metrics: Metrics
     clock: Callable[[], float]
@@ -153,6 +155,9 @@
                     await asyncio.sleep(placement.retry_seconds)
                     continue
                 return self._refuse_unplaced(call, sink, progress, placement)
+            if self.liveness.must_check(progress, placement.record.engine):
+                await self.liveness.check(call, progress, placement.record.engine)
+                continue
             if self.crash_reports.is_on_probation(progress):
                 if await self.crash_reports.try_on_probation(call, progress):
                     continue
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -23,11 +23,14 @@
 from .engines import Engine
 from .health import Result
 from .held_answers import HeldAnswers
-from .timeouts import PAUSE_SECONDS
+from .timeouts import PAUSE_SECONDS, PauseAwareTimeout
 
 # An answer without a length ends with its connection. Limits the wait for the
 # close, which tells whether the answer is complete.
 CLOSE_TIMEOUT_SECONDS = 0.2
+# An upstream that lives answers a health check within this time unless all of
+# its slots are busy.
+CHECK_TIMEOUT_SECONDS = 0.25
 
 
 @frozen
@@ -125,6 +128,7 @@
     codec: HeaderCodec
     pooled_client: UpstreamClient
     single_use_client: UpstreamClient
+    check_client: UpstreamClient
 
     async def open(
         self,
@@ -183,10 +187,31 @@
             _ = protocol.closed
         return opened
 
+    async def check_health(self, engine: Engine, path: str) -> None:
+        """Ask an upstream for its health; any answer will do.
+
+        Raise AttemptFailed if none arrives.
+        """
+        peer = str(engine.address)
+        try:
+            async with PauseAwareTimeout(CHECK_TIMEOUT_SECONDS):
+                await self.check_client.fetch(
+                    engine.address,
+                    "GET",
+                    path,
+                    request_id=f"check-{engine.engine_id}",
+                    check_id=False,
+                )
+        except (UpstreamUnavailable, UpstreamBroken) as error:
+            raise attempt_failure(error, peer) from error
+        except TimeoutError:
+            raise AttemptFailed(Result.SILENT, "silent check", peer=peer) from None
+
     async def close(self) -> None:
         """Close the connections to all upstreams."""
         await self.pooled_client.close()
         await self.single_use_client.close()
+        await self.check_client.close()
 
     def release(self, answer: OpenAnswer) -> None:
         """Release an answer's connection; close it if the body is unread."""
