Try an upstream each half second while none of a service can be reached

After an outage of all upstreams of a service, a host refused its calls for up to 4 s more. Cause: the ejection of an unreachable upstream doubles up to 4 s, and nothing else tells that it is back if its entry stayed as it was.

A host now tries one of them each 0.5 s, in turn.

--- a/packages/teaselpond/src/teaselpond/gateway/health.py
+++ b/packages/teaselpond/src/teaselpond/gateway/health.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Container
+from collections.abc import Collection, Container
 
 from attrs import define, field
 
@@ -37,6 +37,8 @@
 FAILURE_RATE_LIMIT = 0.35
 FAILURE_RATE_WEIGHT = 0.15
 FAILURE_EJECT_SECONDS = 3.0
+# While no upstream can be reached, a host tries one of them this often.
+PROBE_GAP_SECONDS = 0.5
 # If more than this fraction of a call's upstreams is ejected, the upstreams
 # are not at fault themselves, so only the unreachable ones are skipped.
 MAX_EJECTED_RATIO = 0.4
@@ -47,7 +49,8 @@
     """Track one upstream's failures and ejection.
 
     Times are on the boot clock. ``reason`` is the result that caused the last
-    ejection, ``answered_at`` when a whole answer came last.
+    ejection, ``answered_at`` when a whole answer came last, ``probed_at`` when
+    it was last used in spite of an ejection.
     """
 
     failure_rate: float = 0.0
@@ -55,6 +58,7 @@
     ejected_until: float = 0.0
     reason: str = ""
     answered_at: float = -math.inf
+    probed_at: float = -math.inf
 
     def record(self, result: Result, now: float) -> bool:
         """Record a result; return whether it newly ejects the upstream."""
@@ -124,3 +128,19 @@
             or self.get(each).reason != unreachable
         ]
         return reachable
+
+    def take_probe(
+        self, listed_ids: Collection[str], usable_ids: Collection[str], now: float
+    ) -> str | None:
+        """Return an unreachable upstream to use again, if it is time.
+
+        ``listed_ids`` are all upstreams of a service, ``usable_ids`` those
+        that a call may be sent to. Of these, it is the one that was used this
+        way the longest ago.
+        """
+        newest_at = max(self.get(each).probed_at for each in listed_ids)
+        if now - newest_at < PROBE_GAP_SECONDS:
+            return None
+        oldest = min(usable_ids, key=lambda each: self.get(each).probed_at)
+        self.get(oldest).probed_at = now
+        return oldest
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -106,9 +106,12 @@
         usable = self._without_backoff(untried, now)
         if not usable:
             return self._explain_none_usable(listed, untried, now)
-        healthy_ids = set(
-            self.health.healthy([_id_of(record) for record in usable], now)
-        )
+        usable_ids = [_id_of(record) for record in usable]
+        healthy_ids = set(self.health.healthy(usable_ids, now))
+        if not healthy_ids:
+            # Nothing else tells that they are back if their entries stayed.
+            listed_ids = [_id_of(record) for record in listed]
+            healthy_ids = {self.health.take_probe(listed_ids, usable_ids, now)}
         healthy = [record for record in usable if _id_of(record) in healthy_ids]
         if not healthy:
             return NoPlacement("all-unreachable", len(listed))
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -9,7 +9,12 @@
 from teaselpond.gateway.budgets import ColdBudget, RetryBudget
 from teaselpond.gateway.calls import Call
 from teaselpond.gateway.drain import EXIT_MARGIN_SECONDS, Drain, Phase
-from teaselpond.gateway.health import EngineHealth, HealthTracker, Result
+from teaselpond.gateway.health import (
+    PROBE_GAP_SECONDS,
+    EngineHealth,
+    HealthTracker,
+    Result,
+)
 from teaselpond.gateway.loads import LoadTracker
 from teaselpond.gateway.locating import choose_hosts
 from teaselpond.gateway.members import (
@@ -134,6 +139,16 @@
         tracker.get("c").record(Result.UNREACHABLE, 1.0)
         self.assertEqual(["a", "b"], tracker.healthy(["a", "b", "c"], 1.1))
 
+    def test_unreachable_upstreams_are_probed_in_turn(self) -> None:
+        """One of them is used each time after a pause."""
+        tracker = HealthTracker()
+        engine_ids = ["a", "b", "c"]
+        probes = [
+            tracker.take_probe(engine_ids, engine_ids, now * PROBE_GAP_SECONDS / 2)
+            for now in range(8)
+        ]
+        self.assertEqual(["a", None, "b", None, "c", None, "a", None], probes)
+
 
 class LoadTests(testtools.TestCase):
     """Count requests at upstreams."""
--- a/packages/teaselpond/tests/gateway/test_placement.py
+++ b/packages/teaselpond/tests/gateway/test_placement.py
@@ -145,6 +145,17 @@
             self.health.get(f"e{number}").record(Result.UNREACHABLE, 1.0)
         self.assertEqual("e5", self.chosen(now=1.1))
 
+    def test_service_is_used_soon_after_all_its_engines_were_unreachable(
+        self,
+    ) -> None:
+        """One call each half a second finds out whether an engine is back."""
+        for second in range(8):
+            for number in range(6):
+                self.health.get(f"e{number}").record(Result.UNREACHABLE, second)
+        placed = [self.place(now=7.0 + tick / 10) for tick in range(10)]
+        used = [isinstance(each, Placement) for each in placed]
+        self.assertEqual([0, 5], [tick for tick in range(10) if used[tick]])
+
     def test_no_engine(self) -> None:
         """The result contains the reason why no engine was chosen."""
         everything = tuple(f"e{n}" for n in range(6))
