Do not take an upstream for crashed that sends an invalid answer

A request that its upstreams answered four times with a success that is unsigned, encoded or for another request was refused for ten minutes, also when they answered well again.

Cause: such answers had the same result as those that break off, and each counted as the end of a process. They show that the process lives, so they have a result of their own, invalid, and count as a sign of life. How they count for an upstream's health is unchanged. The check of an upstream's health connects again after a pause of this process, as other calls do.

test_request_with_invalid_answers_is_not_quarantined failed before (503 for the fourth and later calls) and passes now; gateway and upstream tests are green. Two tests of answers without end name the narrower error now.

--- a/packages/teaselpond/src/teaselpond/exceptions.py
+++ b/packages/teaselpond/src/teaselpond/exceptions.py
@@ -15,6 +15,7 @@
     "TeaselpondError",
     "UpstreamBroken",
     "UpstreamCrossed",
+    "UpstreamInvalid",
     "UpstreamRefused",
     "UpstreamSilent",
     "UpstreamStreamMissing",
@@ -58,7 +59,11 @@
     """Report an upstream that sent nothing within the idle timeout."""
 
 
-class UpstreamCrossed(UpstreamBroken):
+class UpstreamInvalid(UpstreamBroken):
+    """Report an upstream that lives and sent what is no valid answer."""
+
+
+class UpstreamCrossed(UpstreamInvalid):
     """Report an answer that carries another request's id."""
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/health.py
+++ b/packages/teaselpond/src/teaselpond/gateway/health.py
@@ -11,7 +11,8 @@
     """Classify how a request to an upstream ended.
 
     UNREACHABLE: no connection was made.
-    BROKEN: the answer was invalid or broke off.
+    BROKEN: the answer broke off.
+    INVALID: the upstream sent what is no valid answer.
     SILENT: the answer, or its next part, did not arrive in time.
     FAILED: the upstream answered with a status of 500 or above.
     SHED: the upstream answered that it did not run the request.
@@ -20,12 +21,15 @@
     SUCCESS = "success"
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
+    INVALID = "invalid"
     SILENT = "silent"
     FAILED = "failed"
     SHED = "shed"
 
 
-ANSWERED_RESULTS = frozenset({Result.SUCCESS, Result.FAILED, Result.SHED})
+ANSWERED_RESULTS = frozenset(
+    {Result.SUCCESS, Result.INVALID, Result.FAILED, Result.SHED}
+)
 # Backoff for an unreachable upstream: its first ejection lasts the minimum,
 # and each further failure doubles the time up to the maximum.
 EJECT_MIN_SECONDS = 0.5
@@ -49,8 +53,8 @@
     """Track one upstream's failures and ejection.
 
     Times are on the boot clock. ``reason`` is the result that caused the last
-    ejection, ``answered_at`` when a whole answer came last, ``probed_at`` when
-    it was last used in spite of an ejection.
+    ejection, ``answered_at`` when an answer last showed that the upstream
+    lives, ``probed_at`` when it was last used in spite of an ejection.
     """
 
     failure_rate: float = 0.0
--- a/packages/teaselpond/src/teaselpond/gateway/held_answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/held_answers.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from ..exceptions import UpstreamBroken
+from ..exceptions import UpstreamInvalid
 
 # The largest answer, and also the limit of all that a host holds at a time. A
 # failing upstream may send without end.
@@ -20,11 +20,11 @@
     held_bytes: int = 0
 
     def add(self, count: int) -> None:
-        """Hold more bytes; raise UpstreamBroken if they are too many."""
+        """Hold more bytes; raise UpstreamInvalid if they are too many."""
         self.held_bytes += count
         self.held_answers.held_bytes += count
         if self.held_answers.is_exceeded_by(self):
-            raise UpstreamBroken(
+            raise UpstreamInvalid(
                 f"no room for {self.held_bytes} bytes of the answer, of"
                 f" {self.held_answers.held_bytes} that the host holds",
                 step="answer",
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -1,7 +1,8 @@
 """Send a call to one upstream, and check that its answer is complete."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
 
 import aiohttp
 from attrs import define, frozen
@@ -9,10 +10,12 @@
 from ..exceptions import (
     TeaselpondError,
     UpstreamBroken,
+    UpstreamInvalid,
     UpstreamSilent,
     UpstreamUnavailable,
 )
 from ..upstreams.connections import (
+    Answer,
     UpstreamClient,
     is_unframed,
     translate_upstream_errors,
@@ -32,6 +35,8 @@
 # its slots are busy.
 CHECK_TIMEOUT_SECONDS = 0.25
 
+T = TypeVar("T")
+
 
 @frozen
 class WholeAnswer:
@@ -93,7 +98,7 @@
         """Return the body; raise UpstreamBroken if incomplete or too large."""
         length = self.response.content_length
         if length is not None and length > held_answers.limit_bytes:
-            raise UpstreamBroken(
+            raise UpstreamInvalid(
                 f"the answer has {length} bytes", step="answer", peer=self.peer
             )
         body = bytearray()
@@ -163,14 +168,7 @@
             )
 
         try:
-            try:
-                response = await send()
-            except UpstreamUnavailable:
-                late_seconds = loop.time() - started_at - client.connect_seconds
-                if late_seconds < PAUSE_SECONDS:
-                    raise
-                # This process stood still, and may have been connected then.
-                response = await send()
+            response = await _connect_again_after_pause(client, send)
         except (UpstreamUnavailable, UpstreamBroken) as error:
             raise attempt_failure(error, peer) from error
         protocol = response.connection.protocol if response.connection else None
@@ -193,15 +191,19 @@
         Raise AttemptFailed if none arrives.
         """
         peer = str(engine.address)
+
+        async def ask() -> Answer:
+            return await self.check_client.fetch(
+                engine.address,
+                "GET",
+                path,
+                request_id=f"check-{engine.engine_id}",
+                check_id=False,
+            )
+
         try:
             async with PauseAwareTimeout(CHECK_TIMEOUT_SECONDS):
-                await self.check_client.fetch(
-                    engine.address,
-                    "GET",
-                    path,
-                    request_id=f"check-{engine.engine_id}",
-                    check_id=False,
-                )
+                await _connect_again_after_pause(self.check_client, ask)
         except (UpstreamUnavailable, UpstreamBroken) as error:
             raise attempt_failure(error, peer) from error
         except TimeoutError:
@@ -219,6 +221,24 @@
         self.pooled_client.finish(answer.response)
 
 
+async def _connect_again_after_pause(
+    client: UpstreamClient, send: Callable[[], Awaitable[T]]
+) -> T:
+    """Send a request; do so again if this process stood still meanwhile.
+
+    It may have been connected then.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    try:
+        return await send()
+    except UpstreamUnavailable:
+        late_seconds = loop.time() - started_at - client.connect_seconds
+        if late_seconds < PAUSE_SECONDS:
+            raise
+        return await send()
+
+
 def attempt_failure(error: TeaselpondError, peer: str) -> AttemptFailed:
     """Convert an error of the connection to an AttemptFailed."""
     if isinstance(error, UpstreamUnavailable):
@@ -229,7 +249,11 @@
             not_run=True,
             peer=peer,
         )
-    result = Result.SILENT if isinstance(error, UpstreamSilent) else Result.BROKEN
+    result = Result.BROKEN
+    if isinstance(error, UpstreamSilent):
+        result = Result.SILENT
+    elif isinstance(error, UpstreamInvalid):
+        result = Result.INVALID
     return AttemptFailed(result, str(error), peer=peer)
 
 
@@ -260,6 +284,6 @@
     if not head.is_success:
         return
     if not head.is_signed:
-        raise AttemptFailed(Result.BROKEN, "success without a signature", peer=peer)
+        raise AttemptFailed(Result.INVALID, "success without a signature", peer=peer)
     if head.is_encoded:
-        raise AttemptFailed(Result.BROKEN, "success with an encoded body", peer=peer)
+        raise AttemptFailed(Result.INVALID, "success with an encoded body", peer=peer)
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -16,6 +16,7 @@
 from ..exceptions import (
     UpstreamBroken,
     UpstreamCrossed,
+    UpstreamInvalid,
     UpstreamSilent,
     UpstreamUnavailable,
 )
@@ -270,7 +271,7 @@
                 chunks.append(chunk)
                 size += len(chunk)
                 if size > self.max_answer_bytes:
-                    raise UpstreamBroken(
+                    raise UpstreamInvalid(
                         f"the answer is larger than {self.max_answer_bytes} bytes",
                         step="answer",
                         peer=peer,
@@ -291,7 +292,11 @@
         raise UpstreamSilent(
             "received nothing within the idle timeout", step="answer", peer=peer
         ) from error
-    except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+    except (aiohttp.ClientResponseError, ValueError) as error:
+        raise UpstreamInvalid(
+            str(error) or type(error).__name__, step="answer", peer=peer
+        ) from error
+    except (aiohttp.ClientError, ConnectionError) as error:
         raise UpstreamBroken(
             str(error) or type(error).__name__, step="answer", peer=peer
         ) from error
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from ..exceptions import UpstreamBroken
+from ..exceptions import UpstreamBroken, UpstreamInvalid
 
 EVENT_END = b"\n\n"
 ID_LINE = re.compile(rb"^id: (\d{1,12})$", re.MULTILINE)
@@ -140,14 +140,14 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes and return the new events that they complete.
 
-        Raise UpstreamBroken for an event that is too large, and for too many
+        Raise UpstreamInvalid for an event that is too large, and for too many
         bytes without one.
         """
         data = self.incomplete + chunk
         end = max(_end_of_last(data, line_ends) for line_ends in LAST_LINE_ENDS)
         self.incomplete = data[end:]
         if len(self.incomplete) > MAX_EVENT_BYTES:
-            raise UpstreamBroken(
+            raise UpstreamInvalid(
                 f"an event is larger than {MAX_EVENT_BYTES} bytes", step="stream"
             )
         events = data[:end]
@@ -171,7 +171,7 @@
                 continue
             self._eventless_bytes += len(block)
             if self._eventless_bytes > MAX_EVENTLESS_BYTES:
-                raise UpstreamBroken(
+                raise UpstreamInvalid(
                     f"received {self._eventless_bytes} bytes without an event",
                     step="stream",
                 )
--- a/packages/teaselpond/tests/gateway/test_endless_answers.py
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -6,7 +6,7 @@
 import aiohttp
 import testtools
 
-from teaselpond.exceptions import UpstreamBroken
+from teaselpond.exceptions import UpstreamInvalid
 from teaselpond.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
 from teaselpond.upstreams.events import MAX_EVENTLESS_BYTES, SparseEventSplitter
 from teaselpond_standins.service import ListedFaultKind as Kind
@@ -28,7 +28,7 @@
         with answers.hold() as large, answers.hold() as small:
             large.add(900)
             small.add(90)
-            with testtools.ExpectedException(UpstreamBroken):
+            with testtools.ExpectedException(UpstreamInvalid):
                 large.add(200)
             small.add(300)
         self.assertEqual(0, answers.held_bytes)
@@ -47,7 +47,7 @@
         comment = b":" * 1022 + b"\n\n"
         for _ in range(MAX_EVENTLESS_BYTES // len(comment)):
             self.assertEqual(b"", splitter.feed(comment))
-        with testtools.ExpectedException(UpstreamBroken):
+        with testtools.ExpectedException(UpstreamInvalid):
             splitter.feed(comment)
 
 
--- a/packages/teaselpond/tests/gateway/test_gateway.py
+++ b/packages/teaselpond/tests/gateway/test_gateway.py
@@ -7,6 +7,7 @@
 
 from teaselpond.gateway.health import EJECT_MIN_SECONDS
 from teaselpond_model.exceptions import StoreUnavailable
+from teaselpond_standins.faults import FaultPlan
 from teaselpond_standins.platform.operator import wire_configuration
 from teaselpond_standins.service import ListedFault
 from teaselpond_standins.service import ListedFaultKind as Kind
@@ -249,6 +250,22 @@
         reached = sum(bool(each.seen_calls) for each in fleet.model_upstreams)
         self.assertLessEqual(reached, 3)
 
+    async def test_request_with_invalid_answers_is_not_quarantined(self) -> None:
+        """Upstreams that answer live, whatever they answer."""
+        for kind in (Kind.UNSIGNED, Kind.ENCODED, Kind.CROSS):
+            fleet = await self.enter(GatewayFleet())
+            for upstream in fleet.plain_upstreams:
+                upstream.add_fault(kind, count=100)
+            for _ in range(4):
+                async with fleet.call("/stock/x", method="GET") as response:
+                    self.assertEqual(502, response.status, kind)
+                await asyncio.sleep(0.5)
+            for upstream in fleet.plain_upstreams:
+                upstream.faults = FaultPlan()
+            await asyncio.sleep(2 * EJECT_MIN_SECONDS)
+            async with fleet.call("/stock/x", method="GET") as response:
+                self.assertEqual(200, response.status, kind)
+
     async def test_popular_request_is_not_quarantined(self) -> None:
         """Callers of a target are not refused for others' broken requests."""
         fleet = await self.enter(GatewayFleet(size=2, plain_count=6))
