Refuse peers' messages with values that cannot be kept

A heartbeat in which a field of bytes holds a number n was read as n zero bytes: one datagram of some hundred bytes takes gigabytes, and the platform ends a process above its limit. One whose confirmation has no finite time made the host take its state for current for ever, so that withdrawn keys would be served.

Values are read strictly now: bytes, finite times, whole numbers of 64 bits. What is not one of these makes the message malformed, which is logged and passed over.

test_heartbeat_with_values_that_cannot_be_kept_is_malformed failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -12,6 +12,7 @@
 from .sightings import SIGHTING
 from .starts import START
 from .tables import FOLLOWED_TABLES, Table
+from .wire_values import read_bytes, read_integer, read_seconds
 
 PROTOCOL_VERSION = 1
 HEARTBEAT_KIND = 0
@@ -130,33 +131,39 @@
     poison_news, reminders = values[24:26] if len(values) >= 26 else (b"", b"")
     return Heartbeat(
         host=str(host),
-        incarnation=int(incarnation),
+        incarnation=read_integer(incarnation),
         ip=str(own_ip),
         availability_zone=str(zone),
         state=MemberState(state),
-        confirmed_store_seconds=float(confirmed),
+        confirmed_store_seconds=read_seconds(confirmed),
         row_versions=_decode_versions(versions),
         is_store_answering=bool(is_answering),
-        store_back_seconds=float(returned_at),
-        loads_by_engine={str(name): int(count) for name, count in loads.items()},
+        store_back_seconds=read_seconds(returned_at),
+        loads_by_engine={
+            str(name): read_integer(count) for name, count in loads.items()
+        },
         ips_by_host={str(name): str(ip) for name, ip in ips.items()},
-        engines_by_prefix_key={bytes(key): str(name) for key, name in engines.items()},
+        engines_by_prefix_key={
+            read_bytes(key): str(name) for key, name in engines.items()
+        },
         engines_by_broken_request={
-            bytes(key): tuple(map(str, names)) for key, names in broken.items()
+            read_bytes(key): tuple(map(str, names)) for key, names in broken.items()
         },
-        era=int(era),
-        configuration_version=int(configuration_version),
+        era=read_integer(era),
+        configuration_version=read_integer(configuration_version),
         introductions=tuple(_decode_introduction(*each) for each in introductions),
-        sightings=_check_size("sightings", bytes(sightings), SIGHTING.size),
-        load_readings=_check_size("load readings", bytes(readings), READING.size),
-        prefix_news=_decode_prefix_news(bytes(news), bytes(prefix_ages)),
-        starts=_check_size("starts", bytes(starts), START.size),
-        departures=_check_size("departures", bytes(departures), DEPARTURE.size),
-        fleet_size=int(fleet_size),
-        fleet_size_age_seconds=max(0.0, float(fleet_size_age)),
-        poison_news=_check_size("poison news", bytes(poison_news), POISON_NEWS.size),
+        sightings=_check_size("sightings", read_bytes(sightings), SIGHTING.size),
+        load_readings=_check_size("load readings", read_bytes(readings), READING.size),
+        prefix_news=_decode_prefix_news(read_bytes(news), read_bytes(prefix_ages)),
+        starts=_check_size("starts", read_bytes(starts), START.size),
+        departures=_check_size("departures", read_bytes(departures), DEPARTURE.size),
+        fleet_size=read_integer(fleet_size),
+        fleet_size_age_seconds=max(0.0, read_seconds(fleet_size_age)),
+        poison_news=_check_size(
+            "poison news", read_bytes(poison_news), POISON_NEWS.size
+        ),
         departure_reminders=_check_size(
-            "departure reminders", bytes(reminders), REMINDER.size
+            "departure reminders", read_bytes(reminders), REMINDER.size
         ),
     )
 
@@ -181,7 +188,12 @@
     host: str, incarnation: int, ip: str, zone: str, state: int, age: float
 ) -> Introduction:
     return Introduction(
-        str(host), int(incarnation), str(ip), str(zone), MemberState(state), float(age)
+        str(host),
+        read_integer(incarnation),
+        str(ip),
+        str(zone),
+        MemberState(state),
+        read_seconds(age),
     )
 
 
@@ -191,19 +203,23 @@
             f"heartbeat has row versions of {len(versions)} tables,"
             f" expected {len(FOLLOWED_TABLES)}"
         )
-    return tuple(int(version) for version in versions)
+    return tuple(read_integer(version) for version in versions)
 
 
 def _decode_changes(values: list) -> TableChanges:
     table, after, version, store_seconds, rows, *others = values
     page = Page(
         tuple(
-            Row(str(key), None if value is None else bytes(value), int(row_version))
+            Row(
+                str(key),
+                None if value is None else read_bytes(value),
+                read_integer(row_version),
+            )
             for key, value, row_version in rows
         ),
-        int(version),
-        float(store_seconds),
+        read_integer(version),
+        read_seconds(store_seconds),
         False,
-        int(others[0]) if others else 0,
+        read_integer(others[0]) if others else 0,
     )
-    return TableChanges(FOLLOWED_TABLES[int(table)], int(after), page)
+    return TableChanges(FOLLOWED_TABLES[read_integer(table)], read_integer(after), page)
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -22,6 +22,7 @@
 from .rowcache import UNKNOWN_VERSION
 from .rows import Page, Row
 from .tables import FOLLOWED_TABLES
+from .wire_values import read_bytes, read_seconds
 
 ROUTING_STATE_PATH = "/beliefs"
 PREFIXES_PATH = "/prefixes"
@@ -283,7 +284,9 @@
         now = self.clock()
         try:
             for key, engine_id, age in rows:
-                use = PrefixUse(bytes(key), str(engine_id), now - age)
+                key = read_bytes(key)
+                used_at = now - read_seconds(age)
+                use = PrefixUse(key, str(engine_id), used_at)
                 self.prefixes.record(use, is_news=False)
         except (TypeError, ValueError) as error:
             raise PeerUnavailable(
@@ -307,7 +310,9 @@
             # Older builds answer without an era.
             era, raw_row = others if others else (0, None)
             row = decode_row(*raw_row) if raw_row is not None else None
-            return FetchedState(float(age), float(confirmed), tables, int(era), row)
+            return FetchedState(
+                read_seconds(age), read_seconds(confirmed), tables, int(era), row
+            )
         except (TypeError, ValueError) as error:
             raise PeerUnavailable(
                 f"peer {peer.heartbeat.host}: malformed routing state: {error!r}",
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import os
 
 import cbor2
@@ -213,6 +214,16 @@
         for content in malformed:
             self.assertRaises(ValueError, decode_datagram, content)
 
+    def test_heartbeat_with_values_that_cannot_be_kept_is_malformed(self) -> None:
+        """It neither takes much memory nor confirms the state for ever."""
+        whole = cbor2.loads(encode_heartbeat(make_heartbeat("g1")))
+        unkept_by_type = {bytes: 2**31, float: math.inf, int: 2**64}
+        for index, value in enumerate(whole):
+            unkept = unkept_by_type.get(type(value))
+            if unkept is not None:
+                changed = cbor2.dumps([*whole[:index], unkept, *whole[index + 1 :]])
+                self.assertRaises(ValueError, decode_datagram, changed)
+
 
 class JournalTests(testtools.TestCase):
     """Test that lines are written without blocking and within limits."""
