Redirect a request to idle owners when this one cannot serve it

Cause: an owner's free slots were estimated as a multiple of the fleet's mean load. In an idle fleet that mean is zero, so no owner had room. The cap of an engine has a floor and counts the request itself; the estimate uses the same cap now.

test_request_is_not_refused_beside_an_idle_owner failed before (ENGINES_UNAVAILABLE) and passes. The test that processes end in the middle tells in its failure when each request after the signal ended.

--- a/packages/teaselpond/src/teaselpond/policy/placement.py
+++ b/packages/teaselpond/src/teaselpond/policy/placement.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from .cap import FleetLoad
+from .cap import FleetLoad, load_cap
 from .directory import EngineDirectory, EngineLocation
 from .engines import OwnedEngine
 from .messages import SlotRequest
@@ -110,8 +110,8 @@
     ) -> EngineLocation | None:
         """Return a candidate engine of another owner with a free slot.
 
-        An owner's free slots are estimated from its load sums, up to
-        ``multiple`` times the mean load.
+        An owner's free slots are estimated from its load sums, up to its
+        engines' caps at ``multiple`` times the mean load.
         """
         load = pool.fleet_load(now)
         candidates = self.directory.candidates(
@@ -156,12 +156,12 @@
         load: FleetLoad,
         multiple: float,
         now: float,
-    ) -> float:
+    ) -> int:
         sums = pool.sums.of_owner(owner_id, now)
         slots = sum(load_sum.slots for load_sum in sums)
         in_flight = sum(load_sum.in_flight for load_sum in sums)
-        mean = load.in_flight / max(1, load.slots)
-        return min(slots, multiple * mean * slots) - in_flight
+        floor = self.settings.load_floor * sum(load_sum.engines for load_sum in sums)
+        return load_cap(load, slots, multiple, floor) - in_flight
 
     def _cost(
         self,
--- a/packages/teaselpond/tests/delivery/test_fleet_faults.py
+++ b/packages/teaselpond/tests/delivery/test_fleet_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 import aiohttp
 from testtools import content
@@ -156,15 +157,20 @@
         one.send_signal(signal.SIGTERM)
         served = 0
         last_refusal = ""
+        stopped_at = time.monotonic()
+        # When each request after the signal ended, and its refusal if any.
+        stale_ends: list[tuple[float, str]] = []
         while last_refusal != "leaving not-run" and not reading.done():
             stale = await Chat(self.session, "stale", 5).read(one)
             # The cold engines of a new fleet may briefly have no free slot.
             self.assertTrue(stale.is_correct or stale.refusal.endswith("not-run"))
             served += stale.is_correct
             last_refusal = stale.refusal
+            seconds = round(time.monotonic() - stopped_at, 2)
+            stale_ends.append((seconds, stale.refusal))
             await asyncio.sleep(0.1)
-        self.assertEqual("leaving not-run", last_refusal)
-        self.assertGreater(served, 0)
+        self.assertEqual("leaving not-run", last_refusal, stale_ends)
+        self.assertGreater(served, 0, stale_ends)
         self.assertFalse(reading.done())
         await reading
         self.assertTrue(chat.is_correct)
--- a/packages/teaselpond/tests/policy/test_dispatcher.py
+++ b/packages/teaselpond/tests/policy/test_dispatcher.py
@@ -78,7 +78,8 @@
         self.assertEqual((), owner.advance(2.0))
         self.assertEqual(0, owner.sums(2.0)[0].queued)
 
-    def test_redirects_to_an_owner_with_free_slots(self):
+    def make_owner_beside_idle_one(self) -> Dispatcher:
+        """Return the owner of e1, which knows of the idle owner of e2."""
         engines = [
             make_profile(name, zone) for name, zone in (("e1", "a"), ("e2", "b"))
         ]
@@ -90,6 +91,18 @@
             each.advance(0.0)
         for load_sum in second.sums(0.0):
             first.observe_sum(load_sum, 0.0)
+        return first
+
+    def test_request_is_not_refused_beside_an_idle_owner(self):
+        first = self.make_owner_beside_idle_one()
+        for attempt in (1, 2):
+            request = make_request(attempt, excluded=("e1",), attempt=attempt)
+            redirect = first.request(request, 0.0)
+            self.assertIsInstance(redirect, Redirect, attempt)
+            self.assertEqual(("d2", "e2"), (redirect.owner_id, redirect.engine_id))
+
+    def test_redirects_to_an_owner_with_free_slots(self):
+        first = self.make_owner_beside_idle_one()
         answers = [first.request(make_request(number), 0.0) for number in range(5)]
         redirect = next(a for a in answers if isinstance(a, Redirect))
         self.assertEqual(("d2", "e2"), (redirect.owner_id, redirect.engine_id))
