Wait until all owners serve before a test crashes engines

test_poison_at_three_daemons failed in 4 of 15 runs beside load: the second attempt was refused, and the quarantine began one request later. A trial that printed what the refusing owner knew shows the cause: it owns one engine, which had crashed, and the other owners have no slots yet, as they wait before they claim engines in a fleet that has just started. They answer with the promise that nothing ran, and when to come back, so that the product does what it should.

--- a/packages/teaselpond/tests/delivery/test_fleet_faults.py
+++ b/packages/teaselpond/tests/delivery/test_fleet_faults.py
@@ -1,6 +1,7 @@
 """Test chats and plans while processes are killed, paused and stopped."""
 
 import asyncio
+import itertools
 import json
 import signal
 import time
@@ -137,6 +138,7 @@
     async def test_poison_at_three_daemons(self) -> None:
         """Crash at most two of six engines, and still serve other requests."""
         daemons = await self.start(3, engines=3)
+        await self._use_all_engines(daemons)
         seen = []
         for daemon in (*daemons, daemons[0]):
             chat = await Chat(self.session, "poison-a please", 30).read(daemon)
@@ -176,6 +178,17 @@
         self.assertTrue(chat.is_correct)
         self.assertEqual(0, await one.wait(10.0))
 
+    async def _use_all_engines(self, daemons: list[ManagedProcess]) -> None:
+        """Wait until all owners have claimed their engines and serve chats."""
+        used: set[str] = set()
+        async with asyncio.timeout(RESULT_SECONDS):
+            for number in itertools.count():
+                if used >= set(self.fleet.engines_by_id):
+                    return
+                daemon = daemons[number % len(daemons)]
+                chat = await Chat(self.session, f"sound-{number}", 2).read(daemon)
+                used.add(chat.engine)
+
     async def _count_crashes(self, engine: ManagedProcess) -> int:
         async with asyncio.timeout(RESULT_SECONDS):
             while True:
