Read what an upstream says of itself in the answer to a health check

An upstream that leaves says so in all its answers, and one that wants nothing for a while in its 503. The check before a request that has ended a process passed over both, so that the request was sent to it all the same. Load, cold time, departure and backoff are recorded as for any other answer.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -182,7 +182,7 @@
         return web.json_response({"epoch": 1, "Next": 1, "held": held})
 
     async def _tell_health(self, request: web.Request) -> web.Response:
-        headers = {ENGINE_ID: self.engine_id}
+        headers = {ENGINE_ID: self.engine_id, **self._leaving_header()}
         return web.Response(status=503 if self.is_leaving else 200, headers=headers)
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -66,17 +66,19 @@
         bounds.load_cap_factor,
         backoffs=host.backoffs,
     )
+    reports = AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal)
     relay = Relay(
         headers,
         host.routing_state,
         placer,
         sender,
-        AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal),
+        reports,
         host.loads,
         host.health,
         CrashReports(host.poison, host.loads, host.health, host.journal, host.clock),
         LivenessChecker(
             sender,
+            reports,
             host.routing_state,
             host.poison,
             host.health,
--- a/packages/teaselpond/src/teaselpond/gateway/liveness.py
+++ b/packages/teaselpond/src/teaselpond/gateway/liveness.py
@@ -16,6 +16,7 @@
 from .loads import LoadTracker
 from .poison import PoisonTracker
 from .progress import Progress
+from .reports import AnswerReports
 from .routing_state import RoutingState
 from .sending import AttemptFailed, Sender
 
@@ -36,6 +37,7 @@
     """
 
     sender: Sender
+    reports: AnswerReports
     routing_state: RoutingState
     poison: PoisonTracker
     health: HealthTracker
@@ -60,8 +62,10 @@
         health = self.health.get(engine.engine_id)
         result = Result.SUCCESS
         try:
-            await self.sender.check_health(engine, self._health_path(call))
+            path = self._health_path(call)
+            head = await self.sender.check_health(engine, path)
             health.answered_at = self.clock()
+            self.reports.record(engine, head, self.clock())
         except AttemptFailed as failed:
             result = failed.result
             progress.tried_ids.add(engine.engine_id)
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -185,8 +185,8 @@
             _ = protocol.closed
         return opened
 
-    async def check_health(self, engine: Engine, path: str) -> None:
-        """Ask an upstream for its health; any answer will do.
+    async def check_health(self, engine: Engine, path: str) -> AnswerHead:
+        """Ask an upstream for its health, and return the head of its answer.
 
         Raise AttemptFailed if none arrives.
         """
@@ -203,11 +203,12 @@
 
         try:
             async with PauseAwareTimeout(CHECK_TIMEOUT_SECONDS):
-                await _connect_again_after_pause(self.check_client, ask)
+                answer = await _connect_again_after_pause(self.check_client, ask)
         except (UpstreamUnavailable, UpstreamBroken) as error:
             raise attempt_failure(error, peer) from error
         except TimeoutError:
             raise AttemptFailed(Result.SILENT, "silent check", peer=peer) from None
+        return self.codec.decode_answer(answer.status, answer.headers)
 
     async def close(self) -> None:
         """Close the connections to all upstreams."""
--- a/packages/teaselpond/tests/gateway/test_liveness.py
+++ b/packages/teaselpond/tests/gateway/test_liveness.py
@@ -5,12 +5,14 @@
 from attrs import evolve
 
 from teaselpond.gateway.assembly import make_sender
+from teaselpond.gateway.backoffs import Backoffs
 from teaselpond.gateway.engines import Engine
 from teaselpond.gateway.health import HealthTracker, Result
 from teaselpond.gateway.liveness import LivenessChecker
 from teaselpond.gateway.loads import LoadTracker
 from teaselpond.gateway.poison import PoisonTracker
 from teaselpond.gateway.progress import Progress
+from teaselpond.gateway.reports import AnswerReports
 from teaselpond.gateway.routing_state import RoutingState
 from teaselpond.gateway.traits import traits_of
 from teaselpond.platform.adapter import PlatformAdapter
@@ -42,13 +44,16 @@
         sender = make_sender(PlatformAdapter())
         cleanup.push_async_callback(sender.close)
         self.poison, self.health = PoisonTracker(), HealthTracker()
+        loads, journal = LoadTracker(), SilentJournal("", 0)
+        self.departures = state.departures
         self.checker = LivenessChecker(
             sender,
+            AnswerReports(state, loads, Backoffs(), journal),
             state,
             self.poison,
             self.health,
-            LoadTracker(),
-            SilentJournal("", 0),
+            loads,
+            journal,
             lambda: self.now,
         )
         self.call = make_call()
@@ -82,6 +87,14 @@
         self.assertEqual(set(), self.progress.tried_ids)
         self.assertEqual([], self.upstream.seen_calls)
 
+    async def test_upstream_that_leaves_says_so_in_the_answer_to_a_check(self) -> None:
+        """It gets no more requests."""
+        await self.setup_checker(RelayMode.PASS)
+        self.upstream.is_leaving = True
+        self.end_process(make_engine("e2"))
+        await self.check()
+        self.assertTrue(self.departures.contains(self.engine, self.now))
+
     async def test_upstream_that_answered_others_since_is_not_checked(self) -> None:
         """It lives."""
         await self.setup_checker(RelayMode.PASS)
