Check upstreams at the root if their health path cannot be sent

A service whose HealthPath is empty, relative or no text made the check of its upstreams raise, so that a request that had ended a process would get 502 each time. The path is read at the platform's edge, as any answer shows that an upstream lives; the rest of the configuration holds. The check's own id does not depend on an engine's id either, which may not be fit for a header.

test_health_path_that_cannot_be_sent; tests of platform and gateway are green.

--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -34,6 +34,7 @@
 # An upstream that lives answers a health check within this time unless all of
 # its slots are busy.
 CHECK_TIMEOUT_SECONDS = 0.25
+CHECK_ID = "health-check"
 
 T = TypeVar("T")
 
@@ -197,7 +198,7 @@
                 engine.address,
                 "GET",
                 path,
-                request_id=f"check-{engine.engine_id}",
+                request_id=CHECK_ID,
                 check_id=False,
             )
 
--- a/packages/teaselpond/src/teaselpond/platform/entries.py
+++ b/packages/teaselpond/src/teaselpond/platform/entries.py
@@ -31,10 +31,12 @@
 from ..gateway.exceptions import MalformedEntry
 from ..gateway.rows import Row
 from ..gateway.tables import Table
+from ..upstreams.connections import check_path
 
 MILLISECONDS_PER_SECOND = 1000.0
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
+DEFAULT_HEALTH_PATH = "/"
 
 # Errors that decoding an entry of the wrong shape can raise.
 MALFORMED_ERRORS = (
@@ -111,7 +113,7 @@
     engine = raw.get("Engine")
     return Service(
         name=raw["Name"],
-        health_path=raw.get("HealthPath", "/"),
+        health_path=_decode_health_path(raw),
         max_connections=int(raw.get("MaxConns", 100)),
         cold_seconds=float(raw.get("ColdStartS", 0)),
         cold_per_second=float(raw.get("ColdPerS", 0)),
@@ -121,6 +123,19 @@
     )
 
 
+def _decode_health_path(raw: Mapping[str, Any]) -> str:
+    """Return the path of health checks; any answer shows that one lives.
+
+    A path that cannot be sent must not make the configuration unusable.
+    """
+    path = raw.get("HealthPath", DEFAULT_HEALTH_PATH)
+    try:
+        check_path(path)
+    except (TypeError, ValueError):
+        return DEFAULT_HEALTH_PATH
+    return path
+
+
 def _decode_limits(raw: Mapping[str, Any]) -> Limits:
     return Limits(
         header_bytes=int(raw.get("MaxHeaderBytes", 16384)),
--- a/packages/teaselpond/tests/platform/test_entries.py
+++ b/packages/teaselpond/tests/platform/test_entries.py
@@ -123,6 +123,16 @@
             EntryIgnored("other"), decode(Table.OPERATOR, "other", {"a": 1})
         )
 
+    def test_health_path_that_cannot_be_sent(self) -> None:
+        """The service is asked at the root, and the configuration holds."""
+        for path in ("", "healthz", "/two words", "//x", None, 5, []):
+            raw = wire_configuration()
+            raw["Services"][0]["HealthPath"] = path
+            change = decode(Table.OPERATOR, "config", raw)
+            self.assertIsInstance(change, ConfigurationWritten, path)
+            service = change.configuration.services_by_name[raw["Services"][0]["Name"]]
+            self.assertEqual("/", service.health_path, path)
+
     def test_malformed_configuration(self) -> None:
         """A malformed configuration is unreadable."""
         for raw in ({}, [], {"Version": 1}, {**wire_configuration(), "Routes": [1]}):
