Show retries beyond the fleet's budget after hosts ended

Callers of a service that fails saw more repeats at its engines than the fleet may send, after hosts had been killed within the same window.

Two tests fail on this code: half of six hosts restarted 2.6 s after a burst of failures began (7 retries too many), and three of six hosts killed with their callers going to the others (6 too many).

--- a/packages/teaselpond/tests/gateway/test_fleet_budgets.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_budgets.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import defaultdict
 
 import testtools
 from hypothesis import Phase, given, settings
@@ -29,14 +30,27 @@
 
 
 class RetryLoad:
-    """Send requests that all fail, and count the fleet's retries."""
-
-    def __init__(self, fleet: SimulatedFleet, requests_per_second: float) -> None:
+    """Send requests that all fail, and count the fleet's retries.
+
+    A host's requests are lost while it is dead; with ``moves``, the other
+    hosts get them.
+    """
+
+    def __init__(
+        self,
+        fleet: SimulatedFleet,
+        requests_per_second: float,
+        *,
+        moves: bool = False,
+    ) -> None:
         self.fleet = fleet
-        self.share = requests_per_second * TICK_SECONDS / fleet.size
+        self.per_tick = requests_per_second * TICK_SECONDS
+        self.moves = moves
+        self.is_failing = True
         self.rng = random.Random(7)
         self.requests: list[float] = []
         self.retries: list[float] = []
+        self.retries_by_host: dict[str, list[float]] = defaultdict(list)
         self.budgets: dict[SimulatedPeer, RetryBudget] = {}
 
     def run(self, seconds: float) -> None:
@@ -47,19 +61,28 @@
                 if peer.frozen_until <= self.fleet.now:
                     self.send(peer)
 
+    def run_then_fail(self, seconds: float) -> None:
+        """Send successfully for more than a window, then fail for a time."""
+        self.is_failing = False
+        self.run(WINDOW_SECONDS + 1.0)
+        self.is_failing = True
+        self.run(seconds)
+
     def send(self, peer: SimulatedPeer) -> None:
         """Send one host's requests, and retry each while it may."""
         now = self.fleet.now
         budget = self.budgets.get(peer)
         if budget is None:
             budget = self.budgets[peer] = peer.host.make_retry_budget()
-        count = int(self.share + self.rng.random())
+        hosts = len(self.fleet.live_peers) if self.moves else self.fleet.size
+        count = int(self.per_tick / hosts + self.rng.random())
         for _ in range(count):
             budget.record_request(now)
             self.requests.append(now)
-        for _ in range(count):
+        for _ in range(count if self.is_failing else 0):
             if budget.try_acquire(now, peer.host.host_count()):
                 self.retries.append(now)
+                self.retries_by_host[peer.name].append(now)
 
     def excess(self) -> float:
         """Return by how much the worst window exceeds the bound."""
@@ -153,6 +176,44 @@
         load.run(6.0)
         self.assertLessEqual(load.excess(), 0.0)
 
+    def test_all_hosts_restart_at_once(self) -> None:
+        """No host may use again what its previous process has used."""
+        for share in (0.5, 1.0):
+            for rate in (100.0, 400.0):
+                fleet = make_fleet(6)
+                load = RetryLoad(fleet, rate)
+                load.run_then_fail(2.6)
+                for peer in fleet.live_peers[: round(share * fleet.size)]:
+                    fleet.restart(peer)
+                load.run(12.0)
+                self.assertLessEqual(load.excess(), 0.0, (share, rate))
+
+    def test_hosts_take_over_traffic(self) -> None:
+        """Hosts that get the traffic of killed ones do not exceed the bound."""
+        for killed in (2, 3, 4):
+            for rate in (100.0, 400.0):
+                fleet = make_fleet(6)
+                load = RetryLoad(fleet, rate, moves=True)
+                load.run_then_fail(2.6)
+                for peer in fleet.live_peers[:killed]:
+                    peer.is_dead = True
+                load.run(12.0)
+                self.assertLessEqual(load.excess(), 0.0, (killed, rate))
+
+    def test_restarted_host_retries(self) -> None:
+        """A host that restarts alone has retries left within two seconds."""
+        for size in (6, 60):
+            fleet = make_fleet(size)
+            load = RetryLoad(fleet, 40.0 * size)
+            load.is_failing = False
+            load.run(4.0)
+            started = fleet.restart(fleet.live_peers[0])
+            load.run(1.0)
+            load.is_failing = True
+            load.run(1.0)
+            used = len(load.retries_by_host[started.name])
+            self.assertGreaterEqual(used, RATIO * 40.0, size)
+
     # Shrinking a failure would take minutes.
     @settings(
         max_examples=12,
