Log a retry that the fleet's budget refuses

Nothing said which part of the budget a host had used when a failed request was not sent again, so that hypotheses on retries beyond it could not be told apart. The line retry-refused gives the requests and retries of the window and the number of hosts; the logic is unchanged.

--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -42,12 +42,20 @@
         """Count a request from a caller."""
         self._requests.add(now)
 
+    def request_count(self, now: float) -> int:
+        """Return how many requests count in the current window."""
+        return self._requests.count(now)
+
+    def retry_count(self, now: float) -> int:
+        """Return how many retries count in the current window."""
+        return self._retries.count(now)
+
     def remaining(self, now: float, host_count: int) -> float:
         """Return how many more retries this host may send now."""
-        allowed = self.ratio * self._requests.count(now)
+        allowed = self.ratio * self.request_count(now)
         if now >= self.slack_from:
             allowed += self.slack / max(1, host_count)
-        return allowed * USABLE_RATIO - self._retries.count(now)
+        return allowed * USABLE_RATIO - self.retry_count(now)
 
     def try_acquire(self, now: float, host_count: int) -> bool:
         """Use one retry if any remains; return whether one did."""
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -366,9 +366,20 @@
             )
 
     def _acquire_retry(self, call: Call, now: float) -> bool:
-        acquired = self.retry_budget(call.service).try_acquire(now, self.host_count())
+        budget = self.retry_budget(call.service)
+        host_count = self.host_count()
+        acquired = budget.try_acquire(now, host_count)
         if not acquired:
             self.metrics.record_attempt_failure("retry-budget-empty")
+            self.journal.write(
+                "retry-refused",
+                now,
+                id=call.head.request_id,
+                service=call.service,
+                requests=budget.request_count(now),
+                retries=budget.retry_count(now),
+                sharing_hosts=host_count,
+            )
         return acquired
 
     def _may_offer_again(self, progress: Progress) -> bool:
--- a/packages/teaselpond/tests/gateway/test_fleet_budgets.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_budgets.py
@@ -189,7 +189,7 @@
                 self.assertLessEqual(load.excess(), 0.0, (share, rate))
 
     def test_hosts_take_over_traffic(self) -> None:
-        """Hosts that get the traffic of killed ones do not exceed the bound."""
+        """Hosts that get the traffic of killed ones keep to the bound."""
         for killed in (2, 3, 4):
             for rate in (100.0, 400.0):
                 fleet = make_fleet(6)
