Let a started process learn what its predecessor has retried

Engines got more repeats than the fleet may send after hosts had been killed within a window of a burst of failures.

Cause: a process that starts again left out its share of the slack for a window, but not the ratio of its requests; what its previous process had used was forgotten.

Heartbeats carry what a host has used, by service and slot of the window. A process that starts asks its peers, which answer from the last words of its predecessor or that there was none, and goes on with what is left. It retries nothing while it does not know, at most for one window, which is so only if no host that heard the predecessor is left.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
@@ -175,6 +175,7 @@
             lambda heartbeat, now: None,
             lambda changes, now: None,
             host.routing_state,
+            host.retries,
             DATAGRAM_PORT,
             tuple(_ip(seed) for seed in range(SEED_COUNT)),
             random.Random(self._rng.random()),
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -90,7 +90,7 @@
         host.metrics,
         host.clock,
         host.host_count,
-        host.make_retry_budget,
+        host.retries,
     )
     return CallerRequestHandler(
         headers,
--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -1,11 +1,13 @@
 """Limit requests to this host's share of budgets of the whole fleet."""
 
 import math
+import operator
 import random
 from collections import defaultdict
 
 from attrs import define, field
 
+from .retry_usage import SLOTS, RetryUsage
 from .windows import SlidingWindowCounter
 
 # A host uses only this fraction of its share. The rest covers requests that
@@ -23,14 +25,14 @@
     """Limit this host's retries of one service's requests.
 
     In each window, a host may retry ``ratio`` of its requests. All hosts
-    share ``slack`` more retries equally; this host uses its share from
-    ``slack_from`` on, a time of the boot clock.
+    share ``slack`` more retries equally. ``former`` is what the previous
+    process of this host has used; it counts as this one's.
     """
 
     ratio: float
     slack: float
     window_seconds: float
-    slack_from: float = 0.0
+    former: RetryUsage | None = None
     _requests: SlidingWindowCounter = field(init=False)
     _retries: SlidingWindowCounter = field(init=False)
 
@@ -44,17 +46,29 @@
 
     def request_count(self, now: float) -> int:
         """Return how many requests count in the current window."""
-        return self._requests.count(now)
+        former = self.former.request_count(now) if self.former is not None else 0
+        return self._requests.count(now) + former
 
     def retry_count(self, now: float) -> int:
         """Return how many retries count in the current window."""
-        return self._retries.count(now)
+        former = self.former.retry_count(now) if self.former is not None else 0
+        return self._retries.count(now) + former
+
+    def slots_at(self, now: float) -> tuple[list[int], list[int]]:
+        """Return the requests and retries by slot, counted back from now."""
+        requests = self._requests.slot_counts(now, SLOTS)
+        retries = self._retries.slot_counts(now, SLOTS)
+        if self.former is None:
+            return requests, retries
+        former_requests, former_retries = self.former.slots_at(now)
+        return (
+            list(map(operator.add, requests, former_requests)),
+            list(map(operator.add, retries, former_retries)),
+        )
 
     def remaining(self, now: float, host_count: int) -> float:
         """Return how many more retries this host may send now."""
-        allowed = self.ratio * self.request_count(now)
-        if now >= self.slack_from:
-            allowed += self.slack / max(1, host_count)
+        allowed = self.ratio * self.request_count(now) + self.slack / max(1, host_count)
         return allowed * USABLE_RATIO - self.retry_count(now)
 
     def try_acquire(self, now: float, host_count: int) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -167,6 +167,7 @@
             sharing.receive_heartbeat,
             sharing.receive_changes,
             host.routing_state,
+            host.retries,
             host.settings.datagram_port,
             tuple(seed.ip for seed in host.settings.seeds),
         )
--- a/packages/teaselpond/src/teaselpond/gateway/datagrams.py
+++ b/packages/teaselpond/src/teaselpond/gateway/datagrams.py
@@ -8,6 +8,7 @@
 from .members import Heartbeat, Introduction, MemberState
 from .poison_news import NEWS as POISON_NEWS
 from .prefixes import NEWS, PrefixNews
+from .retry_usage import USAGE, FormerUsage
 from .rows import Page, Row
 from .sightings import SIGHTING
 from .starts import START
@@ -74,6 +75,9 @@
             heartbeat.prefix_news.ages,
             heartbeat.poison_news,
             heartbeat.departure_reminders,
+            heartbeat.retry_usage,
+            heartbeat.asks_former_usage,
+            _encode_former_usage(heartbeat.former_usage),
         ]
     )
 
@@ -129,6 +133,9 @@
         values[20:24] if len(values) >= 24 else (b"", 0, 0.0, b"")
     )
     poison_news, reminders = values[24:26] if len(values) >= 26 else (b"", b"")
+    usage, asks_former, former = (
+        values[26:29] if len(values) >= 29 else (b"", False, None)
+    )
     return Heartbeat(
         host=str(host),
         incarnation=read_integer(incarnation),
@@ -165,6 +172,25 @@
         departure_reminders=_check_size(
             "departure reminders", read_bytes(reminders), REMINDER.size
         ),
+        retry_usage=_check_size("retry usage", read_bytes(usage), USAGE.size),
+        asks_former_usage=bool(asks_former),
+        former_usage=_decode_former_usage(*former) if former is not None else None,
+    )
+
+
+def _encode_former_usage(former: FormerUsage | None) -> list | None:
+    if former is None:
+        return None
+    return [former.incarnation, former.age_seconds, former.usages]
+
+
+def _decode_former_usage(
+    incarnation: int, age: float | None, usages: bytes
+) -> FormerUsage:
+    return FormerUsage(
+        read_integer(incarnation),
+        max(0.0, read_seconds(age)) if age is not None else None,
+        _check_size("retry usage", read_bytes(usages), USAGE.size),
     )
 
 
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -11,7 +11,7 @@
 from .ages import HOP_SECONDS
 from .applying import StoreApplier
 from .backoffs import Backoffs
-from .budgets import COLD_WINDOW_SECONDS, ColdBudget, RetryBudget
+from .budgets import COLD_WINDOW_SECONDS, ColdBudget
 from .clocks import boot_time
 from .drain import Drain, Phase
 from .following import Follower
@@ -28,6 +28,8 @@
     ReadScheduler,
     choose_readers,
 )
+from .retry_budgets import RetryBudgets
+from .retry_usage import FormerUsage
 from .routing_state import RoutingState
 from .settings import GatewaySettings
 from .sightings import pack_sightings
@@ -58,6 +60,7 @@
     members: Members = field(init=False)
     drain: Drain = field(init=False)
     admission: Admission = field(init=False)
+    retries: RetryBudgets = field(init=False)
     followers: list[Follower] = field(factory=list)
     rng: random.Random = field(factory=random.Random)
     is_reader: bool = False
@@ -75,6 +78,15 @@
             self.routing_state, self.journal, self.adapter.decode_change
         )
         self.members = Members(settings.host)
+        self.retries = RetryBudgets(
+            self.members,
+            self.incarnation,
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window_seconds,
+            self.started_at,
+            settings.is_first_start,
+        )
         self.drain = Drain(settings.bounds.grace_seconds)
         self.admission = Admission(
             self.routing_state,
@@ -106,10 +118,12 @@
         introductions: tuple[Introduction, ...] = (),
         prefix_news: PrefixNews = NO_NEWS,
         starts: bytes = b"",
+        former_usage: FormerUsage | None = None,
     ) -> Heartbeat:
         """Build this host's heartbeat.
 
-        ``ips_by_host`` holds addresses of other hosts to share.
+        ``ips_by_host`` holds addresses of other hosts to share,
+        ``former_usage`` the answer to the host that it is sent to.
         """
         now = self.clock()
         routing_state = self.routing_state
@@ -143,6 +157,9 @@
             fleet_size_age_seconds=now - sharing.observed_at + HOP_SECONDS,
             poison_news=self.poison.pack_news(now),
             departure_reminders=routing_state.departures.pack_reminders(now),
+            retry_usage=self.retries.pack(now),
+            asks_former_usage=self.retries.is_asking(now),
+            former_usage=former_usage,
         )
 
     def must_read(self, scheduler: ReadScheduler) -> bool:
@@ -172,34 +189,20 @@
         """Return the number of hosts that share the fleet's budgets."""
         return self.members.sharing(self.clock()).hosts
 
-    def make_retry_budget(self) -> RetryBudget:
-        """Build this host's budget for retries of one service's requests."""
-        bounds = self.settings.bounds
-        window = bounds.retry_window_seconds
-        return RetryBudget(
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            window,
-            slack_from=self._unused_from(window),
-        )
-
     def make_cold_budget(self) -> ColdBudget:
         """Build this host's budget for requests to cold upstreams."""
         bounds = self.settings.bounds
         return ColdBudget(
             bounds.cold_overage,
             bounds.cold_slack,
-            usable_from=self._unused_from(COLD_WINDOW_SECONDS),
+            usable_from=self._cold_usable_from(),
         )
 
-    def _unused_from(self, window_seconds: float) -> float:
-        """Return when no earlier process can have used this host's share.
-
-        A restarted host does not know what its previous process used.
-        """
+    def _cold_usable_from(self) -> float:
+        """Return when requests of an earlier process no longer count."""
         if self.settings.is_first_start:
             return self.started_at
-        return self.started_at + window_seconds
+        return self.started_at + COLD_WINDOW_SECONDS
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, except addresses, which need a restart."""
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -8,6 +8,7 @@
 
 from .fleet_size import FleetSize, SizeReading
 from .prefixes import PrefixNews
+from .retry_usage import FormerUsage
 
 # A host counts as recent, and callers may be sent to it, for this long after
 # it was last seen. One lost datagram does not remove the host, because this
@@ -16,6 +17,9 @@
 # A silent host is remembered for this long, because it may be disconnected
 # from this host and still send requests.
 MEMBER_EXPIRY_SECONDS = 12.0
+# How long the last words of a host's previous process are kept; longer than
+# the window of a retry budget.
+FORMER_SECONDS = 60.0
 # How long the number of hosts is reused; counting them for every request
 # would cost more than placing it.
 COUNT_CACHE_SECONDS = 0.1
@@ -60,6 +64,9 @@
     ``sightings``, ``load_readings``, ``prefix_news``, ``starts``,
     ``departures``, ``departure_reminders`` and ``poison_news`` are packed by
     the modules that keep them. They pass on what others said.
+    ``retry_usage`` is what the host has used of the retry budgets; while
+    ``asks_former_usage`` is true, that of its previous process is missing.
+    ``former_usage`` answers the host that the heartbeat is sent to.
     ``fleet_size`` is the greatest number of hosts that any host observed
     lately. ``engines_by_prefix_key`` and ``engines_by_broken_request`` are
     sent by older builds only.
@@ -90,6 +97,20 @@
     fleet_size_age_seconds: float = 0.0
     poison_news: bytes = b""
     departure_reminders: bytes = b""
+    retry_usage: bytes = b""
+    asks_former_usage: bool = False
+    former_usage: FormerUsage | None = None
+
+
+@frozen
+class FormerProcess:
+    """Hold what the previous process of a host said last.
+
+    ``retry_usage`` is None if it was not heard itself.
+    """
+
+    retry_usage: bytes | None
+    heard_at: float
 
 
 def member_id(host: str, incarnation: int) -> int:
@@ -146,6 +167,7 @@
     members_by_host: dict[str, Member] = field(factory=dict)
     members_by_id: dict[int, Member] = field(factory=dict)
     ips_by_host: dict[str, str] = field(factory=dict)
+    former_by_host: dict[str, FormerProcess] = field(factory=dict)
     fleet_size: FleetSize = field(factory=FleetSize)
     _returned_hosts: set[str] = field(factory=set)
     _added_at_by_host: dict[str, float] = field(factory=dict)
@@ -170,6 +192,9 @@
             member.is_store_answering = heartbeat.is_store_answering
             member.is_introduced = False
             self.ips_by_host[heartbeat.host] = heartbeat.ip
+        if not heartbeat.asks_former_usage:
+            # The host's own usage includes that of its previous process.
+            self.former_by_host.pop(heartbeat.host, None)
         for host, ip in heartbeat.ips_by_host.items():
             self.add_address(host, ip, now)
         return True
@@ -263,7 +288,9 @@
             if now - member.seen_at >= MEMBER_EXPIRY_SECONDS
         ]
         for host in expired:
-            self.members_by_id.pop(self.members_by_host.pop(host).id, None)
+            member = self.members_by_host.pop(host)
+            self._keep_former(member)
+            self.members_by_id.pop(member.id, None)
             self.ips_by_host.pop(host, None)
         for host, added_at in list(self._added_at_by_host.items()):
             if host in self.members_by_host or host in expired:
@@ -271,13 +298,26 @@
             elif now - added_at >= MEMBER_EXPIRY_SECONDS:
                 del self._added_at_by_host[host]
                 self.ips_by_host.pop(host, None)
+        for host, former in list(self.former_by_host.items()):
+            if now - former.heard_at >= FORMER_SECONDS:
+                del self.former_by_host[host]
         if expired:
             self._counted_at = -1.0
         return expired
 
+    def _keep_former(self, member: Member) -> None:
+        """Keep the last words of a process that is gone or was replaced."""
+        heartbeat = member.heartbeat
+        if not member.is_introduced and not heartbeat.asks_former_usage:
+            former = FormerProcess(heartbeat.retry_usage, member.received_at)
+            self.former_by_host[member.host] = former
+        elif member.host not in self.former_by_host:
+            self.former_by_host[member.host] = FormerProcess(None, member.seen_at)
+
     def _add(self, member: Member) -> None:
         previous = self.members_by_host.get(member.host)
         if previous is not None:
+            self._keep_former(previous)
             self.members_by_id.pop(previous.id, None)
         self.members_by_host[member.host] = member
         self.members_by_id[member.id] = member
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -27,6 +27,8 @@
 )
 from .poison import PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
+from .retry_budgets import RetryBudgets
+from .retry_usage import USAGE
 from .routing_state import RoutingState
 from .sightings import (
     apply_sightings,
@@ -98,6 +100,7 @@
     receive_heartbeat: Callable[[Heartbeat, float], None]
     receive_changes: Callable[[TableChanges, float], None]
     routing_state: RoutingState
+    retries: RetryBudgets
     port: int
     seed_ips: tuple[str, ...]
     rng: random.Random = field(factory=random.Random)
@@ -178,12 +181,25 @@
                 source=heartbeat.host,
             )
         self.receive_heartbeat(heartbeat, now)
-        if is_first and heartbeat.state is MemberState.STARTING:
+        self._learn_former_usage(heartbeat, now)
+        is_new = is_first and heartbeat.state is MemberState.STARTING
+        if is_new or heartbeat.asks_former_usage:
             # A process that has just started knows no peers yet.
-            self._welcome(heartbeat.ip, now)
+            self._welcome(heartbeat, now, introduces=is_new)
         if is_first or state_before is not heartbeat.state:
             self._state_changes.append((heartbeat.host, state_before, heartbeat.state))
 
+    def _learn_former_usage(self, heartbeat: Heartbeat, now: float) -> None:
+        answer = heartbeat.former_usage
+        if answer is not None and self.retries.learn(answer, now):
+            self.journal.write(
+                "former-usage-from-peer",
+                now,
+                peer=heartbeat.host,
+                age_seconds=round(answer.age_seconds, 3),
+                services=len(answer.usages) // USAGE.size,
+            )
+
     async def run(self) -> None:
         """Send heartbeats periodically until cancelled."""
         while True:
@@ -265,15 +281,22 @@
         for ip in set(self.members.ips_by_host.values()):
             self._transport.sendto(content, (ip, self.port))
 
-    def _welcome(self, ip: str, now: float) -> None:
-        """Send a heartbeat that introduces many hosts to a new process."""
+    def _welcome(self, to: Heartbeat, now: float, *, introduces: bool) -> None:
+        """Answer a new process: introduce hosts, tell of its predecessor."""
         if self._transport is None:
             return
-        recent = self.members.recent(now)
-        chosen = self.rng.sample(recent, min(len(recent), WELCOME_INTRODUCTIONS))
-        introductions = tuple(introduction_of(member, now) for member in chosen)
-        heartbeat = self.make_heartbeat({}, introductions)
-        self._transport.sendto(encode_heartbeat(heartbeat), (ip, self.port))
+        introductions = ()
+        if introduces:
+            recent = self.members.recent(now)
+            chosen = self.rng.sample(recent, min(len(recent), WELCOME_INTRODUCTIONS))
+            introductions = tuple(introduction_of(member, now) for member in chosen)
+        former_usage = None
+        if to.asks_former_usage:
+            former_usage = self.retries.answer(to.host, to.incarnation, now)
+            if former_usage is None and not introduces:
+                return
+        heartbeat = self.make_heartbeat({}, introductions, former_usage=former_usage)
+        self._transport.sendto(encode_heartbeat(heartbeat), (to.ip, self.port))
 
     def _sample_addresses(self, recent: Sequence[Member]) -> dict[str, str]:
         # Only recently seen hosts: otherwise the peers would pass the address
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -11,7 +11,6 @@
 from ..exceptions import UpstreamBroken
 from ..upstreams.events import SparseEventSplitter
 from .answers import AnswerHead
-from .budgets import RetryBudget
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
@@ -27,6 +26,7 @@
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
 from .reports import AnswerReports
+from .retry_budgets import RetryBudgets
 from .routing_state import RoutingState
 from .sending import (
     AttemptFailed,
@@ -90,10 +90,9 @@
     metrics: Metrics
     clock: Callable[[], float]
     host_count: Callable[[], int]
-    make_budget: Callable[[], RetryBudget]
+    retries: RetryBudgets
     rng: random.Random = field(factory=random.Random)
     held_answers: HeldAnswers = field(factory=HeldAnswers)
-    _retry_budgets_by_service: dict[str, RetryBudget] = field(factory=dict)
 
     async def run(self, call: Call, sink: EventSink) -> Reply | None:
         """Return a call's answer, or None if it was streamed to the sink.
@@ -101,7 +100,7 @@
         Raise StreamCut if an answer has begun and cannot be completed.
         """
         progress = Progress(traits_of(call), call.head.last_event_id)
-        self.retry_budget(call.service).record_request(call.arrived_at)
+        self.retries.record_request(call.service, call.arrived_at)
         remaining_seconds = call.expires_at - self.clock() + DEADLINE_SLACK_SECONDS
         try:
             async with asyncio.timeout(max(0.0, remaining_seconds)):
@@ -112,13 +111,6 @@
                 refusal = Refusal.TIMEOUT_SENT
             return self._finish_with_refusal(call, sink, progress, refusal)
 
-    def retry_budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service; create it on first use."""
-        budget = self._retry_budgets_by_service.get(service)
-        if budget is None:
-            budget = self._retry_budgets_by_service[service] = self.make_budget()
-        return budget
-
     def refuse(
         self, refusal: Refusal, request_id: str, retry_seconds: float | None = None
     ) -> Reply:
@@ -366,10 +358,10 @@
             )
 
     def _acquire_retry(self, call: Call, now: float) -> bool:
-        budget = self.retry_budget(call.service)
         host_count = self.host_count()
-        acquired = budget.try_acquire(now, host_count)
+        acquired = self.retries.try_acquire(call.service, now, host_count)
         if not acquired:
+            budget = self.retries.for_service(call.service)
             self.metrics.record_attempt_failure("retry-budget-empty")
             self.journal.write(
                 "retry-refused",
@@ -378,6 +370,7 @@
                 service=call.service,
                 requests=budget.request_count(now),
                 retries=budget.retry_count(now),
+                former_is_unknown=self.retries.is_asking(now),
                 sharing_hosts=host_count,
             )
         return acquired
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -0,0 +1,116 @@
+"""Keep this host's retry budgets in line with those of other processes.
+
+The bound is the fleet's: what the previous process of this host sent counts.
+"""
+
+from attrs import define, field
+
+from .ages import HOP_SECONDS
+from .budgets import RetryBudget
+from .members import Members
+from .retry_usage import FormerUsage, RetryUsage, pack_usage, service_key, unpack_usages
+
+# How long a process goes on asking after the first answer: in a large fleet
+# it takes a few rounds to meet a host that heard the previous process lately.
+ASKING_SECONDS = 1.0
+
+
+@define(eq=False)
+class RetryBudgets:
+    """Limit this host's retries by service.
+
+    A process that starts asks its peers what the previous one has used, and
+    retries nothing until it knows, or until that no longer counts.
+    """
+
+    members: Members
+    incarnation: int
+    ratio: float
+    slack: float
+    window_seconds: float
+    started_at: float
+    is_first_start: bool
+    _budgets_by_service: dict[str, RetryBudget] = field(factory=dict)
+    _former_by_key: dict[int, RetryUsage] = field(factory=dict)
+    _former_heard_at: float | None = None
+    _answered_at: float | None = None
+
+    def for_service(self, service: str) -> RetryBudget:
+        """Return the budget of a service; create it on first use."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                self.ratio,
+                self.slack,
+                self.window_seconds,
+                self._former_by_key.get(service_key(service)),
+            )
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a request from a caller."""
+        self.for_service(service).record_request(now)
+
+    def try_acquire(self, service: str, now: float, host_count: int) -> bool:
+        """Use one retry if any remains; return whether one did."""
+        if self.is_asking(now):
+            return False
+        return self.for_service(service).try_acquire(now, host_count)
+
+    def is_asking(self, now: float) -> bool:
+        """Return whether the usage of the previous process is unknown."""
+        if self.is_first_start:
+            return False
+        if self._answered_at is None:
+            return now - self.started_at < self.window_seconds
+        return now - self._answered_at < ASKING_SECONDS
+
+    def learn(self, answer: FormerUsage, now: float) -> bool:
+        """Record a peer's answer; return whether it is news."""
+        if answer.incarnation != self.incarnation or not self.is_asking(now):
+            return False
+        if self._answered_at is None:
+            self._answered_at = now
+        if answer.age_seconds is None:
+            return False
+        heard_at = now - answer.age_seconds - HOP_SECONDS
+        if self._former_heard_at is not None and heard_at <= self._former_heard_at:
+            return False
+        self._former_heard_at = heard_at
+        self._former_by_key = dict(
+            unpack_usages(answer.usages, heard_at, self.window_seconds)
+        )
+        for service, budget in self._budgets_by_service.items():
+            budget.former = self._former_by_key.get(service_key(service))
+        return True
+
+    def answer(self, host: str, incarnation: int, now: float) -> FormerUsage | None:
+        """Return what is known of a host's previous process, None if nothing.
+
+        A process that started within the window cannot tell that there was
+        no other.
+        """
+        former = self.members.former_by_host.get(host)
+        if former is not None:
+            if former.retry_usage is None:
+                return None
+            age = now - former.heard_at
+            return FormerUsage(incarnation, age, former.retry_usage)
+        if now - self.started_at < self.window_seconds:
+            return None
+        return FormerUsage(incarnation, None, b"")
+
+    def pack(self, now: float) -> bytes:
+        """Encode this host's usage, that of its previous process included."""
+        packed = []
+        keys = set(self._former_by_key)
+        for service, budget in self._budgets_by_service.items():
+            keys.discard(service_key(service))
+            if budget.retry_count(now):
+                packed.append(pack_usage(service_key(service), *budget.slots_at(now)))
+        for key in keys:
+            former = self._former_by_key[key]
+            if former.retry_count(now):
+                packed.append(pack_usage(key, *former.slots_at(now)))
+        return b"".join(packed)
--- a/packages/teaselpond/src/teaselpond/gateway/windows.py
+++ b/packages/teaselpond/src/teaselpond/gateway/windows.py
@@ -21,3 +21,13 @@
         while self._times and now - self._times[0] >= self.seconds:
             self._times.popleft()
         return len(self._times)
+
+    def slot_counts(self, now: float, slots: int) -> list[int]:
+        """Return the events by slot of equal length, the newest slot first."""
+        counts = [0] * slots
+        slot_seconds = self.seconds / slots
+        for at in self._times:
+            slot = int((now - at) / slot_seconds)
+            if slot < slots:
+                counts[max(0, slot)] += 1
+        return counts
--- a/packages/teaselpond/tests/gateway/test_fleet_budgets.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_budgets.py
@@ -22,6 +22,7 @@
 )
 from teaselpond_standins.testing.gateways import make_heartbeat
 
+SERVICE = "models"
 SLACK = 54.0
 RATIO = 0.2
 WINDOW_SECONDS = 10.0
@@ -51,7 +52,6 @@
         self.requests: list[float] = []
         self.retries: list[float] = []
         self.retries_by_host: dict[str, list[float]] = defaultdict(list)
-        self.budgets: dict[SimulatedPeer, RetryBudget] = {}
 
     def run(self, seconds: float) -> None:
         """Send for a time."""
@@ -71,16 +71,14 @@
     def send(self, peer: SimulatedPeer) -> None:
         """Send one host's requests, and retry each while it may."""
         now = self.fleet.now
-        budget = self.budgets.get(peer)
-        if budget is None:
-            budget = self.budgets[peer] = peer.host.make_retry_budget()
+        budgets = peer.host.retries
         hosts = len(self.fleet.live_peers) if self.moves else self.fleet.size
         count = int(self.per_tick / hosts + self.rng.random())
         for _ in range(count):
-            budget.record_request(now)
+            budgets.record_request(SERVICE, now)
             self.requests.append(now)
         for _ in range(count if self.is_failing else 0):
-            if budget.try_acquire(now, peer.host.host_count()):
+            if budgets.try_acquire(SERVICE, now, peer.host.host_count()):
                 self.retries.append(now)
                 self.retries_by_host[peer.name].append(now)
 
