Count the retries of hosts whose callers have moved

Engines got more repeats than the fleet may send after three of six hosts had been killed within a window of a burst of failures.

Cause: a host earns retries for its own requests of the last window. The hosts that get the callers of a killed one earn them for its traffic too, while what it had sent for its earlier requests still counts.

A host now subtracts its part of the others' overdrafts: the retries that a host was last heard to have sent beyond what its requests still allow. A host at its limit with steady traffic has none.

test_hosts_take_over_traffic failed before by 6 retries and holds now.

--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -71,9 +71,12 @@
         allowed = self.ratio * self.request_count(now) + self.slack / max(1, host_count)
         return allowed * USABLE_RATIO - self.retry_count(now)
 
-    def try_acquire(self, now: float, host_count: int) -> bool:
-        """Use one retry if any remains; return whether one did."""
-        if self.remaining(now, host_count) < 1:
+    def try_acquire(self, now: float, host_count: int, overdraft: float = 0.0) -> bool:
+        """Use one retry if any remains; return whether one did.
+
+        ``overdraft`` are retries of other hosts that count as this one's.
+        """
+        if self.remaining(now, host_count) - overdraft < 1:
             return False
         self._retries.add(now)
         return True
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -2,7 +2,7 @@
 
 import enum
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from attrs import define, field, frozen
 
@@ -280,6 +280,15 @@
         known = {self.host, *hosts, *self.members_by_host}
         self.fleet_size.record(len(known), now)
 
+    def retry_usages(self) -> Iterator[tuple[bytes, float]]:
+        """Yield the other hosts' retry usages, and when each was heard."""
+        for member in self.members_by_host.values():
+            if not member.is_introduced and member.host not in self.former_by_host:
+                yield member.heartbeat.retry_usage, member.received_at
+        for former in self.former_by_host.values():
+            if former.retry_usage is not None:
+                yield former.retry_usage, former.heard_at
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove hosts and addresses that expired; return the hosts' names."""
         expired = [
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -1,6 +1,7 @@
 """Keep this host's retry budgets in line with those of other processes.
 
-The bound is the fleet's: what the previous process of this host sent counts.
+The bound is the fleet's: what the previous process of this host sent counts,
+and so do retries of hosts whose callers have moved to others since.
 """
 
 from attrs import define, field
@@ -13,6 +14,8 @@
 # How long a process goes on asking after the first answer: in a large fleet
 # it takes a few rounds to meet a host that heard the previous process lately.
 ASKING_SECONDS = 1.0
+# How long the overdrafts of other hosts are reused.
+OVERDRAFT_CACHE_SECONDS = 0.2
 
 
 @define(eq=False)
@@ -34,6 +37,8 @@
     _former_by_key: dict[int, RetryUsage] = field(factory=dict)
     _former_heard_at: float | None = None
     _answered_at: float | None = None
+    _overdrafts_by_key: dict[int, float] = field(factory=dict)
+    _overdrafts_at: float | None = None
 
     def for_service(self, service: str) -> RetryBudget:
         """Return the budget of a service; create it on first use."""
@@ -56,7 +61,8 @@
         """Use one retry if any remains; return whether one did."""
         if self.is_asking(now):
             return False
-        return self.for_service(service).try_acquire(now, host_count)
+        overdraft = self.overdraft(service, now, host_count)
+        return self.for_service(service).try_acquire(now, host_count, overdraft)
 
     def is_asking(self, now: float) -> bool:
         """Return whether the usage of the previous process is unknown."""
@@ -114,3 +120,27 @@
             if former.retry_count(now):
                 packed.append(pack_usage(key, *former.slots_at(now)))
         return b"".join(packed)
+
+    def overdraft(self, service: str, now: float, host_count: int) -> float:
+        """Return this host's part of the retries that others sent in excess.
+
+        A host whose callers have moved to others may have sent more retries
+        than its remaining requests allow.
+        """
+        cached_at = self._overdrafts_at
+        if cached_at is None or not 0 <= now - cached_at < OVERDRAFT_CACHE_SECONDS:
+            self._overdrafts_by_key = self._sum_overdrafts(now, host_count)
+            self._overdrafts_at = now
+        return self._overdrafts_by_key.get(service_key(service), 0.0)
+
+    def _sum_overdrafts(self, now: float, host_count: int) -> dict[int, float]:
+        live_count = 1 + len(self.members.recent(now))
+        sums: dict[int, float] = {}
+        for packed, heard_at in self.members.retry_usages():
+            for key, usage in unpack_usages(packed, heard_at, self.window_seconds):
+                limit = RetryBudget(
+                    self.ratio, self.slack, self.window_seconds, usage
+                ).remaining(now, host_count)
+                if limit < 0:
+                    sums[key] = sums.get(key, 0.0) - limit / live_count
+        return sums
