Break a begun stream off when its next upstream does not go on with it

Callers found an error's head and text in the middle of their stream, or the stream ended as if it were complete.

Cause: an answer that is no success, and a success that is no event stream, was returned as a whole reply whether or not the caller had part of another answer already. An answer for the rest of a stream must be a successful event stream now; any other one is a failed attempt, after which the stream is resumed elsewhere or broken off.

--- a/packages/teaselpond/src/teaselpond/gateway/answers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/answers.py
@@ -16,7 +16,8 @@
     requests, None if it does not report them. ``is_leaving`` is true if the
     upstream will end soon. ``backoff_seconds`` is how long an upstream that
     turned the request away wants no further ones, None if it does not say so
-    and NaN if it cannot be read.
+    and NaN if it cannot be read. ``is_event_stream`` tells whether the body is
+    a series of events.
     """
 
     status: int
@@ -29,6 +30,7 @@
     load: int | None = None
     is_leaving: bool = False
     backoff_seconds: float | None = None
+    is_event_stream: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -35,6 +35,7 @@
     WholeAnswer,
     attempt_failure,
     check_answer,
+    check_continuation,
     check_success_head,
 )
 from .timeouts import PauseAwareTimeout
@@ -246,12 +247,16 @@
                         body = await answer.read(self.held_answers)
                         whole = WholeAnswer(head, body)
                         check_answer(whole, peer)
+                        if sink.has_begun:
+                            check_continuation(head, peer)
                         if head.is_success:
                             self.crash_reports.record_begun(
                                 call, progress, self.clock()
                             )
                         return self._reply_from(whole)
                     check_success_head(head, peer)
+                    if sink.has_begun:
+                        check_continuation(head, peer)
                     await self._stream(call, answer, sink, progress, response_timeout)
                     return None
                 finally:
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -281,6 +281,21 @@
         )
 
 
+def check_continuation(head: AnswerHead, peer: str) -> None:
+    """Raise AttemptFailed for an answer that cannot go on with a stream.
+
+    The caller has the head and events of another answer already.
+    """
+    if not head.is_success:
+        raise AttemptFailed(
+            Result.INVALID, f"status {head.status} for the rest of a stream", peer=peer
+        )
+    if not head.is_event_stream:
+        raise AttemptFailed(
+            Result.INVALID, "no event stream for the rest of a stream", peer=peer
+        )
+
+
 def check_success_head(head: AnswerHead, peer: str) -> None:
     """Raise AttemptFailed for a success that is unsigned or encoded."""
     if not head.is_success:
--- a/packages/teaselpond/src/teaselpond/platform/headers.py
+++ b/packages/teaselpond/src/teaselpond/platform/headers.py
@@ -30,6 +30,7 @@
 COPY_FROM = "Kv-Fetch"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
+EVENT_STREAM_TYPE = "text/event-stream"
 KEY_SCHEME = "bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -131,6 +132,7 @@
         backoff_seconds=(
             _decode_backoff(headers.get(RETRY_AFTER)) if status == 503 else None
         ),
+        is_event_stream=_is_event_stream(headers.get("Content-Type", "")),
     )
 
 
@@ -188,6 +190,10 @@
     return seconds
 
 
+def _is_event_stream(content_type: str) -> bool:
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 def _decode_load(value: str | None) -> int | None:
     try:
         running, waiting, _ = (int(count) for count in (value or "").split(","))
