Believe a refusal without an id only on a new connection

Callers were told that their request had not run, and to try again, though an upstream had run it.

Cause: a faulty upstream wrote an earlier refusal once more on a kept connection. Without an id it was taken for the answer to the request that was sent next. With the id it was so too when the same call was offered to the same upstream again. A refusal without an id counts now only as the first answer on a connection, where it can belong to no other request, and an upstream that has refused a call gets it again on a new connection.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/gateways.py
@@ -35,6 +35,7 @@
 from ..platform.operator import HOST, KEY, wire_configuration
 from ..server import free_ports
 from ..service import ListedUpstream
+from .raw import RawUpstream
 
 PORT_NAMES = ("entry", "ready", "peers", "directory", "datagrams", "metrics")
 READY_TIMEOUT_SECONDS = 15.0
@@ -224,6 +225,13 @@
         entry = upstream.entry(service, **fields)
         await self.platform.rows.put_json("servers", upstream.engine_id, entry)
 
+    async def list_raw_upstream(self, upstream: RawUpstream, service: str) -> None:
+        """Write the entry of an upstream to the store."""
+        entry = ListedUpstream(upstream.engine_id).entry(
+            service, Address=str(upstream.address)
+        )
+        await self.platform.rows.put_json("servers", upstream.engine_id, entry)
+
     def ip(self, number: int) -> str:
         """Return a gateway's IP address.
 
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -29,6 +29,7 @@
     last_event_id: str | None
     tried_ids: set[str] = field(factory=set)
     shed_ids: set[str] = field(factory=set)
+    refused_by_ids: set[str] = field(factory=set)
     placements: int = 0
     arrivals: int = 0
     runs: int = 0
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -238,6 +238,7 @@
                     remaining_seconds,
                     progress.last_event_id,
                     placement.copy_from,
+                    was_refused=engine.engine_id in progress.refused_by_ids,
                 )
                 try:
                     head = answer.head
@@ -332,6 +333,7 @@
         progress.last_failure = failed
         if failed.result is Result.SHED:
             progress.shed_ids.add(engine.engine_id)
+            progress.refused_by_ids.add(engine.engine_id)
         progress.arrivals += failed.may_have_arrived
         progress.runs += failed.may_have_arrived and not failed.not_run
         ejected = self.health.get(engine.engine_id).record(failed.result, now)
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -128,7 +128,8 @@
     """Send calls to upstreams.
 
     Each call that must not run twice gets a new connection: no answer to
-    another call can arrive on it, and no idle timeout can close it.
+    another call can arrive on it, and no idle timeout can close it. So does
+    one that the upstream has refused before: that refusal may arrive again.
     """
 
     codec: HeaderCodec
@@ -143,12 +144,17 @@
         remaining_seconds: float,
         last_event_id: str | None,
         copy_from: Engine | None = None,
+        *,
+        was_refused: bool = False,
     ) -> OpenAnswer:
         """Send a call and return its answer with the body unread.
 
+        ``was_refused`` is true if this upstream has refused the call before.
         Raise AttemptFailed if no head of an answer arrives.
         """
-        client = self.pooled_client if call.may_repeat else self.single_use_client
+        client = self.single_use_client
+        if call.may_repeat and not was_refused:
+            client = self.pooled_client
         peer = str(engine.address)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -4,9 +4,10 @@
 import socket
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import aiohttp
-from attrs import frozen
+from attrs import define, frozen
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -65,6 +66,13 @@
     body: bytes
 
 
+@define
+class ConnectionUsage:
+    """Tell whether a request was sent on a connection of an earlier one."""
+
+    is_reused: bool = False
+
+
 def check_header(name: str, value: str) -> None:
     """Raise ValueError for a header that must not be forwarded.
 
@@ -130,6 +138,7 @@
             read_bufsize=READ_BUFFER_BYTES,
             skip_auto_headers=self._skip_auto_headers,
             trust_env=False,
+            trace_configs=[_trace_reuse()],
         )
 
     async def close(self) -> None:
@@ -165,7 +174,8 @@
 
         With ``check_id``, the response must carry the request's id. With
         ``allow_errors_without_id``, one with an error status may also carry
-        none, but never another request's.
+        none, but never another request's: the first response on a connection
+        can belong to no other request.
 
         Raise UpstreamUnavailable if nothing was sent. Raise UpstreamSilent,
         UpstreamCrossed or UpstreamBroken if the request may have been sent.
@@ -184,6 +194,7 @@
         if self._session is None:
             self._session = self._open_session()
         peer = str(address)
+        usage = ConnectionUsage()
         with translate_upstream_errors(peer):
             response = await self._session.request(
                 method,
@@ -193,9 +204,10 @@
                 data=body,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=usage,
             )
         if check_id and not self._is_error_without_id(
-            response, allow_errors_without_id
+            response, allow_errors_without_id and not usage.is_reused
         ):
             self._check_response_id(response, request_id, peer)
         return response
@@ -279,6 +291,20 @@
         return b"".join(chunks)
 
 
+def _trace_reuse() -> aiohttp.TraceConfig:
+    """Return a trace that marks the usage of each request's connection."""
+
+    async def mark_reused(
+        session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+    ) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.is_reused = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(mark_reused)
+    return trace
+
+
 @contextmanager
 def translate_upstream_errors(peer: str) -> Iterator[None]:
     """Translate the HTTP library's errors to subclasses of TeaselpondError."""
--- a/packages/teaselpond/tests/gateway/test_resumed_streams.py
+++ b/packages/teaselpond/tests/gateway/test_resumed_streams.py
@@ -76,18 +76,7 @@
 
     async def list_upstream(self, fleet: GatewayFleet, upstream: RawUpstream) -> None:
         """List an upstream, and wait until the gateway knows it."""
-        entry = {
-            "Service": "model",
-            "Address": str(upstream.address),
-            "Zone": "zone-a",
-            "Version": "v1",
-            "Slots": 64,
-            "State": "ready",
-            "ColdLeftMs": 0,
-            "Seq": 1,
-            "born": 1,
-        }
-        await fleet.platform.rows.put_json("servers", upstream.engine_id, entry)
+        await fleet.list_raw_upstream(upstream, "model")
         known = fleet.daemons[0].host.routing_state.engines_by_id
         await self.wait_until(lambda: upstream.engine_id in known)
 
