List no upstream by an entry that cannot be used

Calls got 502 or were refused beside an entry with a port out of range, a host that is no address or a key with line breaks. An entry whose key has a lone surrogate ended the task that follows the table in the middle of its rows, and could not be sent to peers.

Cause: entries were checked for what this code reads, not for what it uses the values for: an address to connect to, names in headers and messages, numbers in packed fields. They are checked now for that: IPv4 addresses of one host with a port, ids of visible characters, names that can be encoded, numbers in range. Rows whose keys cannot be encoded are left out with a warning where the store is read; the pages after them are still read.

Two tests failed before: the one with all 40 entries decoded, and the one in which two hosts run, a third starts and the store is restored beside them (503 at the first call).

--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -137,8 +137,8 @@
     async def _read_whole(self) -> Page:
         first = page = await self.store.read(self.table)
         rows: list[Row] = list(page.rows)
-        while page.has_more and page.rows:
-            page = await self.store.read(self.table, page.rows[-1].key + "\0")
+        while page.has_more and page.last_key is not None:
+            page = await self.store.read(self.table, page.last_key + "\0")
             if page.era != first.era:
                 raise HistoryLost(
                     f"the era changed from {first.era} to {page.era} between pages",
--- a/packages/teaselpond/src/teaselpond/gateway/rows.py
+++ b/packages/teaselpond/src/teaselpond/gateway/rows.py
@@ -19,6 +19,7 @@
     ``version`` is the store's newest version and ``store_seconds`` the time
     of its monotonic clock, both when it responded. ``era`` rises each time the
     store returns from an older copy; versions are comparable within an era.
+    If ``has_more``, the next page begins after ``last_key``.
     """
 
     rows: tuple[Row, ...]
@@ -26,3 +27,4 @@
     store_seconds: float
     has_more: bool
     era: int = 0
+    last_key: str | None = None
--- a/packages/teaselpond/src/teaselpond/platform/entries.py
+++ b/packages/teaselpond/src/teaselpond/platform/entries.py
@@ -1,7 +1,10 @@
 """Decode the entries that operator and upstreams write to the store."""
 
 import functools
+import ipaddress
 import json
+import math
+import re
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
@@ -38,6 +41,15 @@
 EVACUATION_PREFIX = "evacuate/"
 DEFAULT_HEALTH_PATH = "/"
 
+# Ids are sent in headers and stand in log lines.
+ENGINE_ID = re.compile(r"[!#-\[\]-~]{1,200}")
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
+MAX_NAME_LENGTH = 200
+MAX_SLOTS = 1_000_000
+# Beyond it a number is no longer exact in JSON.
+MAX_BORN_MS = 2**53
+
 # Errors that decoding an entry of the wrong shape can raise.
 MALFORMED_ERRORS = (
     ArithmeticError,
@@ -148,31 +160,59 @@
 @_reports_malformed
 def decode_engine(key: str, value: bytes) -> Engine:
     """Decode an upstream's entry; raise MalformedEntry."""
+    if not ENGINE_ID.fullmatch(key):
+        raise ValueError(f"expected an id of visible ASCII characters, got {key!r:.40}")
     raw = json.loads(value)
-    if type(raw["Service"]) is not str or type(raw["Zone"]) is not str:
-        raise TypeError(
-            "expected strings as Service and Zone,"
-            f" got {raw['Service']!r:.40} and {raw['Zone']!r:.40}"
-        )
-    born = raw.get("born", 0)
-    slots = raw["Slots"]
-    if type(born) is not int or type(slots) is not int or slots < 1:
-        raise TypeError(
-            "expected an integer as born and a positive one as Slots,"
-            f" got {born!r:.40} and {slots!r:.40}"
+    cold = raw.get("ColdLeftMs", 0)
+    if type(cold) not in (int, float) or not math.isfinite(cold):
+        raise ValueError(
+            f"expected finite milliseconds as ColdLeftMs, got {cold!r:.40}"
         )
     return Engine(
         engine_id=key,
-        service=raw["Service"],
-        address=Address.parse(raw["Address"]),
-        availability_zone=raw["Zone"],
-        slots=slots,
+        service=_read_name(raw, "Service"),
+        address=_read_address(raw["Address"]),
+        availability_zone=_read_name(raw, "Zone"),
+        slots=_read_integer(raw["Slots"], 1, MAX_SLOTS),
         state=EngineState(raw["State"]),
-        cold_seconds=float(raw.get("ColdLeftMs", 0)) / MILLISECONDS_PER_SECOND,
-        born_ms=born,
+        cold_seconds=max(0.0, cold / MILLISECONDS_PER_SECOND),
+        born_ms=_read_integer(raw.get("born", 0), 0, MAX_BORN_MS),
     )
 
 
+def _read_name(raw: Mapping[str, Any], field: str) -> str:
+    name = raw[field]
+    if type(name) is not str or not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise ValueError(f"expected a name as {field}, got {name!r:.40}")
+    # A lone surrogate cannot be sent to peers.
+    name.encode()
+    return name
+
+
+def _read_integer(value: Any, smallest: int, largest: int) -> int:
+    if type(value) is not int or not smallest <= value <= largest:
+        raise ValueError(
+            f"expected an integer from {smallest} to {largest}, got {_shorten(value)}"
+        )
+    return value
+
+
+def _shorten(value: Any) -> str:
+    # The text of a huge integer is refused by the interpreter.
+    return "a huge integer" if type(value) is int else f"{value!r:.40}"
+
+
+def _read_address(text: Any) -> Address:
+    """Return an address that can be connected to; raise ValueError."""
+    host, _, port = str(text).rpartition(":")
+    ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"expected the address of one host, got {host}")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"expected a port from 1 to {MAX_PORT}, got {port!r:.40}")
+    return Address(str(ip), int(port))
+
+
 def decode_change(table: Table, row: Row) -> Change:
     """Decode a row; return EntryUnreadable if it is malformed."""
     try:
--- a/packages/teaselpond/src/teaselpond/platform/store.py
+++ b/packages/teaselpond/src/teaselpond/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import logging
 from urllib.parse import urlencode
 
 import aiohttp
@@ -14,6 +15,8 @@
 from ..gateway.rows import Page, Row
 from ..gateway.tables import Table
 
+logger = logging.getLogger(__name__)
+
 MILLISECONDS_PER_SECOND = 1000.0
 # A configuration of 1,500 routes makes a response of 0.7 MB, which takes this
 # long on the slowest host's link of 5 Mbit/s beside its other traffic.
@@ -89,7 +92,9 @@
         self, path: str, query: dict, wait_seconds: float = 0.0
     ) -> PlatformAnswer:
         return await self._connection.read(
-            f"{path}?{urlencode(query)}", path, wait_seconds=wait_seconds
+            f"{path}?{urlencode(query, errors='surrogatepass')}",
+            path,
+            wait_seconds=wait_seconds,
         )
 
     def _page(self, answer: PlatformAnswer, step: str) -> Page:
@@ -97,12 +102,14 @@
             raise self._connection.unavailable(step, f"status {answer.status}")
         try:
             raw = json.loads(answer.content)
+            rows = [_decode_row(row) for row in raw["Rows"]]
             return Page(
-                rows=tuple(_decode_row(row) for row in raw["Rows"]),
+                rows=tuple(row for row in rows if _has_valid_key(row)),
                 version=raw["Ver"],
                 store_seconds=raw["NowMs"] / MILLISECONDS_PER_SECOND,
                 has_more=raw.get("HasMore", False),
                 era=int(answer.headers.get(ERA, 0)),
+                last_key=rows[-1].key if rows else None,
             )
         except (ValueError, KeyError, TypeError) as error:
             raise self._connection.unavailable(step, repr(error)) from error
@@ -113,6 +120,16 @@
     return Row(raw["Key"], value, raw["Ver"])
 
 
+def _has_valid_key(row: Row) -> bool:
+    """Return whether a row's key can be encoded, as for peers."""
+    try:
+        row.key.encode()
+    except UnicodeEncodeError:
+        logger.warning("the store returned a row with an invalid key: %a", row.key)
+        return False
+    return True
+
+
 def open_store(
     session: aiohttp.ClientSession, address: Address, timeout_seconds: float
 ) -> RowStore:
