Pass on whole tables where removals may be missing

Cause: a process that has read a whole table holds no removals of before, but answered a peer that asked for changes as if it had all. The peer's version jumped past the removal, and nobody was asked for it again.

A table now knows from which version on its removals are complete. A host whose version is older gets the whole table, and takes what is missing in it as removed.

--- a/packages/teaselpond/src/teaselpond/gateway/rowcache.py
+++ b/packages/teaselpond/src/teaselpond/gateway/rowcache.py
@@ -16,12 +16,14 @@
 
     All changes up to ``version`` are known. ``newest_row_version`` is the
     highest version of a cached row, and can exceed ``version``. All versions
-    are those of one ``era`` of the store.
+    are those of one ``era`` of the store. Removals before ``history_from``
+    may be missing, as a whole table does not show them.
     """
 
     era: int = 0
     version: int = UNKNOWN_VERSION
     newest_row_version: int = 0
+    history_from: int = 0
     rows_by_key: dict[str, Row] = field(factory=dict)
 
     def merge_page(self, page: Page, is_whole: bool) -> list[Row]:
@@ -36,6 +38,8 @@
                 return []
             return self._replace(page)
         changed = [row for row in page.rows if self._is_newer(row)]
+        if is_whole or self.version == UNKNOWN_VERSION:
+            self.history_from = max(self.history_from, page.version)
         if is_whole:
             present_keys = {row.key for row in page.rows}
             changed.extend(
@@ -78,7 +82,7 @@
             if key not in present and not self._has_value(key, None)
         )
         self.era = page.era
-        self.version = self.newest_row_version = page.version
+        self.version = self.newest_row_version = self.history_from = page.version
         self.rows_by_key = present
         return changed
 
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -22,7 +22,7 @@
 from .rowcache import UNKNOWN_VERSION
 from .rows import Page, Row
 from .tables import FOLLOWED_TABLES
-from .wire_values import read_bytes, read_seconds
+from .wire_values import read_bytes, read_integer, read_seconds
 
 ROUTING_STATE_PATH = "/beliefs"
 PREFIXES_PATH = "/prefixes"
@@ -81,7 +81,8 @@
     ``age`` is that of its confirmation, at the time ``confirmed`` of the
     store's clock. ``tables`` are versions and rows in the order of the
     followed tables. ``configuration_row`` is set if a restored store may lack
-    the configuration in force.
+    the configuration in force. ``whole_tables`` tells which of the tables are
+    whole.
     """
 
     age: float
@@ -89,6 +90,7 @@
     tables: list[tuple[int, list[Row]]]
     era: int
     configuration_row: Row | None
+    whole_tables: tuple[bool, ...]
 
 
 class PeerUnavailable(TeaselpondError):
@@ -174,8 +176,9 @@
     def _serve_routing_state(self, request: BaseRequest) -> web.Response:
         """Return the rows above the versions in the query, one per table.
 
-        To a host in another era of the store, return whole tables. Respond
-        with status 503 if this host has no confirmed configuration.
+        To a host in another era of the store, return whole tables, and also
+        to one that may have missed removals that this host never knew.
+        Respond with status 503 if this host has no confirmed configuration.
         """
         age = self.applier.routing_state.freshness.age(self.clock())
         try:
@@ -193,14 +196,20 @@
             return web.Response(status=503)
         if asked_era not in (UNKNOWN_ERA, self.applier.era):
             versions = [UNKNOWN_VERSION] * len(versions)
+        knows_history = bool(request.query.get("history"))
         tables = []
         for table, after in zip(FOLLOWED_TABLES, versions, strict=True):
             cache = self.applier.caches_by_table[table]
+            if knows_history and after < cache.history_from:
+                after = UNKNOWN_VERSION
             rows = [self._compressor.compress(row) for row in cache.rows_after(after)]
             tables.append([cache.version, rows])
         answer = [age, confirmed, tables]
         if asked_era != UNKNOWN_ERA:
             answer += [self.applier.era, self._lost_configuration()]
+        if knows_history:
+            caches = self.applier.caches_by_table
+            answer.append([caches[table].history_from for table in FOLLOWED_TABLES])
         return web.Response(body=cbor2.dumps(answer))
 
     def _lost_configuration(self) -> list[Any] | None:
@@ -256,14 +265,17 @@
             )
             return
         now = self.clock()
-        is_whole = fetched.era > self.applier.era
-        for table, (version, rows) in zip(FOLLOWED_TABLES, fetched.tables, strict=True):
-            if is_whole:
+        is_new_era = fetched.era > self.applier.era
+        for table, (version, rows), is_whole in zip(
+            FOLLOWED_TABLES, fetched.tables, fetched.whole_tables, strict=True
+        ):
+            if is_new_era:
                 rows = [row for row in rows if row.value is not None]
             page = Page(tuple(rows), version, fetched.confirmed, False, fetched.era)
             # The peer computed the age after the request was sent, so the
             # store's confirmation is at most ``age`` older than the request.
-            self.applier.apply(table, page, is_whole, asked_at - fetched.age, now)
+            confirmed_at = asked_at - fetched.age
+            self.applier.apply(table, page, is_new_era or is_whole, confirmed_at, now)
         if fetched.configuration_row is not None:
             self.applier.apply_configuration_row(fetched.configuration_row, now)
         self.journal.write(
@@ -296,10 +308,15 @@
         return len(rows)
 
     async def _fetch_state(self, peer: Member) -> "FetchedState":
-        after = ",".join(str(version) for version in self.applier.versions())
-        era = str(self.applier.era)
+        versions = self.applier.versions()
         response = await self._get(
-            peer, ROUTING_STATE_PATH, {"after": after, "era": era}
+            peer,
+            ROUTING_STATE_PATH,
+            {
+                "after": ",".join(str(version) for version in versions),
+                "era": str(self.applier.era),
+                "history": "1",
+            },
         )
         try:
             age, confirmed, raw_tables, *others = response
@@ -307,11 +324,20 @@
                 (int(version), [decode_row(*row) for row in rows])
                 for version, rows in raw_tables
             ]
-            # Older builds answer without an era.
-            era, raw_row = others if others else (0, None)
+            # Older builds answer without an era, or without their history.
+            era, raw_row, *histories = others if others else (0, None)
             row = decode_row(*raw_row) if raw_row is not None else None
+            starts = histories[0] if histories else (UNKNOWN_VERSION,) * len(versions)
             return FetchedState(
-                read_seconds(age), read_seconds(confirmed), tables, int(era), row
+                read_seconds(age),
+                read_seconds(confirmed),
+                tables,
+                int(era),
+                row,
+                tuple(
+                    version < read_integer(start)
+                    for version, start in zip(versions, starts, strict=True)
+                ),
             )
         except (TypeError, ValueError) as error:
             raise PeerUnavailable(
--- a/packages/teaselpond/tests/gateway/test_sharing.py
+++ b/packages/teaselpond/tests/gateway/test_sharing.py
@@ -1,18 +1,36 @@
-"""Test how rows of the store are compressed for peers."""
+"""Test how hosts pass on rows of the store."""
 
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import urlencode
 
 import testtools
+from aiohttp.test_utils import make_mocked_request
+from attrs import define
 
-from teaselpond.gateway.rows import Row
+from teaselpond.gateway.applying import StoreApplier
+from teaselpond.gateway.members import Member, Members
+from teaselpond.gateway.prefixes import PrefixTracker
+from teaselpond.gateway.routing_state import RoutingState
+from teaselpond.gateway.rows import Page, Row
 from teaselpond.gateway.sharing import (
     MIN_COMPRESSED_BYTES,
     RESPONSE_TIMEOUT_SECONDS,
+    RoutingStateSharing,
     RowCompressor,
     decode_row,
 )
+from teaselpond.gateway.tables import FOLLOWED_TABLES, Table
+from teaselpond.platform.entries import decode_change
 from teaselpond_standins.platform.operator import wire_configuration
+from teaselpond_standins.service import ListedUpstream
+from teaselpond_standins.testing import AsyncTestCase
+from teaselpond_standins.testing.exchanges import SilentJournal
+from teaselpond_standins.testing.gateways import make_heartbeat
 
+ADDRESS = "127.0.0.1:9"
 # The largest configurations of the deployments hold over 1,500 routes, and
 # their slowest links carry 5 Mbit/s. In a fleet of sixty hosts, three read the
 # store and each serves twenty.
@@ -64,3 +82,58 @@
         _, value, _, _ = self.compressor.compress(make_large_row())
         bits = 8 * len(value) * CONCURRENT_FETCHES
         self.assertLess(bits / LINK_BITS_PER_SECOND, RESPONSE_TIMEOUT_SECONDS)
+
+
+@define(slots=False)
+class PeerSession:
+    """Pass a host's requests to the sharing of another, without sockets."""
+
+    sharing: RoutingStateSharing
+    status: int = 0
+
+    @asynccontextmanager
+    async def get(
+        self, url: str, *, params: dict[str, str], **options: Any
+    ) -> AsyncIterator["PeerSession"]:
+        """Have the other host answer a request."""
+        request = make_mocked_request("GET", f"/beliefs?{urlencode(params)}")
+        self.response = await self.sharing.handle(request)
+        self.status = self.response.status
+        yield self
+
+    async def read(self) -> bytes:
+        """Return the body of the answer."""
+        return self.response.body
+
+
+def make_sharing(*engine_ids: str, version: int, era: int) -> RoutingStateSharing:
+    """Return the sharing of a host that read the whole tables just now."""
+    journal = SilentJournal("", 0)
+    applier = StoreApplier(RoutingState(), journal, decode_change)
+    rows = tuple(
+        Row(name, json.dumps(ListedUpstream(name).entry("plain", Address=ADDRESS)), 3)
+        for name in engine_ids
+    )
+    for table in FOLLOWED_TABLES:
+        table_rows = rows if table is Table.ENGINES else ()
+        applier.apply(table, Page(table_rows, version, 50.0, False, era), True, 0, 0)
+    return RoutingStateSharing(
+        applier, PrefixTracker(), Members("g0"), journal, lambda: 1.0, 1, None
+    )
+
+
+class RemovalTests(AsyncTestCase):
+    """Pass on removals of before a peer has read the tables."""
+
+    async def test_removal_of_before_a_peers_start_is_not_missed(self) -> None:
+        """A host that was cut off asks one that started meanwhile."""
+        for era in (0, 1):
+            cut_off = make_sharing("stays", "removed", version=5, era=era)
+            cut_off.session = PeerSession(make_sharing("stays", version=10, era=era))
+            versions = (10,) * len(FOLLOWED_TABLES)
+            peer = make_heartbeat(
+                "g1", era=era, row_versions=versions, confirmed_store_seconds=50.0
+            )
+            await cut_off._catch_up(Member(peer, 0.0))
+            listed = cut_off.applier.routing_state.engines_by_id
+            self.assertEqual(["stays"], list(listed), era)
