Tell peers of a crash's narrowest trait first

Cause: a host that records a crash takes the traits narrowest first, blames the second part, and spares the first one as explained. It told its peers the newest first, that is in the other order: they blamed the first part, and reminded all others of it. News of crashes keep the order now in which they were recorded, with paths last as before.

test_part_before_a_crashing_one_is_not_refused_by_peers failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -17,6 +17,7 @@
 or was cut off, hears of them with its first heartbeats.
 """
 
+import heapq
 import itertools
 import math
 import random
@@ -376,12 +377,18 @@
             suspect = self._find(ended.trait.fingerprint)
             if suspect is not None and ended in suspect.ends:
                 ends.append((len(suspect.ends), news_of(ended)))
-        # Peers must hear of what explains the crashes of a path before it.
-        ends.sort(key=lambda each: (each[1].trait.scope is Scope.PATH, -each[0]))
-        repeated = [news for count, news in ends if count > 1]
-        single = [news for count, news in ends if count == 1]
+        ends.reverse()
+        # Peers blame what they hear of first for the crashes that it explains:
+        # the narrowest trait, which was recorded first, and paths last.
+        repeated = [each for each in ends if each[0] > 1]
+        most = heapq.nlargest(
+            MAX_RELAYED, enumerate(repeated), key=lambda each: each[1][0]
+        )
+        most.sort(key=lambda each: (each[1][1].trait.scope is Scope.PATH, each[0]))
+        single = [news for count, news in reversed(ends) if count == 1]
         yield from itertools.islice(
-            (*repeated, *cleared.values(), *single), MAX_RELAYED
+            (*(news for _, (_, news) in most), *cleared.values(), *single),
+            MAX_RELAYED,
         )
 
     def _reminders(self, now: float) -> Iterator[News]:
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -355,3 +355,28 @@
         for number in range(THRESHOLD):
             tracker.record_own(traits, make_engine(f"e{number}"), 1.0, 1.0)
         self.assertFalse(tracker.start_trial(traits, 1.0 + QUARANTINE_TRIAL_SECONDS))
+
+
+class SharedPartsTests(testtools.TestCase):
+    """Crash upstreams by a part whose prompts share an earlier one, too."""
+
+    def test_part_before_a_crashing_one_is_not_refused_by_peers(self) -> None:
+        """All hosts blame the same part, whoever sees the crashes."""
+        for hosts in (2, 3, 6):
+            trackers = [PoisonTracker() for _ in range(hosts)]
+            for number in range(5):
+                now = 100.0 + number
+                traits = make_prompt_traits(
+                    "first", "crashing", f"third{number}", number=number
+                )
+                engine = make_engine(f"e{number}")
+                trackers[number % hosts].record_own(traits, engine, now, now + 0.1)
+                for tracker in trackers:
+                    packed = tracker.pack_news(now + 0.2)
+                    for other in trackers:
+                        other.merge_news(packed, now + 0.2)
+            crashing = make_prompt_traits("first", "crashing", "third9", number=9)
+            sound = make_prompt_traits("first", "sound", "third9", number=10)
+            for tracker in trackers:
+                self.assertTrue(tracker.is_poisonous(crashing, 106.0), hosts)
+                self.assertFalse(tracker.is_poisonous(sound, 106.0), hosts)
