Pass on no table of an earlier era of the store

Cause: the era of a peer's answer was that of the first table that the peer had read of the restored store. Its other tables, with older and higher versions, were taken as of the new era, and changes with lower versions ignored. A host passes on nothing now until all of its tables are of one era, and asks for a table of an earlier era as for one that it never read.

test_table_of_an_earlier_era_is_not_passed_on_as_new failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/applying.py
+++ b/packages/teaselpond/src/teaselpond/gateway/applying.py
@@ -149,6 +149,21 @@
         """
         return tuple(self.caches_by_table[table].version for table in FOLLOWED_TABLES)
 
+    def comparable_versions(self) -> tuple[int, ...]:
+        """Return the known version of each table in the newest era.
+
+        It is unknown for a table that was not read since.
+        """
+        caches = (self.caches_by_table[table] for table in FOLLOWED_TABLES)
+        return tuple(
+            cache.version if cache.era == self.era else UNKNOWN_VERSION
+            for cache in caches
+        )
+
+    def has_tables_of_one_era(self) -> bool:
+        """Return whether all tables are of the newest era of the store."""
+        return all(cache.era == self.era for cache in self.caches_by_table.values())
+
     def _apply_rows(
         self,
         table: Table,
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -178,7 +178,8 @@
 
         To a host in another era of the store, return whole tables, and also
         to one that may have missed removals that this host never knew.
-        Respond with status 503 if this host has no confirmed configuration.
+        Respond with status 503 if this host has no confirmed configuration, or
+        has not read all tables of a restored store yet.
         """
         age = self.applier.routing_state.freshness.age(self.clock())
         try:
@@ -192,7 +193,7 @@
         if age is None:
             return web.Response(status=503)
         confirmed = self.applier.routing_state.freshness.confirmed_store_seconds
-        if confirmed is None:
+        if confirmed is None or not self.applier.has_tables_of_one_era():
             return web.Response(status=503)
         if asked_era not in (UNKNOWN_ERA, self.applier.era):
             versions = [UNKNOWN_VERSION] * len(versions)
@@ -252,7 +253,8 @@
             return True
         if self.applier.routing_state.freshness.confirmed_store_seconds is None:
             return True
-        versions = zip(heartbeat.row_versions, self.applier.versions(), strict=True)
+        own_versions = self.applier.comparable_versions()
+        versions = zip(heartbeat.row_versions, own_versions, strict=True)
         return any(theirs > own for theirs, own in versions)
 
     async def _catch_up(self, peer: Member) -> None:
@@ -308,7 +310,7 @@
         return len(rows)
 
     async def _fetch_state(self, peer: Member) -> "FetchedState":
-        versions = self.applier.versions()
+        versions = self.applier.comparable_versions()
         response = await self._get(
             peer,
             ROUTING_STATE_PATH,
--- a/packages/teaselpond/tests/gateway/test_sharing.py
+++ b/packages/teaselpond/tests/gateway/test_sharing.py
@@ -137,3 +137,25 @@
             await cut_off._catch_up(Member(peer, 0.0))
             listed = cut_off.applier.routing_state.engines_by_id
             self.assertEqual(["stays"], list(listed), era)
+
+
+class RestoredTablesTests(AsyncTestCase):
+    """Pass on tables while a host reads those of a restored store."""
+
+    async def test_table_of_an_earlier_era_is_not_passed_on_as_new(self) -> None:
+        """A host passes on nothing until it has read all tables anew."""
+        serving = make_sharing("stays", "removed", version=40, era=1)
+        asking = make_sharing("stays", "removed", version=40, era=1)
+        asking.session = PeerSession(serving)
+        peer = Member(make_heartbeat("g1", era=2), 0.0)
+        for number, table in enumerate(FOLLOWED_TABLES):
+            await asking._catch_up(peer)
+            self.assertEqual(1, asking.applier.era, number)
+            page = Page((), 30, 51.0, False, 2)
+            serving.applier.apply(table, page, True, 0.0, 0.0)
+        # One table of the new era that the asking host has read itself.
+        page = Page((), 30, 51.0, False, 2)
+        asking.applier.apply(FOLLOWED_TABLES[0], page, True, 0.0, 0.0)
+        await asking._catch_up(peer)
+        self.assertEqual(2, asking.applier.era)
+        self.assertEqual((30,) * len(FOLLOWED_TABLES), asking.applier.versions())
