Blame parts of prompts for crashes after the first events

Cause: the first event cleared all parts of its prompt, and an attempt that had begun accused none. Both hold now only once events have come for 0.25 s, or with a whole answer.

test_upstreams_that_crash_after_the_first_events_accuse_the_part fails without that; the test of a trial waits for it now, and checks that the first event alone clears nothing.

--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -18,6 +18,8 @@
 
 # A host hears of a trial at another one within a few milliseconds.
 MAX_TRIAL_DELAY_SECONDS = 0.1
+# An upstream that crashes as it begins to write may have sent some events.
+UNDERWAY_SECONDS = 0.25
 
 
 @define(eq=False)
@@ -83,18 +85,23 @@
             traits = _without_parts(traits)
         self._record_ended_process(call, progress, engine, traits, now)
 
-    def record_begun(self, call: Call, progress: Progress, now: float) -> None:
-        """Record that the answer of the latest attempt has begun."""
-        if progress.has_begun:
+    def record_events(self, call: Call, progress: Progress, now: float) -> None:
+        """Record that events of the latest attempt's answer have come.
+
+        Once they have come for a while, no part of the prompt crashes
+        upstreams.
+        """
+        if progress.begun_at is None:
+            progress.begun_at = now
+        if progress.is_underway or now - progress.begun_at < UNDERWAY_SECONDS:
             return
-        progress.has_begun = True
-        lifted = self.poison.record_begun(progress.traits, now)
+        progress.is_underway = True
+        lifted = self.poison.record_underway(progress.traits, now)
         self._log("request-cleared", call, lifted, now)
 
     def record_answer(self, call: Call, progress: Progress, now: float) -> None:
         """Record that the call was answered whole."""
-        request = (trait for trait in progress.traits if not trait.is_part)
-        lifted = self.poison.record_answer(request, now)
+        lifted = self.poison.record_answer(progress.traits, now)
         self._log("request-cleared", call, lifted, now)
 
     def _record_ended_process(
@@ -139,9 +146,9 @@
 def _suspected_traits(progress: Progress) -> tuple[Trait, ...]:
     """Return what may have ended the upstream of the latest attempt.
 
-    A part that crashes upstreams does so before the answer has begun.
+    A part that crashes upstreams does so before the answer is well underway.
     """
-    return _without_parts(progress.traits) if progress.has_begun else progress.traits
+    return _without_parts(progress.traits) if progress.is_underway else progress.traits
 
 
 def _without_parts(traits: Iterable[Trait]) -> tuple[Trait, ...]:
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -4,7 +4,8 @@
 requests that has ended several processes of upstreams is quarantined: requests
 with it are sent to none any more. A crash also cuts harmless requests, so that
 evidence counts for and against each trait of the requests that were cut. A
-whole answer clears the request, the beginning of one the parts of its prompt;
+whole answer clears the request and the parts of its prompt, one that is well
+underway the parts;
 processes that a quarantined trait explains count little for others.
 
 Where the evidence is weaker, the trait is put on probation first: one request
@@ -144,10 +145,13 @@
 
     def record_answer(self, traits: Iterable[Trait], now: float) -> list[Trait]:
         """Record a whole answer; return the traits not refused any more."""
-        return [trait for trait in traits if self._clear(trait, now, now, is_own=True)]
+        traits = tuple(traits)
+        lifted = self.record_underway(traits, now)
+        others = (trait for trait in traits if not trait.is_part)
+        return lifted + self._clear_own(others, now)
 
-    def record_begun(self, traits: Iterable[Trait], now: float) -> list[Trait]:
-        """Record the first event of an answer to a prompt.
+    def record_underway(self, traits: Iterable[Trait], now: float) -> list[Trait]:
+        """Record that the answer to a prompt is well underway.
 
         It clears the parts of the prompt. Return those that are not refused
         any more.
@@ -158,7 +162,10 @@
             self._begun_at_by_fingerprint.move_to_end(trait.fingerprint)
         while len(self._begun_at_by_fingerprint) > MAX_BEGUN:
             self._begun_at_by_fingerprint.popitem(last=False)
-        return self.record_answer(parts, now)
+        return self._clear_own(parts, now)
+
+    def _clear_own(self, traits: Iterable[Trait], now: float) -> list[Trait]:
+        return [trait for trait in traits if self._clear(trait, now, now, is_own=True)]
 
     def count_ends(self, trait: Trait) -> int:
         """Return how many processes are known to have ended by a trait."""
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -20,7 +20,8 @@
     since ``held_since``.
 
     Of the latest attempt, ``engine_id`` is the upstream and ``sent_at`` the
-    time, and ``has_begun`` whether an event of its answer has come. Since
+    time, ``begun_at`` when the first event of its answer came, and
+    ``is_underway`` whether events have come for a while. Since
     ``heard_at`` no bytes of the answer have come; it is infinite while none
     are expected.
     """
@@ -37,7 +38,8 @@
     last_failure: AttemptFailed | None = None
     engine_id: str = ""
     sent_at: float = 0.0
-    has_begun: bool = False
+    begun_at: float | None = None
+    is_underway: bool = False
     heard_at: float = 0.0
     is_trial: bool = False
     held_since: float | None = None
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -201,7 +201,8 @@
             after_event=progress.last_event_id,
         )
         progress.sent_at = progress.heard_at = now
-        progress.has_begun = False
+        progress.begun_at = None
+        progress.is_underway = False
         self.placer.record_sent(call, placement, now, self.host_count())
         with self.loads.track(engine.engine_id):
             may_run_before = progress.may_run
@@ -250,10 +251,6 @@
                         check_answer(whole, peer)
                         if sink.has_begun:
                             check_continuation(head, peer)
-                        if head.is_success:
-                            self.crash_reports.record_begun(
-                                call, progress, self.clock()
-                            )
                         return self._reply_from(whole)
                     check_success_head(head, peer)
                     if sink.has_begun:
@@ -289,7 +286,7 @@
             event_timeout.reschedule(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
-            self.crash_reports.record_begun(call, progress, self.clock())
+            self.crash_reports.record_events(call, progress, self.clock())
             progress.heard_at = math.inf
             await sink.write(answer.head, batch)
             progress.heard_at = self.clock()
@@ -348,7 +345,7 @@
             not_run=failed.not_run,
             age_seconds=round(now - call.arrived_at, 3),
             after_event=progress.last_event_id,
-            has_begun=progress.has_begun,
+            has_begun=progress.begun_at is not None,
             parts=_shared_part_ids(call),
             engine_left_out=ejected,
         )
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from teaselpond.gateway.crash_reports import CrashReports
+from teaselpond.gateway.crash_reports import UNDERWAY_SECONDS, CrashReports
 from teaselpond.gateway.health import HealthTracker, Result
 from teaselpond.gateway.loads import LoadTracker
 from teaselpond.gateway.poison import QUARANTINE_TRIAL_SECONDS, PoisonTracker
@@ -54,11 +54,17 @@
             if self.poison.is_poisonous((trait,), self.now)
         ]
 
-    def break_off(self, *, has_begun: bool) -> None:
-        """Break attempts off one after another."""
+    def break_off(self, *, events_seconds: float | None) -> None:
+        """Break attempts off one after another.
+
+        Their events came for ``events_seconds``; there were none if None.
+        """
         for number in range(CRASHES):
             call, progress = self.make_progress(number)
-            progress.has_begun = has_begun
+            if events_seconds is not None:
+                self.reports.record_events(call, progress, self.now)
+                self.now += events_seconds
+                self.reports.record_events(call, progress, self.now)
             self.now += 0.5
             engine = make_engine(f"e{number}")
             self.reports.record_broken(call, progress, engine, self.now)
@@ -74,12 +80,17 @@
 
     def test_attempts_that_had_not_begun_accuse_the_part(self) -> None:
         """Prompts with the same last shared part are refused."""
-        self.break_off(has_begun=False)
+        self.break_off(events_seconds=None)
+        self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
+
+    def test_upstreams_that_crash_after_the_first_events_accuse_the_part(self) -> None:
+        """They had begun to write, and may have sent what they had."""
+        self.break_off(events_seconds=0.05)
         self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
 
     def test_attempts_that_had_begun_accuse_no_part(self) -> None:
         """The upstream did not crash on a part that it wrote on before."""
-        self.break_off(has_begun=True)
+        self.break_off(events_seconds=UNDERWAY_SECONDS)
         self.assertEqual([], self.refused_scopes())
 
     def test_upstreams_that_fell_silent_after_a_head_accuse_the_part(self) -> None:
@@ -102,10 +113,13 @@
 
     def test_call_is_sent_in_spite_of_a_quarantine_once(self) -> None:
         """The next one is refused until its result is known."""
-        self.break_off(has_begun=False)
+        self.break_off(events_seconds=None)
         self.now += QUARANTINE_TRIAL_SECONDS
         call, progress = self.make_progress(CRASHES)
         self.assertFalse(self.reports.is_refused(call, progress, self.now))
         self.assertTrue(self.reports.is_refused(call, progress, self.now))
-        self.reports.record_begun(call, progress, self.now + 0.1)
-        self.assertFalse(self.reports.is_refused(call, progress, self.now + 0.1))
+        self.reports.record_events(call, progress, self.now + 0.1)
+        self.assertTrue(self.reports.is_refused(call, progress, self.now + 0.1))
+        later = self.now + 0.1 + UNDERWAY_SECONDS
+        self.reports.record_events(call, progress, later)
+        self.assertFalse(self.reports.is_refused(call, progress, later))
--- a/packages/teaselpond/tests/gateway/test_crashing_parts.py
+++ b/packages/teaselpond/tests/gateway/test_crashing_parts.py
@@ -126,7 +126,7 @@
         now = self.fleet.now
         if not is_crashing:
             engine.waiting.remove(sent)
-            sent[0].host.poison.record_begun(sent[1], now)
+            sent[0].host.poison.record_underway(sent[1], now)
             return
         process = make_engine(f"e{engine.number}", born_ms=engine.started)
         for peer, traits, sent_at in engine.waiting:
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -174,7 +174,7 @@
     def begin(self, traits: tuple[Trait, ...]) -> None:
         """Begin an answer to a prompt."""
         self.now += 0.01
-        self.tracker.record_begun(traits, self.now)
+        self.tracker.record_underway(traits, self.now)
 
     def is_refused(self, *part_ids: str) -> bool:
         """Return whether a new prompt with these parts is refused."""
@@ -257,7 +257,7 @@
             self.crash(make_prompt_traits("first", "popular", number=number))
         self.assertTrue(self.is_refused("first", "popular"))
         other = PoisonTracker()
-        other.record_begun(make_prompt_traits("first", "popular"), self.now + 0.5)
+        other.record_underway(make_prompt_traits("first", "popular"), self.now + 0.5)
         other.merge_news(self.tracker.pack_news(self.now + 2.0), self.now + 2.0)
         traits = make_prompt_traits("first", "popular", number=7)
         self.assertFalse(other.is_poisonous(traits, self.now + 2.0))
@@ -331,7 +331,7 @@
         self.now += QUARANTINE_TRIAL_SECONDS
         self.trials()
         traits = make_prompt_traits("other", "bad", number=100)
-        self.trackers[0].record_begun(traits, self.now + 0.2)
+        self.trackers[0].record_underway(traits, self.now + 0.2)
         self.now += 0.3
         self.tell()
         for tracker in self.trackers:
