Give up on an answer after sixteen interim heads

Cause: the HTTP client parses and drops interim heads as fast as they come, until the deadline of the call. Sixteen are read now; the connection is closed then, and the answer counts as invalid, so that the upstream is left out after a few.

test_interim_heads_without_end_are_no_answer timed out before.

--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from types import SimpleNamespace
+from typing import Any, Self
 
 import aiohttp
 from attrs import define, frozen
@@ -27,6 +28,8 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BUFFER_BYTES = 64 * 1024
 REQUEST_ID_HEADER = "X-Request-Id"
+# Heads with a status of 100 to 199 before that of the answer.
+MAX_INTERIM_HEADS = 16
 # How long the pool keeps an idle connection for another request.
 KEEPALIVE_TIMEOUT_SECONDS = 15.0
 # The kernel closes a connection whose sent data is not acknowledged in time.
@@ -66,6 +69,36 @@
     body: bytes
 
 
+class LimitedResponse(aiohttp.ClientResponse):
+    """Read an answer after a limited number of interim heads.
+
+    An upstream that sends them without end would keep the event loop busy.
+    """
+
+    async def start(self, connection: aiohttp.connector.Connection) -> Self:
+        """Read the head of the answer; raise UpstreamInvalid at the limit."""
+        protocol = connection.protocol
+        read = protocol.read
+        count = 0
+
+        async def read_limited() -> Any:
+            nonlocal count
+            count += 1
+            if count > MAX_INTERIM_HEADS:
+                raise UpstreamInvalid(
+                    f"received {MAX_INTERIM_HEADS} interim heads",
+                    step="answer",
+                    peer=self.url.authority,
+                )
+            return await read()
+
+        protocol.read = read_limited
+        try:
+            return await super().start(connection)
+        finally:
+            protocol.read = read
+
+
 @define
 class ConnectionUsage:
     """Tell whether a request was sent on a connection of an earlier one."""
@@ -139,6 +172,7 @@
             skip_auto_headers=self._skip_auto_headers,
             trust_env=False,
             trace_configs=[_trace_reuse()],
+            response_class=LimitedResponse,
         )
 
     async def close(self) -> None:
--- a/packages/teaselpond/tests/gateway/test_endless_answers.py
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -12,11 +12,13 @@
 from teaselpond_standins.service import ListedFaultKind as Kind
 from teaselpond_standins.testing import AsyncTestCase
 from teaselpond_standins.testing.gateways import GatewayFleet
+from teaselpond_standins.testing.raw import RawRequest, RawUpstream
 
 CALLS = 6
 # What the sockets of a call buffer on both sides, at most.
 BUFFERED_BYTES = 8 * 1024 * 1024
 ANSWER_SECONDS = 2.5
+ENDED_SECONDS = 1.5
 
 
 class HeldAnswersTests(testtools.TestCase):
@@ -92,3 +94,30 @@
         for upstream in upstreams:
             upstream.add_fault(Kind.ENDLESS, count=CALLS)
         self.assertEqual([502] * CALLS, await self.call_all(fleet, "/single/x"))
+
+
+class EndlessHeadTests(AsyncTestCase):
+    """Send interim heads without end in place of an answer."""
+
+    async def test_interim_heads_without_end_are_no_answer(self) -> None:
+        """The call and its connection end long before the deadline."""
+        closed = asyncio.Event()
+
+        async def answer(request: RawRequest) -> None:
+            try:
+                while True:
+                    request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+                    await request.writer.drain()
+                    await asyncio.sleep(0)
+            except ConnectionError:
+                closed.set()
+                raise
+
+        fleet = await self.enter(GatewayFleet(plain_count=0))
+        upstream = await self.enter(RawUpstream("raw-1", answer))
+        await fleet.list_raw_upstream(upstream, "plain")
+        known = fleet.daemons[0].host.routing_state.engines_by_id
+        await self.wait_until(lambda: upstream.engine_id in known)
+        async with asyncio.timeout(ENDED_SECONDS), fleet.call("/orders/x") as response:
+            self.assertEqual(502, response.status)
+        await asyncio.wait_for(closed.wait(), ENDED_SECONDS)
