Name the retries of others that count here, and keep bounds current

A reload of the settings did not change the bounds of retries any more. The wrapper that counts interim heads left a reference cycle on each connection. The new fields of heartbeats are in the test of their encoding.

--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -71,12 +71,12 @@
         allowed = self.ratio * self.request_count(now) + self.slack / max(1, host_count)
         return allowed * USABLE_RATIO - self.retry_count(now)
 
-    def try_acquire(self, now: float, host_count: int, overdraft: float = 0.0) -> bool:
+    def try_acquire(self, now: float, host_count: int, excess: float = 0.0) -> bool:
         """Use one retry if any remains; return whether one did.
 
-        ``overdraft`` are retries of other hosts that count as this one's.
+        ``excess`` are retries of other hosts that count as this one's.
         """
-        if self.remaining(now, host_count) - overdraft < 1:
+        if self.remaining(now, host_count) - excess < 1:
             return False
         self._retries.add(now)
         return True
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -208,5 +208,8 @@
         """Apply changed settings, except addresses, which need a restart."""
         self.settings = settings
         self.drain.grace_seconds = settings.bounds.grace_seconds
+        self.retries.update_bounds(
+            settings.bounds.retry_ratio, settings.bounds.retry_slack
+        )
         self.admission.strict_revocation = settings.bounds.strict_revocation
         self.admission.revoke_seconds = settings.bounds.revoke_seconds
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -374,8 +374,8 @@
                 service=call.service,
                 requests=budget.request_count(now),
                 retries=budget.retry_count(now),
-                overdraft=round(
-                    self.retries.overdraft(call.service, now, host_count), 2
+                excess_of_others=round(
+                    self.retries.excess_of_others(call.service, now, host_count), 2
                 ),
                 former_is_unknown=self.retries.is_asking(now),
                 sharing_hosts=host_count,
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -14,8 +14,8 @@
 # How long a process goes on asking after the first answer: in a large fleet
 # it takes a few rounds to meet a host that heard the previous process lately.
 ASKING_SECONDS = 1.0
-# How long the overdrafts of other hosts are reused.
-OVERDRAFT_CACHE_SECONDS = 0.2
+# How long a sum of the excess of other hosts is reused.
+EXCESS_CACHE_SECONDS = 0.2
 
 
 @define(eq=False)
@@ -37,8 +37,8 @@
     _former_by_key: dict[int, RetryUsage] = field(factory=dict)
     _former_heard_at: float | None = None
     _answered_at: float | None = None
-    _overdrafts_by_key: dict[int, float] = field(factory=dict)
-    _overdrafts_at: float | None = None
+    _excess_by_key: dict[int, float] = field(factory=dict)
+    _excess_at: float | None = None
 
     def for_service(self, service: str) -> RetryBudget:
         """Return the budget of a service; create it on first use."""
@@ -61,8 +61,8 @@
         """Use one retry if any remains; return whether one did."""
         if self.is_asking(now):
             return False
-        overdraft = self.overdraft(service, now, host_count)
-        return self.for_service(service).try_acquire(now, host_count, overdraft)
+        excess = self.excess_of_others(service, now, host_count)
+        return self.for_service(service).try_acquire(now, host_count, excess)
 
     def is_asking(self, now: float) -> bool:
         """Return whether the usage of the previous process is unknown."""
@@ -72,6 +72,12 @@
             return now - self.started_at < self.window_seconds
         return now - self._answered_at < ASKING_SECONDS
 
+    def update_bounds(self, ratio: float, slack: float) -> None:
+        """Set the bounds of all services."""
+        self.ratio, self.slack = ratio, slack
+        for budget in self._budgets_by_service.values():
+            budget.ratio, budget.slack = ratio, slack
+
     def learn(self, answer: FormerUsage, now: float) -> bool:
         """Record a peer's answer; return whether it is news."""
         if answer.incarnation != self.incarnation or not self.is_asking(now):
@@ -121,26 +127,26 @@
                 packed.append(pack_usage(key, *former.slots_at(now)))
         return b"".join(packed)
 
-    def overdraft(self, service: str, now: float, host_count: int) -> float:
+    def excess_of_others(self, service: str, now: float, host_count: int) -> float:
         """Return this host's part of the retries that others sent in excess.
 
         A host whose callers have moved to others may have sent more retries
         than its remaining requests allow.
         """
-        cached_at = self._overdrafts_at
-        if cached_at is None or not 0 <= now - cached_at < OVERDRAFT_CACHE_SECONDS:
-            self._overdrafts_by_key = self._sum_overdrafts(now, host_count)
-            self._overdrafts_at = now
-        return self._overdrafts_by_key.get(service_key(service), 0.0)
+        cached_at = self._excess_at
+        if cached_at is None or not 0 <= now - cached_at < EXCESS_CACHE_SECONDS:
+            self._excess_by_key = self._sum_excess(now, host_count)
+            self._excess_at = now
+        return self._excess_by_key.get(service_key(service), 0.0)
 
-    def _sum_overdrafts(self, now: float, host_count: int) -> dict[int, float]:
+    def _sum_excess(self, now: float, host_count: int) -> dict[int, float]:
         live_count = 1 + len(self.members.recent(now))
         sums: dict[int, float] = {}
         for packed, heard_at in self.members.retry_usages():
             for key, usage in unpack_usages(packed, heard_at, self.window_seconds):
-                limit = RetryBudget(
+                remaining = RetryBudget(
                     self.ratio, self.slack, self.window_seconds, usage
                 ).remaining(now, host_count)
-                if limit < 0:
-                    sums[key] = sums.get(key, 0.0) - limit / live_count
+                if remaining < 0:
+                    sums[key] = sums.get(key, 0.0) - remaining / live_count
         return sums
--- a/packages/teaselpond/src/teaselpond/gateway/retry_usage.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_usage.py
@@ -40,13 +40,13 @@
 
     def _slots_left(self, now: float) -> int:
         # A slot counts until its newest entries are as old as the window.
-        return max(0, SLOTS - int((now - self.as_of) / self.slot_seconds))
+        passed = max(0, int((now - self.as_of) / self.slot_seconds))
+        return max(0, SLOTS - passed)
 
     def slots_at(self, now: float) -> tuple[list[int], list[int]]:
         """Return the requests and retries by slot, counted back from now."""
-        passed = min(SLOTS, int((now - self.as_of) / self.slot_seconds))
-        empty = [0] * passed
-        left = SLOTS - passed
+        left = self._slots_left(now)
+        empty = [0] * (SLOTS - left)
         return empty + list(self.requests[:left]), empty + list(self.retries[:left])
 
 
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -96,7 +96,7 @@
         try:
             return await super().start(connection)
         finally:
-            protocol.read = read
+            del protocol.read
 
 
 @define
--- a/packages/teaselpond/tests/gateway/test_structures.py
+++ b/packages/teaselpond/tests/gateway/test_structures.py
@@ -30,6 +30,7 @@
     PrefixUse,
     prefix_key,
 )
+from teaselpond.gateway.retry_usage import FormerUsage, pack_usage
 from teaselpond.gateway.rowcache import RowCache
 from teaselpond.gateway.rows import Page, Row
 from teaselpond.gateway.tables import Table
@@ -179,6 +180,9 @@
             engines_by_broken_request={b"12345678": ("e2", "e3")},
             departure_reminders=REMINDER.pack(1, 2**60, 3, 4),
             poison_news=POISON_NEWS.pack(b"12345678", 0, 7, 3, 4),
+            retry_usage=pack_usage(7, [1, 2, 3, 4, 5], [0, 0, 1, 0, 70_000]),
+            asks_former_usage=True,
+            former_usage=FormerUsage(9, 1.5, pack_usage(8, [1] * 5, [1] * 5)),
         )
         self.assertEqual(heartbeat, decode_datagram(encode_heartbeat(heartbeat)))
 
