--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -171,7 +171,7 @@
                 ),
                 body=call.body or None,
                 host=call.head.host,
-                allow_errors_without_id=True,
+                allow_first_error_without_id=True,
             )
 
         try:
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -199,6 +199,7 @@
         idle_seconds: float | None = None,
         check_id: bool = True,
         allow_errors_without_id: bool = False,
+        allow_first_error_without_id: bool = False,
         host: str | None = None,
     ) -> aiohttp.ClientResponse:
         """Send one request and return its response with the body unread.
@@ -208,8 +209,9 @@
 
         With ``check_id``, the response must carry the request's id. With
         ``allow_errors_without_id``, one with an error status may also carry
-        none, but never another request's: the first response on a connection
-        can belong to no other request.
+        none, but never another request's. ``allow_first_error_without_id``
+        allows it for the first response on a connection, which can belong to
+        no other request.
 
         Raise UpstreamUnavailable if nothing was sent. Raise UpstreamSilent,
         UpstreamCrossed or UpstreamBroken if the request may have been sent.
@@ -241,7 +243,9 @@
                 trace_request_ctx=usage,
             )
         if check_id and not self._is_error_without_id(
-            response, allow_errors_without_id and not usage.is_reused
+            response,
+            allow_errors_without_id
+            or (allow_first_error_without_id and not usage.is_reused),
         ):
             self._check_response_id(response, request_id, peer)
         return response
