--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -17,8 +17,8 @@
 # A silent host is remembered for this long, because it may be disconnected
 # from this host and still send requests.
 MEMBER_EXPIRY_SECONDS = 12.0
-# How long the last words of a host's previous process are kept; longer than
-# the window of a retry budget.
+# How long the usage of a host's previous process is kept; longer than the
+# window of a retry budget.
 FORMER_SECONDS = 60.0
 # How long the number of hosts is reused; counting them for every request
 # would cost more than placing it.
@@ -104,7 +104,7 @@
 
 @frozen
 class FormerProcess:
-    """Hold what the previous process of a host said last.
+    """Hold what the previous process of a host had used, by its last heartbeat.
 
     ``retry_usage`` is None if it was not heard itself.
     """
@@ -315,7 +315,7 @@
         return expired
 
     def _keep_former(self, member: Member) -> None:
-        """Keep the last words of a process that is gone or was replaced."""
+        """Keep the usage of a process that is gone or was replaced."""
         heartbeat = member.heartbeat
         if not member.is_introduced and not heartbeat.asks_former_usage:
             former = FormerProcess(heartbeat.retry_usage, member.received_at)
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -181,17 +181,17 @@
                 source=heartbeat.host,
             )
         self.receive_heartbeat(heartbeat, now)
-        self._learn_former_usage(heartbeat, now)
+        self._record_former_usage(heartbeat, now)
+        # A process that has just started knows no peers yet.
         is_new = is_first and heartbeat.state is MemberState.STARTING
         if is_new or heartbeat.asks_former_usage:
-            # A process that has just started knows no peers yet.
             self._welcome(heartbeat, now, introduces=is_new)
         if is_first or state_before is not heartbeat.state:
             self._state_changes.append((heartbeat.host, state_before, heartbeat.state))
 
-    def _learn_former_usage(self, heartbeat: Heartbeat, now: float) -> None:
+    def _record_former_usage(self, heartbeat: Heartbeat, now: float) -> None:
         answer = heartbeat.former_usage
-        if answer is not None and self.retries.learn(answer, now):
+        if answer is not None and self.retries.record_answer(answer, now):
             self.journal.write(
                 "former-usage-from-peer",
                 now,
@@ -282,7 +282,7 @@
             self._transport.sendto(content, (ip, self.port))
 
     def _welcome(self, to: Heartbeat, now: float, *, introduces: bool) -> None:
-        """Answer a new process: introduce hosts, tell of its predecessor."""
+        """Send a new process introductions, and its predecessor's usage."""
         if self._transport is None:
             return
         introductions = ()
@@ -292,7 +292,7 @@
             introductions = tuple(introduction_of(member, now) for member in chosen)
         former_usage = None
         if to.asks_former_usage:
-            former_usage = self.retries.answer(to.host, to.incarnation, now)
+            former_usage = self.retries.former_usage(to.host, to.incarnation, now)
             if former_usage is None and not introduces:
                 return
         heartbeat = self.make_heartbeat({}, introductions, former_usage=former_usage)
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -78,8 +78,8 @@
         for budget in self._budgets_by_service.values():
             budget.ratio, budget.slack = ratio, slack
 
-    def learn(self, answer: FormerUsage, now: float) -> bool:
-        """Record a peer's answer; return whether it is news."""
+    def record_answer(self, answer: FormerUsage, now: float) -> bool:
+        """Record what a peer says of the previous process; return if it is news."""
         if answer.incarnation != self.incarnation or not self.is_asking(now):
             return False
         if self._answered_at is None:
@@ -97,7 +97,9 @@
             budget.former = self._former_by_key.get(service_key(service))
         return True
 
-    def answer(self, host: str, incarnation: int, now: float) -> FormerUsage | None:
+    def former_usage(
+        self, host: str, incarnation: int, now: float
+    ) -> FormerUsage | None:
         """Return what is known of a host's previous process, None if nothing.
 
         A process that started within the window cannot tell that there was
