--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -104,7 +104,7 @@
 
 @frozen
 class FormerProcess:
-    """Hold what the previous process of a host had used, by its last heartbeat.
+    """Hold what the last heartbeat of a host's previous process said.
 
     ``retry_usage`` is None if it was not heard itself.
     """
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -79,7 +79,7 @@
             budget.ratio, budget.slack = ratio, slack
 
     def record_answer(self, answer: FormerUsage, now: float) -> bool:
-        """Record what a peer says of the previous process; return if it is news."""
+        """Record a peer's answer; return whether it is news."""
         if answer.incarnation != self.incarnation or not self.is_asking(now):
             return False
         if self._answered_at is None:
