Bound what a host retries unheard, and count it at its next start

Cause: a started process takes the newest state that any peer has heard of its previous one. What that one has used since, up to its end, is used again: in a cut all of a window, otherwise what falls between two heartbeats. Change: a host uses at most half of what remains beyond the last report that more than half of the fleet can have heard; reports are sent early when that is used up. A started process counts this half as used. It believes answers older than 1.4 s only if half of the fleet has answered, as hosts that are gone too may have heard more. Why it works: what is unknown of a process is bounded by itself and counted by its successor with the same formula.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
@@ -180,6 +180,7 @@
             tuple(_ip(seed) for seed in range(SEED_COUNT)),
             random.Random(self._rng.random()),
         )
+        host.retries.send_report = exchange.report_usage
         peer = SimulatedPeer(host, exchange)
         exchange.connection_made(_Transport(self, peer))
         return peer
--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -14,6 +14,9 @@
 # cross between hosts and those of hosts that are unknown here, which count
 # against the fleet's budget too.
 USABLE_RATIO = 0.8
+# The part of what remains that a host may use before its peers hear of it. A
+# process that starts leaves this part of its previous process's budget out.
+UNREPORTED_RATIO = 0.5
 COLD_WINDOW_SECONDS = 1.0
 # A host whose share is less than one request sends at its own random time;
 # half of the limit leaves room for hosts whose times coincide.
@@ -26,7 +29,8 @@
 
     In each window, a host may retry ``ratio`` of its requests. All hosts
     share ``slack`` more retries equally. ``former`` is what the previous
-    process of this host has used; it counts as this one's.
+    process of this host has used; it counts as this one's. Between two reports
+    to its peers, a host uses a part of what remains.
     """
 
     ratio: float
@@ -35,6 +39,8 @@
     former: RetryUsage | None = None
     _requests: SlidingWindowCounter = field(init=False)
     _retries: SlidingWindowCounter = field(init=False)
+    _reported_at: float | None = None
+    _unreported_limit: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self._requests = SlidingWindowCounter(self.window_seconds)
@@ -71,6 +77,32 @@
         allowed = self.ratio * self.request_count(now) + self.slack / max(1, host_count)
         return allowed * USABLE_RATIO - self.retry_count(now)
 
+    def unreported_limit(self, now: float, host_count: int) -> float:
+        """Return how many more retries this host may send unreported.
+
+        One that has sent none does not report its requests either.
+        """
+        remaining = self.slack / max(1, host_count) * USABLE_RATIO
+        if self.retry_count(now):
+            remaining = max(0.0, self.remaining(now, host_count))
+        return min(remaining, max(1.0, UNREPORTED_RATIO * remaining))
+
+    def record_report(self, limit: float, sent_at: float) -> None:
+        """Record that peers have heard what this host had used.
+
+        ``limit`` is the unreported limit of that time.
+        """
+        self._unreported_limit = limit
+        self._reported_at = sent_at
+
+    def must_report(self, now: float, host_count: int) -> bool:
+        """Return whether peers must hear of this host before it retries."""
+        if self._reported_at is None:
+            self.record_report(self.unreported_limit(now, host_count), now)
+        earned = self.ratio * self._requests.count_since(self._reported_at, now)
+        retries = self._retries.count_since(self._reported_at, now)
+        return self._unreported_limit + earned * USABLE_RATIO - retries < 1
+
     def try_acquire(self, now: float, host_count: int, excess: float = 0.0) -> bool:
         """Use one retry if any remains; return whether one did.
 
@@ -78,6 +110,8 @@
         """
         if self.remaining(now, host_count) - excess < 1:
             return False
+        if self.must_report(now, host_count):
+            return False
         self._retries.add(now)
         return True
 
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -113,6 +113,7 @@
         sharing = self._make_sharing(session)
         exchange = self._make_exchange(sharing)
         host.poison.announce = exchange.announce
+        host.retries.send_report = exchange.report_usage
         host.followers = [
             make_follower(host, table, store, exchange) for table in FOLLOWED_TABLES
         ]
--- a/packages/teaselpond/src/teaselpond/gateway/members.py
+++ b/packages/teaselpond/src/teaselpond/gateway/members.py
@@ -255,6 +255,11 @@
             if member.seen_at > oldest
         ]
 
+    def seen_within(self, seconds: float, now: float) -> int:
+        """Return how many hosts were seen within a time."""
+        oldest = now - seconds
+        return sum(member.seen_at > oldest for member in self.members_by_host.values())
+
     def count(self, now: float) -> int:
         """Return how many hosts were seen lately, including this one."""
         if not 0 <= now - self._counted_at < COUNT_CACHE_SECONDS:
--- a/packages/teaselpond/src/teaselpond/gateway/peers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/peers.py
@@ -27,7 +27,7 @@
 )
 from .poison import PoisonTracker
 from .prefixes import PrefixTracker, PrefixUse
-from .retry_budgets import RetryBudgets
+from .retry_budgets import HEARING_SECONDS, RetryBudgets
 from .retry_usage import USAGE
 from .routing_state import RoutingState
 from .sightings import (
@@ -109,6 +109,7 @@
     _far_turn: Turn = field(factory=Turn)
     _turn_rounds: int = 0
     _announced_at: float = -math.inf
+    _sent_at: float = -math.inf
     _state_changes: list[tuple[str, MemberState | None, MemberState]] = field(
         factory=list
     )
@@ -182,6 +183,7 @@
             )
         self.receive_heartbeat(heartbeat, now)
         self._record_former_usage(heartbeat, now)
+        self.retries.record_heard(now)
         # A process that has just started knows no peers yet.
         is_new = is_first and heartbeat.state is MemberState.STARTING
         if is_new or heartbeat.asks_former_usage:
@@ -191,7 +193,9 @@
 
     def _record_former_usage(self, heartbeat: Heartbeat, now: float) -> None:
         answer = heartbeat.former_usage
-        if answer is not None and self.retries.record_answer(answer, now):
+        if answer is None:
+            return
+        if self.retries.record_answer(heartbeat.host, answer, now):
             self.journal.write(
                 "former-usage-from-peer",
                 now,
@@ -213,7 +217,11 @@
         self._log_state_changes(self.clock())
         self.loads.starts.expire(self.clock())
         self.poison.expire(self.clock())
-        self.loads.peer_age_seconds = self._turn_rounds * HEARTBEAT_SECONDS / 2
+        turn_seconds = self._turn_rounds * HEARTBEAT_SECONDS
+        self.loads.peer_age_seconds = turn_seconds / 2
+        self.retries.hearing_seconds = min(
+            ADVERTISED_SECONDS, turn_seconds + HEARING_SECONDS
+        )
 
     def _log_state_changes(self, now: float) -> None:
         """Log which peers were heard in a new state since the last round.
@@ -262,6 +270,13 @@
             ips.update(self.seed_ips)
         for ip in ips - {heartbeat.ip}:
             self._transport.sendto(content, (ip, self.port))
+        self._sent_at = now
+        self.retries.record_sent(now)
+
+    def report_usage(self) -> None:
+        """Send a round of heartbeats early, unless one was just sent."""
+        if self.clock() - self._sent_at >= MIN_ANNOUNCEMENT_GAP_SECONDS:
+            self.send_heartbeats()
 
     def announce(self) -> None:
         """Tell all hosts at once of what is news, unless just done."""
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -365,7 +365,7 @@
         host_count = self.host_count()
         acquired = self.retries.try_acquire(call.service, now, host_count)
         if not acquired:
-            budget = self.retries.for_service(call.service)
+            budget = self.retries.for_service(call.service, now)
             self.metrics.record_attempt_failure("retry-budget-empty")
             self.journal.write(
                 "retry-refused",
--- a/packages/teaselpond/src/teaselpond/gateway/retry_usage.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_usage.py
@@ -30,6 +30,12 @@
     requests: tuple[int, ...]
     retries: tuple[int, ...]
 
+    @classmethod
+    def unused(cls, as_of: float, window_seconds: float) -> "RetryUsage":
+        """Return the usage of a process without requests."""
+        empty = (0,) * SLOTS
+        return cls(as_of, window_seconds / SLOTS, empty, empty)
+
     def request_count(self, now: float) -> int:
         """Return how many requests count in the window that ends now."""
         return sum(self.requests[: self._slots_left(now)])
@@ -49,6 +55,13 @@
         empty = [0] * (SLOTS - left)
         return empty + list(self.requests[:left]), empty + list(self.retries[:left])
 
+    def with_retries(self, retries: int, at: float) -> "RetryUsage":
+        """Return this usage with more retries at a later time."""
+        requests, (newest, *older) = self.slots_at(at)
+        return RetryUsage(
+            at, self.slot_seconds, tuple(requests), (newest + retries, *older)
+        )
+
 
 @frozen
 class FormerUsage:
--- a/packages/teaselpond/src/teaselpond/gateway/windows.py
+++ b/packages/teaselpond/src/teaselpond/gateway/windows.py
@@ -1,5 +1,6 @@
 """Count events within a sliding window of time."""
 
+import bisect
 from collections import deque
 
 from attrs import define, field
@@ -22,6 +23,11 @@
             self._times.popleft()
         return len(self._times)
 
+    def count_since(self, start: float, now: float) -> int:
+        """Return the number of events in the window after ``start``."""
+        count = self.count(now)
+        return count - bisect.bisect_right(self._times, start, hi=count)
+
     def slot_counts(self, now: float, slots: int) -> list[int]:
         """Return the events by slot of equal length, the newest slot first."""
         counts = [0] * slots
--- a/packages/teaselpond/tests/gateway/test_fleet_budgets.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_budgets.py
@@ -5,8 +5,10 @@
 host that hears few others must not take their shares.
 """
 
+import itertools
 import random
 from collections import defaultdict
+from collections.abc import Sequence
 
 import testtools
 from hypothesis import Phase, given, settings
@@ -123,6 +125,12 @@
     )
 
 
+def isolate(fleet: SimulatedFleet, peers: Sequence[SimulatedPeer]) -> None:
+    """Cut hosts off from all others."""
+    names = {peer.name for peer in peers}
+    fleet.is_cut = lambda sender, to: bool({sender.name, to.name} & names)
+
+
 class RetryBoundTests(testtools.TestCase):
     """Keep to the bound of retries while hosts hear few of the others."""
 
@@ -186,6 +194,36 @@
                 load.run(12.0)
                 self.assertLessEqual(load.excess(), 0.0, (share, rate))
 
+    def test_cut_hosts_restart(self) -> None:
+        """Nor what it used while no other host heard it."""
+        for cut, seconds in itertools.product((2, 3, 4), (2.6, 5.0, 11.0)):
+            fleet = make_fleet(6)
+            load = RetryLoad(fleet, 150.0)
+            load.run_then_fail(0.0)
+            peers = fleet.live_peers[:cut]
+            isolate(fleet, peers)
+            load.run(seconds)
+            fleet.is_cut = lambda sender, to: False
+            for peer in peers:
+                fleet.restart(peer)
+            load.run(12.0)
+            self.assertLessEqual(load.excess(), 0.0, (cut, seconds))
+
+    def test_hosts_restart_while_others_are_cut(self) -> None:
+        """Nor what only hosts heard that are gone too."""
+        for cut in (1, 2, 3, 4):
+            fleet = make_fleet(6)
+            load = RetryLoad(fleet, 150.0)
+            load.run_then_fail(0.0)
+            isolate(fleet, fleet.live_peers[:cut])
+            load.run(2.6)
+            for peer in fleet.live_peers[cut:]:
+                fleet.restart(peer)
+            load.run(0.2)
+            fleet.is_cut = lambda sender, to: False
+            load.run(12.0)
+            self.assertLessEqual(load.excess(), 0.0, cut)
+
     def test_hosts_take_over_traffic(self) -> None:
         """Hosts that get the traffic of killed ones keep to the bound."""
         for killed in (2, 3, 4):
