Test that added hosts keep to the fleet's retry budget

Change: a test with 3, 6 and 12 hosts that join six in the middle of a burst of failures, at 10 to 60 requests a second.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/exchanges.py
@@ -109,7 +109,10 @@
     def restart(self, peer: SimulatedPeer) -> SimulatedPeer:
         """Replace a host's process by a new one, which knows nobody."""
         peer.is_dead = True
-        number = int(peer.name.removeprefix("host-"))
+        return self.start(int(peer.name.removeprefix("host-")))
+
+    def start(self, number: int) -> SimulatedPeer:
+        """Start a process on a host, which may be new to the fleet."""
         started = self._make_peer(number, is_first_start=False)
         self.peers_by_ip[started.host.settings.ip] = started
         self._schedule(0.0, lambda: self._run(started))
--- a/packages/teaselpond/tests/gateway/test_fleet_budgets.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_budgets.py
@@ -236,6 +236,17 @@
                 load.run(12.0)
                 self.assertLessEqual(load.excess(), 0.0, (killed, rate))
 
+    def test_hosts_are_added(self) -> None:
+        """Added hosts take no share of the slack that others have used."""
+        for added, rate in itertools.product((3, 6, 12), (10.0, 20.0, 60.0)):
+            fleet = make_fleet(6)
+            load = RetryLoad(fleet, rate, moves=True)
+            load.run_then_fail(2.6)
+            for number in range(added):
+                fleet.start(6 + number)
+            load.run(12.0)
+            self.assertLessEqual(load.excess(), 0.0, (added, rate))
+
     def test_restarted_host_retries(self) -> None:
         """A host that restarts alone has retries left within two seconds."""
         for size in (6, 60):
