Keep probations in the store, for when all hosts are killed at once

Cause: probations lived in memory and in peers' reminders alone; the store held quarantines only. Change: a row of the table of quarantines may hold a probation and its scope. It is written at once, and removed by the host that gets an answer. The test of own changes compares the new type; it is as strict as before.

--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -18,6 +18,7 @@
 or was cut off, hears of them with its first heartbeats.
 """
 
+import enum
 import heapq
 import itertools
 import math
@@ -66,19 +67,37 @@
     is_quarantined: bool
 
 
+class Standing(enum.Enum):
+    """Define how requests with a trait are served."""
+
+    SERVED = enum.auto()
+    ON_PROBATION = enum.auto()
+    QUARANTINED = enum.auto()
+
+
+@frozen
+class StandingChange:
+    """Report how requests with a trait are served from now on."""
+
+    trait: Trait
+    standing: Standing
+
+
 @define
 class PoisonTracker:
     """Count the processes that each trait ended, on all hosts.
 
-    ``own_changes`` are the quarantines that began by evidence of which this
-    host saw a part, or that ended since or by an answer to this host, until
-    they are taken out. ``probation`` decides on requests that may crash
-    upstreams. ``announce`` sends news to all peers at once.
+    ``own_changes`` are the quarantines and probations that began by evidence
+    of which this host saw a part, or that ended since or by an answer to this
+    host, until they are taken out. ``probation`` decides on requests that may
+    crash upstreams. ``announce`` sends news to all peers at once, ``keep``
+    writes own changes to the store soon.
     """
 
     rng: random.Random = field(factory=random.Random)
     announce: Callable[[], None] = lambda: None
-    own_changes: deque[QuarantineChange] = field(
+    keep: Callable[[], None] = lambda: None
+    own_changes: deque[StandingChange] = field(
         factory=lambda: deque(maxlen=MAX_QUARANTINED)
     )
     probation: Probation = field(factory=Probation)
@@ -196,6 +215,20 @@
         self._begin_quarantine(suspect, at)
         return True
 
+    def put_on_probation(self, trait: Trait, at: float, now: float) -> bool:
+        """Put a trait on probation since a time; return whether that is news.
+
+        If it was answered later, tell the peers so instead.
+        """
+        suspect = self._find(trait.fingerprint) or Suspect(trait)
+        if at <= suspect.cleared_at:
+            self._tell_cleared(suspect, suspect.cleared_at, now)
+            return False
+        if suspect.quarantined_at is not None or suspect.on_probation_at is not None:
+            return False
+        self._begin_probation(suspect, at)
+        return True
+
     def is_poisonous(self, traits: Iterable[Trait], now: float) -> bool:
         """Return whether a request with these traits must not be sent."""
         return any(self._refused(traits, now))
@@ -268,19 +301,11 @@
                 suspect.tried_at = max(news.at, suspect.tried_at)
             return False
         if news.kind is NewsKind.ON_PROBATION:
-            self._merge_probation(news, now)
+            self.put_on_probation(news.trait, news.at, now)
             return False
         ended = EndedProcess(news.trait, news.process_key, news.sent_at, news.at)
         return self.record(ended, now)
 
-    def _merge_probation(self, news: News, now: float) -> None:
-        """Put a trait on probation as a peer has, or tell of an answer."""
-        suspect = self._find(news.trait.fingerprint) or Suspect(news.trait)
-        if news.at <= suspect.cleared_at:
-            self._tell_cleared(suspect, suspect.cleared_at, now)
-        elif suspect.quarantined_at is None and suspect.on_probation_at is None:
-            self._begin_probation(suspect, news.at)
-
     def _is_guilty(self, suspect: Suspect, ended: EndedProcess) -> bool:
         """Return whether the evidence is enough to refuse a trait."""
         if suspect.was_sent_on_probation(ended):
@@ -294,13 +319,19 @@
     def _begin_probation(self, suspect: Suspect, at: float) -> None:
         suspect.on_probation_at = at
         self._keep(suspect)
+        if suspect.is_own:
+            self._add_own_change(suspect.trait, Standing.ON_PROBATION)
 
     def _begin_quarantine(self, suspect: Suspect, at: float) -> None:
         suspect.quarantined_at = at
         suspect.on_probation_at = None
         self._keep(suspect)
         if suspect.is_own:
-            self.own_changes.append(QuarantineChange(suspect.trait, True))
+            self._add_own_change(suspect.trait, Standing.QUARANTINED)
+
+    def _add_own_change(self, trait: Trait, standing: Standing) -> None:
+        self.own_changes.append(StandingChange(trait, standing))
+        self.keep()
 
     @property
     def _refused_suspects(self) -> Collection[Suspect]:
@@ -342,15 +373,17 @@
         if suspect is None or at <= suspect.cleared_at:
             return False
         was_quarantined = suspect.quarantined_at is not None
+        was_on_probation = suspect.on_probation_at is not None
         if not suspect.clear(at):
             return False
         self._tell_cleared(suspect, at, now)
-        if not was_quarantined or suspect.quarantined_at is not None:
+        if suspect.quarantined_at is not None or suspect.on_probation_at is not None:
             return False
-        self._deny(suspect, now)
-        if is_own or suspect.is_own:
-            self.own_changes.append(QuarantineChange(suspect.trait, False))
-        return True
+        if (was_quarantined or was_on_probation) and (is_own or suspect.is_own):
+            self._add_own_change(suspect.trait, Standing.SERVED)
+        if was_quarantined:
+            self._deny(suspect, now)
+        return was_quarantined
 
     def _tell_cleared(self, suspect: Suspect, at: float, now: float) -> None:
         """Tell peers of an answer soon."""
--- a/packages/teaselpond/tests/gateway/test_poison.py
+++ b/packages/teaselpond/tests/gateway/test_poison.py
@@ -9,6 +9,8 @@
     QUARANTINE_TRIAL_SECONDS,
     PoisonTracker,
     QuarantineChange,
+    Standing,
+    StandingChange,
 )
 from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
 from teaselpond.gateway.traits import Scope, Trait, traits_of
@@ -276,7 +278,8 @@
                 each.merge_news(tracker.pack_news(now + 0.1), now + 0.1)
         bad = make_prompt_traits("first", "bad")[1]
         for tracker in trackers:
-            self.assertEqual([QuarantineChange(bad, True)], list(tracker.own_changes))
+            quarantined = StandingChange(bad, Standing.QUARANTINED)
+            self.assertEqual([quarantined], list(tracker.own_changes))
 
 
 class TrialTests(testtools.TestCase):
--- a/packages/teaselpond/tests/gateway/test_quarantines.py
+++ b/packages/teaselpond/tests/gateway/test_quarantines.py
@@ -86,6 +86,36 @@
         self.assertTrue(self.tracker.record_answer((SUSPECT,), 1001.0))
         await self.wait_until(lambda: not self.store.values_by_key)
 
+    async def test_probation_outlives_all_processes(self) -> None:
+        """A process that hears no peer sends such requests one at a time."""
+        path = Trait(b"the path", Scope.PATH)
+        self.run_keeper(self.tracker, is_first_start=True)
+        for number in range(MIN_ENDS_BY_SCOPE[Scope.PATH]):
+            engine = make_engine(f"e{number}")
+            at = 990.0 + number
+            self.tracker.record_own((path,), engine, at, at + 0.1)
+        await self.wait_until(lambda: self.store.values_by_key)
+        started = PoisonTracker()
+        self.run_keeper(started, is_first_start=False)
+        await self.wait_until(lambda: started.probation.holds((path,)))
+        self.assertTrue(started.try_on_probation((path,), 1001.0))
+        self.assertFalse(started.try_on_probation((path,), 1001.0))
+        engine = make_engine("e9")
+        self.assertEqual([path], started.record_own((path,), engine, 1001.0, 1001.1))
+        late = PoisonTracker()
+        self.run_keeper(late, is_first_start=False)
+        await self.wait_until(lambda: late.is_poisonous((path,), 1002.0))
+
+    async def test_answer_ends_a_stored_probation(self) -> None:
+        """The row is removed by the host that gets the answer."""
+        path = Trait(b"the path", Scope.PATH)
+        value = f"{int(time.time())} {Scope.PATH.value}".encode()
+        self.store.values_by_key = {path.fingerprint.hex(): value}
+        self.run_keeper(self.tracker, is_first_start=False)
+        await self.wait_until(lambda: self.tracker.probation.holds((path,)))
+        self.tracker.record_answer((path,), 1001.0)
+        await self.wait_until(lambda: not self.store.values_by_key)
+
     async def test_old_and_malformed_rows_are_removed(self) -> None:
         """They quarantine nothing and do not stay for ever."""
         third = Trait(b"a third.", Scope.REQUEST)
@@ -96,6 +126,8 @@
             "not hexadecimal": now,
             "aa": now,
             b"another.".hex(): b"no time",
+            b"a scope!".hex(): now + b" 99",
+            b"a scope?".hex(): now + b" 1 1",
             third.fingerprint.hex(): now,
         }
         self.run_keeper(self.tracker, is_first_start=False)
