Report what a retry waits for, and name the parts of the usage's answers

Cause: the line retry-refused could not tell a budget that is used up from one that waits until peers have heard of it; must_report changed the budget. Change: a field in the line; the first limit is set where a budget is made; names. No decision changes. Measured: tests of budgets, decisions and sharing hold.

--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -39,8 +39,8 @@
     former: RetryUsage | None = None
     _requests: SlidingWindowCounter = field(init=False)
     _retries: SlidingWindowCounter = field(init=False)
-    _reported_at: float | None = None
-    _unreported_limit: float = 0.0
+    _reported_at: float = -math.inf
+    _unreported_limit: float = math.inf
 
     def __attrs_post_init__(self) -> None:
         self._requests = SlidingWindowCounter(self.window_seconds)
@@ -95,10 +95,8 @@
         self._unreported_limit = limit
         self._reported_at = sent_at
 
-    def must_report(self, now: float, host_count: int) -> bool:
+    def must_report(self, now: float) -> bool:
         """Return whether peers must hear of this host before it retries."""
-        if self._reported_at is None:
-            self.record_report(self.unreported_limit(now, host_count), now)
         earned = self.ratio * self._requests.count_since(self._reported_at, now)
         retries = self._retries.count_since(self._reported_at, now)
         return self._unreported_limit + earned * USABLE_RATIO - retries < 1
@@ -110,7 +108,7 @@
         """
         if self.remaining(now, host_count) - excess < 1:
             return False
-        if self.must_report(now, host_count):
+        if self.must_report(now):
             return False
         self._retries.add(now)
         return True
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -378,6 +378,7 @@
                     self.retries.excess_of_others(call.service, now, host_count), 2
                 ),
                 former_is_unknown=self.retries.is_asking(now),
+                must_report=budget.must_report(now),
                 sharing_hosts=host_count,
             )
         return acquired
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -1,7 +1,9 @@
 """Keep this host's retry budgets in line with those of other processes.
 
 The bound is the fleet's: what the previous process of this host sent counts,
-and so do retries of hosts whose callers have moved to others since.
+and so do retries of hosts whose callers have moved to others since. What a
+process uses without any peer hearing of it is limited, so that its successor
+can count the limit as used.
 """
 
 import math
@@ -72,8 +74,10 @@
                 self.ratio,
                 self.slack,
                 self.window_seconds,
-                self._former(service_key(service), now),
+                self._former_usage_of(service_key(service), now),
             )
+            host_count = self.members.sharing(now).hosts
+            budget.record_report(budget.unreported_limit(now, host_count), now)
             self._budgets_by_service[service] = budget
         return budget
 
@@ -87,7 +91,7 @@
             return False
         excess = self.excess_of_others(service, now, host_count)
         budget = self.for_service(service, now)
-        if budget.must_report(now, host_count):
+        if budget.must_report(now):
             self.send_report()
         return budget.try_acquire(now, host_count, excess)
 
@@ -147,14 +151,14 @@
             if is_news:
                 self._former_heard_at = heard_at
                 self._heard_usages = answer.usages
-        if self._answered_at is None and self._is_known_enough(now):
+        if self._answered_at is None and self._is_former_known(now):
             self._answered_at = now
-        self._former_by_key = self._read_former(now)
+        self._former_by_key = self._decode_former(now)
         for service, budget in self._budgets_by_service.items():
-            budget.former = self._former(service_key(service), now)
+            budget.former = self._former_usage_of(service_key(service), now)
         return is_news
 
-    def _is_known_enough(self, now: float) -> bool:
+    def _is_former_known(self, now: float) -> bool:
         """Return whether the answers cover what the previous process used.
 
         If it was silent before it ended, others may have heard it that are
@@ -165,7 +169,7 @@
         heard_at = self._former_heard_at
         return heard_at is not None and self.started_at - heard_at < ADVERTISED_SECONDS
 
-    def _read_former(self, now: float) -> dict[int, RetryUsage]:
+    def _decode_former(self, now: float) -> dict[int, RetryUsage]:
         if self._former_heard_at is None:
             return {}
         usages = unpack_usages(
@@ -173,7 +177,7 @@
         )
         return {key: self._with_unheard(usage, now) for key, usage in usages}
 
-    def _former(self, key: int, now: float) -> RetryUsage | None:
+    def _former_usage_of(self, key: int, now: float) -> RetryUsage | None:
         """Return what the previous process used of a service's budget."""
         if self._former_heard_at is None:
             return None
