Limit what one connection may cost, whatever it sends

Cause: limits one kind of bytes, interim heads, of upstreams alone. The event loop reads up to 256 KiB of a connection at once, which as chunks of one byte take 0.1 s to parse (measured with the library alone), and an answer of hardly any body ended at its deadline only.

Change: sockets of callers, upstreams, the store and peers return 8 KiB from a read; an answer ends as invalid once its framing exceeds its body by 16 KiB, and 16 KiB more for each second. Interim heads are counted there too.

Four of the new gateway tests fail without the change.

--- /dev/null
+++ b/packages/teaselpond-model/src/teaselpond_model/bounded_answers.py
@@ -0,0 +1,109 @@
+"""Open HTTP connections to servers whose answers may come without end."""
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from attrs import define
+
+from .bounded_sockets import BoundedSocket
+
+# Heads with a status of 100 to 199 before that of the answer.
+MAX_INTERIM_HEADS = 16
+# What an answer may have beyond its body (heads, sizes of chunks, extensions
+# and trailers), besides as much again as its body. A chunk of one byte has
+# five bytes of framing.
+MAX_FRAMING_BYTES = 16 * 1024
+# Sound servers may send small chunks for as long as they like, but slowly.
+FRAMING_BYTES_PER_SECOND = 16 * 1024
+INTERIM_STATUSES = range(100, 200)
+
+
+class ExcessiveFraming(aiohttp.ClientError):
+    """Report an answer that is mostly no body, and may never end."""
+
+
+@define
+class Framing:
+    """Count what a server sends in answer to one request, since its start."""
+
+    started_at: float
+    received_bytes: int = 0
+    interim_heads: int = 0
+
+    def check(self, body_bytes: int, now: float) -> None:
+        """Raise ExcessiveFraming if too little of the answer is its body."""
+        if self.interim_heads > MAX_INTERIM_HEADS:
+            raise ExcessiveFraming(f"received {self.interim_heads} interim heads")
+        framing_bytes = self.received_bytes - body_bytes
+        limit = MAX_FRAMING_BYTES + body_bytes
+        if framing_bytes <= limit:
+            return
+        if framing_bytes > limit + FRAMING_BYTES_PER_SECOND * (now - self.started_at):
+            raise ExcessiveFraming(
+                f"received {framing_bytes} bytes of framing for {body_bytes} bytes"
+                f" of body in {now - self.started_at:.2f} s"
+            )
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Parse the answers on a connection, and break off excessive ones."""
+
+    _framing = Framing(0.0)
+    _body: aiohttp.StreamReader | None = None
+    _excess: ExcessiveFraming | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the answer to the next request."""
+        self._framing = Framing(self._loop.time())
+        self._body = None
+        super().set_response_params(**params)
+
+    def feed_data(
+        self, data: tuple[aiohttp.http.RawResponseMessage, Any], size: int = 0
+    ) -> None:
+        """Receive a parsed head and the body that belongs to it."""
+        head, body = data
+        if head.code in INTERIM_STATUSES:
+            self._framing.interim_heads += 1
+        else:
+            self._body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        super().data_received(data)
+        self._framing.received_bytes += len(data)
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        try:
+            self._framing.check(body_bytes, self._loop.time())
+        except ExcessiveFraming as error:
+            self._break_off(error)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer that was being received with an error."""
+        super().connection_lost(self._excess or exc)
+
+    def _break_off(self, error: ExcessiveFraming) -> None:
+        self._excess = error
+        self.abort()
+        self.set_exception(error)
+        if self._body is not None:
+            self._body.set_exception(error)
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Open connections that limit each read and the framing of answers."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**{"socket_factory": open_bounded_socket, **options})
+        self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
+
+
+def open_bounded_socket(address_info: tuple) -> BoundedSocket:
+    """Create a non-blocking socket for an address of the resolver."""
+    family, type_, protocol, _, _ = address_info
+    new_socket = BoundedSocket(family, type_, protocol)
+    new_socket.setblocking(False)
+    return new_socket
--- a/packages/teaselpond-model/src/teaselpond_model/platform/platform.py
+++ b/packages/teaselpond-model/src/teaselpond_model/platform/platform.py
@@ -3,6 +3,7 @@
 import aiohttp
 from attrs import frozen
 
+from ..bounded_answers import BoundedConnector
 from ..store_calls import DEFAULT_TIMEOUT_SECONDS, PlatformConnection
 from .hosts import HttpHostDirectory
 from .objects import HttpObjectStore
@@ -25,7 +26,7 @@
         cls, base_url: str, timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS
     ) -> "Platform":
         """Return the clients on a new session; needs a running event loop."""
-        session = aiohttp.ClientSession()
+        session = aiohttp.ClientSession(connector=BoundedConnector())
         url = base_url.rstrip("/")
         return cls.from_connection(PlatformConnection(session, url, timeout_seconds))
 
--- /dev/null
+++ b/packages/teaselpond-model/tests/test_bounded_answers.py
@@ -0,0 +1,94 @@
+"""Test that answers on one connection cost the event loop little."""
+
+import asyncio
+
+import aiohttp
+import testtools
+
+from teaselpond_model.bounded_answers import (
+    FRAMING_BYTES_PER_SECOND,
+    MAX_FRAMING_BYTES,
+    MAX_INTERIM_HEADS,
+    BoundedConnector,
+    ExcessiveFraming,
+    Framing,
+)
+from teaselpond_model.exceptions import StoreUnavailable
+from teaselpond_model.store_calls import PlatformConnection
+from teaselpond_standins.testing import AsyncTestCase
+
+ENDED_SECONDS = 1.0
+INTERIM_HEAD = b"HTTP/1.1 100 \r\n\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SMALL_CHUNK = b"1\r\nx\r\n"
+
+
+class FramingTests(testtools.TestCase):
+    """Tell framing without end from that of sound answers."""
+
+    def test_small_chunks_of_a_slow_server(self) -> None:
+        """They are allowed at a low rate, for as long as they come."""
+        framing = Framing(started_at=100.0)
+        chunks_per_second = FRAMING_BYTES_PER_SECOND // len(SMALL_CHUNK)
+        for second in range(100):
+            framing.received_bytes += chunks_per_second * len(SMALL_CHUNK)
+            framing.check((second + 1) * chunks_per_second, 101.0 + second)
+
+    def test_framing_that_exceeds_the_body(self) -> None:
+        """A body allows as much framing again, beyond a constant."""
+        framing = Framing(0.0, received_bytes=MAX_FRAMING_BYTES + 2000)
+        framing.check(1000, now=0.0)
+        with testtools.ExpectedException(ExcessiveFraming):
+            framing.check(999, now=0.0)
+
+    def test_interim_heads(self) -> None:
+        """A few may precede an answer."""
+        framing = Framing(0.0, interim_heads=MAX_INTERIM_HEADS)
+        framing.check(0, now=0.0)
+        framing.interim_heads += 1
+        with testtools.ExpectedException(ExcessiveFraming):
+            framing.check(0, now=0.0)
+
+
+class EndlessStoreAnswerTests(AsyncTestCase):
+    """Answer a call of the platform with bytes without end."""
+
+    async def check_ends(self, head: bytes, junk: bytes) -> None:
+        """The call fails at once, and its connection is closed."""
+        closed = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            try:
+                while True:
+                    writer.write(junk * 100)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+            except ConnectionError:
+                writer.close()
+                closed.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        session = await self.enter(aiohttp.ClientSession(connector=BoundedConnector()))
+        connection = PlatformConnection(session, f"http://127.0.0.1:{port}", 30.0)
+        async with asyncio.timeout(ENDED_SECONDS):
+            with self.assertRaises(StoreUnavailable):
+                await connection.read("/rows", "rows")
+            await closed.wait()
+        server.close()
+
+    async def test_interim_heads_without_end(self) -> None:
+        """They bring no answer."""
+        await self.check_ends(b"", INTERIM_HEAD)
+
+    async def test_chunks_of_one_byte_without_end(self) -> None:
+        """They bring hardly any body."""
+        await self.check_ends(CHUNKED_HEAD, SMALL_CHUNK)
+
+    async def test_chunk_extensions_without_end(self) -> None:
+        """They bring no body."""
+        await self.check_ends(CHUNKED_HEAD + b"1;", b"extension")
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -10,6 +10,7 @@
 import aiohttp
 from attrs import define, field
 
+from teaselpond_model.bounded_answers import BoundedConnector
 from teaselpond_model.contracts import Address
 from teaselpond_model.exceptions import ImproperlyConfigured, StoreUnavailable
 
@@ -75,9 +76,7 @@
             store=host.settings.store,
             seeds=[str(seed) for seed in host.settings.seeds],
         )
-        connector = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=STORE_KEEPALIVE_SECONDS
-        )
+        connector = BoundedConnector(limit=0, keepalive_timeout=STORE_KEEPALIVE_SECONDS)
         async with aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         ) as session:
--- a/packages/teaselpond/src/teaselpond/gateway/listening.py
+++ b/packages/teaselpond/src/teaselpond/gateway/listening.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Iterable
 
+from teaselpond_model.bounded_sockets import BoundedListener
 from teaselpond_model.contracts import Address
 
 # Connections waiting to be accepted. When another host fails, all of its
@@ -17,7 +18,7 @@
 
 def open_listener(address: Address) -> socket.socket:
     """Return a socket that listens on an address; raise OSError."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener = BoundedListener(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -5,13 +5,17 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from types import SimpleNamespace
-from typing import Any, Self
 
 import aiohttp
 from attrs import define, frozen
 from multidict import CIMultiDict
 from yarl import URL
 
+from teaselpond_model.bounded_answers import (
+    BoundedConnector,
+    ExcessiveFraming,
+    open_bounded_socket,
+)
 from teaselpond_model.contracts import Address
 from teaselpond_model.resends import forbid_resend
 
@@ -28,8 +32,6 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BUFFER_BYTES = 64 * 1024
 REQUEST_ID_HEADER = "X-Request-Id"
-# Heads with a status of 100 to 199 before that of the answer.
-MAX_INTERIM_HEADS = 16
 # How long the pool keeps an idle connection for another request.
 KEEPALIVE_TIMEOUT_SECONDS = 15.0
 # The kernel closes a connection whose sent data is not acknowledged in time.
@@ -69,36 +71,6 @@
     body: bytes
 
 
-class LimitedResponse(aiohttp.ClientResponse):
-    """Read an answer after a limited number of interim heads.
-
-    An upstream that sends them without end would keep the event loop busy.
-    """
-
-    async def start(self, connection: aiohttp.connector.Connection) -> Self:
-        """Read the head of the answer; raise UpstreamInvalid at the limit."""
-        protocol = connection.protocol
-        read = protocol.read
-        count = 0
-
-        async def read_limited() -> Any:
-            nonlocal count
-            count += 1
-            if count > MAX_INTERIM_HEADS:
-                raise UpstreamInvalid(
-                    f"received {MAX_INTERIM_HEADS} interim heads",
-                    step="answer",
-                    peer=self.url.authority,
-                )
-            return await read()
-
-        protocol.read = read_limited
-        try:
-            return await super().start(connection)
-        finally:
-            del protocol.read
-
-
 @define
 class ConnectionUsage:
     """Tell whether a request was sent on a connection of an earlier one."""
@@ -157,7 +129,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         keepalive = {"keepalive_timeout": self._keepalive_seconds}
-        connector = aiohttp.TCPConnector(
+        connector = BoundedConnector(
             limit=0,
             force_close=not self._reuse,
             socket_factory=_open_socket,
@@ -172,7 +144,6 @@
             skip_auto_headers=self._skip_auto_headers,
             trust_env=False,
             trace_configs=[_trace_reuse()],
-            response_class=LimitedResponse,
         )
 
     async def close(self) -> None:
@@ -356,7 +327,7 @@
         raise UpstreamSilent(
             "received nothing within the idle timeout", step="answer", peer=peer
         ) from error
-    except (aiohttp.ClientResponseError, ValueError) as error:
+    except (aiohttp.ClientResponseError, ExcessiveFraming, ValueError) as error:
         raise UpstreamInvalid(
             str(error) or type(error).__name__, step="answer", peer=peer
         ) from error
@@ -373,9 +344,7 @@
 
 
 def _open_socket(address_info: tuple) -> socket.socket:
-    family, type_, protocol, _, _ = address_info
-    new_socket = socket.socket(family, type_, protocol)
-    new_socket.setblocking(False)
+    new_socket = open_bounded_socket(address_info)
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_INTERVAL_SECONDS),
--- a/packages/teaselpond/tests/gateway/test_endless_answers.py
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -9,7 +9,9 @@
 from teaselpond.exceptions import UpstreamInvalid
 from teaselpond.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
 from teaselpond.upstreams.events import MAX_EVENTLESS_BYTES, SparseEventSplitter
+from teaselpond_model.bounded_sockets import READ_BYTES, BoundedSocket
 from teaselpond_standins.service import ListedFaultKind as Kind
+from teaselpond_standins.service.listed import REQUEST_ID, SIGNATURE
 from teaselpond_standins.testing import AsyncTestCase
 from teaselpond_standins.testing.gateways import GatewayFleet
 from teaselpond_standins.testing.raw import RawRequest, RawUpstream
@@ -19,6 +21,7 @@
 BUFFERED_BYTES = 8 * 1024 * 1024
 ANSWER_SECONDS = 2.5
 ENDED_SECONDS = 1.5
+LARGE_BODY_BYTES = 50_000
 
 
 class HeldAnswersTests(testtools.TestCase):
@@ -96,28 +99,78 @@
         self.assertEqual([502] * CALLS, await self.call_all(fleet, "/single/x"))
 
 
-class EndlessHeadTests(AsyncTestCase):
-    """Send interim heads without end in place of an answer."""
+class EndlessFramingTests(AsyncTestCase):
+    """Send bytes without end that are hardly any body."""
 
-    async def test_interim_heads_without_end_are_no_answer(self) -> None:
+    async def check_ends(self, path: str, junk: bytes, *, has_head: bool) -> None:
         """The call and its connection end long before the deadline."""
         closed = asyncio.Event()
 
         async def answer(request: RawRequest) -> None:
+            if has_head:
+                request.writer.write(
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                    b"Content-Type: text/event-stream\r\n"
+                    + f"{SIGNATURE}: s\r\n".encode()
+                    + f"{REQUEST_ID}: {request.request_id}\r\n\r\n".encode()
+                )
             try:
                 while True:
-                    request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+                    request.writer.write(junk * 100)
                     await request.writer.drain()
                     await asyncio.sleep(0)
             except ConnectionError:
                 closed.set()
                 raise
 
-        fleet = await self.enter(GatewayFleet(plain_count=0))
+        fleet = await self.enter(GatewayFleet(plain_count=0, model_count=0))
         upstream = await self.enter(RawUpstream("raw-1", answer))
-        await fleet.list_raw_upstream(upstream, "plain")
+        await fleet.list_raw_upstream(upstream, "model" if has_head else "plain")
         known = fleet.daemons[0].host.routing_state.engines_by_id
         await self.wait_until(lambda: upstream.engine_id in known)
-        async with asyncio.timeout(ENDED_SECONDS), fleet.call("/orders/x") as response:
+        async with asyncio.timeout(ENDED_SECONDS), fleet.call(path) as response:
             self.assertEqual(502, response.status)
         await asyncio.wait_for(closed.wait(), ENDED_SECONDS)
+
+    async def test_interim_heads_without_end_are_no_answer(self) -> None:
+        """The HTTP client drops them without a trace."""
+        await self.check_ends(
+            "/orders/x", b"HTTP/1.1 100 Continue\r\n\r\n", has_head=False
+        )
+
+    async def test_chunks_of_one_byte_without_end_are_no_answer(self) -> None:
+        """Each costs as much as a large one."""
+        await self.check_ends("/single/x", b"1\r\nx\r\n", has_head=True)
+
+    async def test_chunk_extensions_without_end_are_no_answer(self) -> None:
+        """The HTTP client drops the extensions."""
+        await self.check_ends("/single/x", b"1;a=b\r\nx\r\n", has_head=True)
+
+    async def test_comment_lines_without_end_are_no_answer(self) -> None:
+        """No empty line ends them, so they are no events."""
+        await self.check_ends("/single/x", b"2\r\n:\n\r\n", has_head=True)
+
+
+class BoundedReadTests(AsyncTestCase):
+    """Send a host much at once, on connections of each kind."""
+
+    async def test_a_connection_gets_a_small_part_of_a_turn(self) -> None:
+        """No read of a caller, an upstream or the store returns more."""
+        sizes = []
+        recv = BoundedSocket.recv
+
+        def record(self: BoundedSocket, size: int, flags: int = 0) -> bytes:
+            data = recv(self, size, flags)
+            sizes.append((self.getsockname()[1], len(data)))
+            return data
+
+        self.patch(BoundedSocket, "recv", record)
+        fleet = await self.enter(GatewayFleet())
+        body = b"x" * LARGE_BODY_BYTES
+        async with fleet.call("/orders/x", body=body) as response:
+            self.assertEqual(200, response.status)
+        entry_port = fleet.ports["entry"]
+        received = sum(size for port, size in sizes if port == entry_port)
+        self.assertLess(LARGE_BODY_BYTES, received)
+        self.assertLess(1, len({port for port, _ in sizes}))
+        self.assertEqual(READ_BYTES, max(size for _, size in sizes))
