Pass on a stream's events at a limited rate

Change: a stream has 5,000 events a second after a burst of 5,000; its host reads no further meanwhile.

--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -22,6 +22,7 @@
 from .liveness import LivenessChecker
 from .loads import LoadTracker
 from .metrics import Metrics
+from .pacing import EventPace
 from .placement import NoPlacement, Placement, Placer
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
@@ -276,9 +277,12 @@
     ) -> None:
         last_id = progress.last_event_id
         events = SparseEventSplitter(_event_number(last_id))
+        pace = EventPace(self.clock())
         async for part in answer.parts():
-            progress.heard_at = self.clock()
+            progress.heard_at = now = self.clock()
+            count = events.count
             batch = events.feed(part)
+            wait_seconds = pace.record(events.count - count, now)
             if not batch:
                 continue
             has_timeout = event_timeout.when() is not None
@@ -289,6 +293,8 @@
             self.crash_reports.record_events(call, progress, self.clock())
             progress.heard_at = math.inf
             await sink.write(answer.head, batch)
+            if wait_seconds:
+                await asyncio.sleep(wait_seconds)
             progress.heard_at = self.clock()
             if has_timeout:
                 pause = call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -130,11 +130,12 @@
 
     Events with ids up to ``last_id`` are dropped as repeats, and what holds
     neither data nor an id as no event. ``incomplete`` holds the received bytes
-    of an event that has not ended yet.
+    of an event that has not ended yet, ``count`` is how many have ended.
     """
 
     last_id: int = -1
     incomplete: bytes = b""
+    count: int = 0
     _eventless_bytes: int = 0
 
     def feed(self, chunk: bytes) -> bytes:
@@ -152,7 +153,9 @@
             )
         events = data[:end]
         numbers = [int(number) for number in SPARSE_ID_LINE.findall(events)]
-        if len(numbers) < len(ANY_EVENT.findall(events)):
+        count = len(ANY_EVENT.findall(events))
+        self.count += count
+        if len(numbers) < count:
             events = self._drop_eventless(events)
         if not numbers:
             return events
--- a/packages/teaselpond/tests/gateway/test_endless_answers.py
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -8,6 +8,7 @@
 
 from teaselpond.exceptions import UpstreamInvalid
 from teaselpond.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
+from teaselpond.gateway.pacing import BURST_EVENTS, EVENTS_PER_SECOND
 from teaselpond.upstreams.events import MAX_EVENTLESS_BYTES, SparseEventSplitter
 from teaselpond_model.bounded_sockets import READ_BYTES, BoundedSocket
 from teaselpond_standins.service import ListedFaultKind as Kind
@@ -21,6 +22,7 @@
 BUFFERED_BYTES = 8 * 1024 * 1024
 ANSWER_SECONDS = 2.5
 ENDED_SECONDS = 1.5
+DEADLINE_MS = 1500
 LARGE_BODY_BYTES = 50_000
 
 
@@ -99,6 +101,18 @@
         self.assertEqual([502] * CALLS, await self.call_all(fleet, "/single/x"))
 
 
+def encode_stream_head(request: RawRequest) -> bytes:
+    """Return the head of a stream's answer in chunks."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Transfer-Encoding: chunked",
+        "Content-Type: text/event-stream",
+        f"{SIGNATURE}: s",
+        f"{REQUEST_ID}: {request.request_id}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 class EndlessFramingTests(AsyncTestCase):
     """Send bytes without end that are hardly any body."""
 
@@ -108,12 +122,7 @@
 
         async def answer(request: RawRequest) -> None:
             if has_head:
-                request.writer.write(
-                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-                    b"Content-Type: text/event-stream\r\n"
-                    + f"{SIGNATURE}: s\r\n".encode()
-                    + f"{REQUEST_ID}: {request.request_id}\r\n\r\n".encode()
-                )
+                request.writer.write(encode_stream_head(request))
             try:
                 while True:
                     request.writer.write(junk * 100)
@@ -151,6 +160,35 @@
         await self.check_ends("/single/x", b"2\r\n:\n\r\n", has_head=True)
 
 
+class EndlessEventTests(AsyncTestCase):
+    """Send small events without end."""
+
+    async def test_small_events_without_end_leave_time_for_others(self) -> None:
+        """Their caller gets them at a limited rate until its deadline."""
+
+        async def answer(request: RawRequest) -> None:
+            request.writer.write(encode_stream_head(request))
+            while True:
+                request.writer.write(b"9\r\ndata: x\n\n\r\n" * 100)
+                await request.writer.drain()
+                await asyncio.sleep(0)
+
+        fleet = await self.enter(GatewayFleet(model_count=0))
+        upstream = await self.enter(RawUpstream("raw-1", answer))
+        await fleet.list_raw_upstream(upstream, "model")
+        known = fleet.daemons[0].host.routing_state.engines_by_id
+        await self.wait_until(lambda: upstream.engine_id in known)
+        count = 0
+        async with fleet.call("/single/x", deadline_ms=DEADLINE_MS) as response:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async for part in response.content.iter_any():
+                    count += part.count(b"\n\n")
+        limit = BURST_EVENTS + DEADLINE_MS / 1000 * EVENTS_PER_SECOND
+        # The events of the last read, and those before the deadline's slack.
+        self.assertLess(count, limit * 1.5)
+        self.assertLess(BURST_EVENTS, count)
+
+
 class BoundedReadTests(AsyncTestCase):
     """Send a host much at once, on connections of each kind."""
 
