Answer every call that a stopping host has read

In a planned stop of one host, in calm, requests whose bodies were complete late in the grace were passed on, and cut without an answer at its end; some of them may not be repeated. Calls that still ran at the end were cut too, and so was a long answer to a slow reader, though half of the grace was left.

Cause: the phase was asked once, at the head of a request, before its body was read; attempts never asked it. The end of the process closed connections under running calls. A call stopped counting as running before its answer was written.

Change: no call is sent for the first time once new ones are refused, and one that may have run only if its objective fits into the rest of the grace. Bodies that are incomplete then are refused at once. Calls that run at the end are answered: 503 if they cannot have run, 502 otherwise. A call counts as running until its answer is written, and a host does not end early before all of it is sent. A reload does not extend the grace of a stop that has begun.

--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -102,7 +102,8 @@
     target or body contains ``crash_marker`` runs, and is not answered:
     ``crash`` is called instead; so does a stream on a prompt with a part of
     that id, after the head of its answer. ``endless_bytes`` counts what
-    answers with the fault ENDLESS have sent. While ``is_unframed`` is set, a
+    answers with the fault ENDLESS have sent. Other answers than streams are
+    padded to ``answer_bytes``. While ``is_unframed`` is set, a
     stream has neither a length nor chunks and ends with its connection; the
     lines of its events end in ``line_end``.
     """
@@ -123,6 +124,7 @@
     running: int = 0
     max_running: int = 0
     endless_bytes: int = 0
+    answer_bytes: int = 0
     is_unframed: bool = False
     line_end: str = "\n"
     server: LoopbackServer = field(init=False)
@@ -251,6 +253,7 @@
         if request.path.startswith(STREAM_PREFIXES):
             return await self._stream(request, headers, fault)
         body = f"{request.method} {request.raw_path} by {self.engine_id}".encode()
+        body = body.ljust(self.answer_bytes)
         response = web.Response(body=body, headers=headers)
         if fault is None:
             return response
--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -91,6 +91,7 @@
         host.clock,
         host.host_count,
         host.retries,
+        host.drain,
     )
     return CallerRequestHandler(
         headers,
--- a/packages/teaselpond/src/teaselpond/gateway/daemon.py
+++ b/packages/teaselpond/src/teaselpond/gateway/daemon.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import aiohttp
 from attrs import define, field
@@ -17,6 +17,7 @@
 from .adapters import Adapter, Store
 from .assembly import make_caller_request_handler, make_follower, make_sender
 from .drain import Phase
+from .entry import CallerRequestHandler
 from .fleet_size import LIST_SECONDS
 from .host import GatewayHost
 from .journal import JournalHandler
@@ -41,6 +42,9 @@
 FIND_PEERS_SECONDS = 1.0
 # Heartbeats that announce a stop to all peers; some datagrams may be lost.
 LEAVING_HEARTBEATS = 3
+# Limits the time for the final answers of the calls that still run at the end.
+FINAL_ANSWERS_SECONDS = 0.2
+FINAL_ANSWERS_CHECK_SECONDS = 0.01
 
 
 @define(eq=False)
@@ -117,8 +121,9 @@
             make_follower(host, table, store, exchange) for table in FOLLOWED_TABLES
         ]
         sender = make_sender(host.adapter)
+        handler = make_caller_request_handler(host, sender)
         survey = self._make_survey(sender, sharing)
-        servers = await self._open_servers(sender, sharing)
+        servers = await self._open_servers(handler, sharing)
         await exchange.start(host.settings.ip)
         tasks = self._start_tasks(
             {
@@ -132,12 +137,12 @@
             }
         )
         try:
-            await self._wait_until_ended(exchange)
+            await self._wait_until_ended(exchange, handler, servers)
+            await self._end_calls(handler, servers)
         finally:
             for task in tasks:
                 task.cancel()
-            for server in servers:
-                await server.close()
+            await asyncio.gather(*(server.close() for server in servers))
             exchange.close()
             await sender.close()
 
@@ -200,21 +205,21 @@
         )
 
     async def _open_servers(
-        self, sender: Sender, sharing: RoutingStateSharing
+        self, handler: CallerRequestHandler, sharing: RoutingStateSharing
     ) -> list[HttpServer]:
         settings = self.host.settings
         listeners = settings.listeners
         views = PublicViews(self.host)
         servers = []
-        for address, handler in (
-            (listeners.entry, make_caller_request_handler(self.host, sender).handle),
+        for address, handle in (
+            (listeners.entry, handler.handle),
             (listeners.ready, views.ready),
             (listeners.peers, sharing.handle),
             (listeners.directory, views.directory),
             (Address(settings.ip, settings.metrics_port), views.metrics),
         ):
             if address is not None:
-                server = HttpServer(handler)
+                server = HttpServer(handle)
                 await server.open(address, self.listeners_by_address.get(address))
                 servers.append(server)
         return servers
@@ -318,17 +323,50 @@
             self._settings_modified_at = modified_at
             self.reload()
 
-    async def _wait_until_ended(self, exchange: PeerExchange) -> None:
+    async def _wait_until_ended(
+        self,
+        exchange: PeerExchange,
+        handler: CallerRequestHandler,
+        servers: list[HttpServer],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        drain = self.host.drain
         sent_count = 0
         while True:
-            phase = self.host.drain.phase(self.host.clock())
-            if phase is Phase.ENDED:
+            now = self.host.clock()
+            phase = drain.phase(now)
+            if phase is Phase.ENDED and (
+                drain.is_grace_over(now) or not _have_unsent_bytes(servers)
+            ):
                 return
+            if phase is Phase.REFUSING:
+                handler.end_reading(loop.time())
             if phase is not Phase.SERVING and sent_count < LEAVING_HEARTBEATS:
                 exchange.send_heartbeats(to_all=True)
                 sent_count += 1
             await asyncio.sleep(TICK_SECONDS)
 
+    async def _end_calls(
+        self, handler: CallerRequestHandler, servers: list[HttpServer]
+    ) -> None:
+        """Answer the calls that still run, and wait until that is sent."""
+        host = self.host
+        if not host.drain.running:
+            return
+        now = host.clock()
+        host.journal.write("ending-calls", now, running=host.drain.running)
+        handler.end_calls(asyncio.get_running_loop().time())
+        for _ in range(round(FINAL_ANSWERS_SECONDS / FINAL_ANSWERS_CHECK_SECONDS)):
+            await asyncio.sleep(FINAL_ANSWERS_CHECK_SECONDS)
+            if not host.drain.running and not _have_unsent_bytes(servers):
+                return
+        # Callers that do not read get no more.
+        host.journal.write("calls-cut", host.clock(), running=host.drain.running)
+
+
+def _have_unsent_bytes(servers: Iterable[HttpServer]) -> bool:
+    return any(server.has_unsent_bytes() for server in servers)
+
 
 def serve(
     settings: GatewaySettings,
--- a/packages/teaselpond/src/teaselpond/gateway/drain.py
+++ b/packages/teaselpond/src/teaselpond/gateway/drain.py
@@ -1,6 +1,7 @@
 """Drain a host before a planned stop, so that no call is interrupted."""
 
 import enum
+import math
 
 from attrs import define
 
@@ -34,7 +35,8 @@
     """Track running calls and the phase of a planned stop.
 
     Times are on the boot clock. ``grace_seconds`` is the time from the stop
-    signal until the platform kills the process.
+    signal until the platform kills the process. ``running`` counts the calls
+    whose answers are not written yet.
     """
 
     grace_seconds: float
@@ -51,9 +53,9 @@
         """Return the current phase."""
         if self.stop_requested_at is None:
             return Phase.SERVING
-        elapsed_seconds = now - self.stop_requested_at
-        if elapsed_seconds >= self.grace_seconds - EXIT_MARGIN_SECONDS:
+        if self.is_grace_over(now):
             return Phase.ENDED
+        elapsed_seconds = now - self.stop_requested_at
         is_quiet = now - self.last_call_at >= QUIET_SECONDS and not self.running
         if is_quiet and elapsed_seconds >= MIN_DRAIN_SECONDS:
             return Phase.ENDED
@@ -63,6 +65,39 @@
             else Phase.REFUSING
         )
 
+    def is_grace_over(self, now: float) -> bool:
+        """Return whether the process must end, whatever still runs."""
+        return self._remaining_seconds(now) <= 0.0
+
+    def may_send(
+        self, now: float, expected_seconds: float, *, may_have_run: bool
+    ) -> bool:
+        """Return whether a call may be sent to an upstream.
+
+        A host that refuses new calls sends none for the first time either,
+        because other hosts can serve it. Nobody else knows of a call that may
+        have run, so it is sent again if an answer can be expected in time.
+        """
+        phase = self.phase(now)
+        if phase in (Phase.SERVING, Phase.LEAVING):
+            return True
+        return may_have_run and self._remaining_seconds(now) >= expected_seconds
+
+    def update_grace(self, seconds: float) -> None:
+        """Change the grace time; a stop that has begun gets no longer one.
+
+        The platform counts from the signal with the time of then.
+        """
+        if self.stop_requested_at is not None:
+            seconds = min(seconds, self.grace_seconds)
+        self.grace_seconds = seconds
+
+    def _remaining_seconds(self, now: float) -> float:
+        if self.stop_requested_at is None:
+            return math.inf
+        ends_at = self.stop_requested_at + self.grace_seconds - EXIT_MARGIN_SECONDS
+        return ends_at - now
+
     def record_start(self, now: float) -> None:
         """Record the start of a call."""
         self.running += 1
--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
-from attrs import define
+from attrs import define, field
 
 from .admission import Admission
 from .calls import Call, Head
@@ -17,6 +17,7 @@
 from .relay import Relay
 from .replies import Refusal, Reply
 from .routing_state import RoutingState
+from .running import RunningWaits
 from .servers import CallerStream, build_response, read_body
 
 # A body must arrive within this time, or the request is refused.
@@ -41,13 +42,16 @@
     metrics: Metrics
     clock: Callable[[], float]
     has_started: asyncio.Event
+    reading: RunningWaits = field(factory=RunningWaits)
 
     async def handle(self, request: BaseRequest) -> web.StreamResponse:
         """Answer one request, and count it as running for the drain."""
         now = self.clock()
         self.drain.record_start(now)
         try:
-            return await self._handle(request, now)
+            response = await self._handle(request, now)
+            await self._write(request, response)
+            return response
         finally:
             self.drain.record_end()
 
@@ -72,6 +76,33 @@
             return self._refuse(request, call, head, now)
         return await self._relay_call(request, call)
 
+    def end_reading(self, now: float) -> None:
+        """Refuse the requests whose bodies are incomplete.
+
+        ``now`` is the time of the event loop.
+        """
+        self.reading.end_all(now)
+
+    def end_calls(self, now: float) -> None:
+        """End all running calls with a final answer.
+
+        ``now`` is the time of the event loop.
+        """
+        self.reading.end_all(now)
+        self.relay.running.end_all(now)
+
+    async def _write(self, request: BaseRequest, response: web.StreamResponse) -> None:
+        """Write an answer while its call still counts as running.
+
+        A planned stop thereby waits for callers that read slowly.
+        """
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError:
+            # The caller is gone, or its connection was closed on purpose.
+            return
+
     async def _wait_for_start(self) -> None:
         """Wait a little while a process that has just started reads its state.
 
@@ -92,10 +123,10 @@
         if configuration is not None:
             limit = configuration.limits.body_bytes
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+            async with self.reading.limit(BODY_TIMEOUT_SECONDS):
                 body = await read_body(request, limit)
         except TimeoutError:
-            return Refusal.BODY_SLOW
+            return Refusal.LEAVING if self.reading.has_ended else Refusal.BODY_SLOW
         return Refusal.TOO_LARGE if body is None else body
 
     async def _relay_call(self, request: BaseRequest, call: Call) -> web.StreamResponse:
@@ -122,7 +153,6 @@
             return build_response(reply, close=True)
         if reply is None:
             self._record_end(call, "answered", status=sink.response.status)
-            await sink.response.write_eof()
             return sink.response
         self._record_end(
             call,
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -207,7 +207,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, except addresses, which need a restart."""
         self.settings = settings
-        self.drain.grace_seconds = settings.bounds.grace_seconds
+        self.drain.update_grace(settings.bounds.grace_seconds)
         self.retries.update_bounds(
             settings.bounds.retry_ratio, settings.bounds.retry_slack
         )
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -15,6 +15,7 @@
 from .codec import HeaderCodec
 from .configuration import RouteType
 from .crash_reports import CrashReports
+from .drain import Drain
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .held_answers import HeldAnswers
@@ -29,6 +30,7 @@
 from .reports import AnswerReports
 from .retry_budgets import RetryBudgets
 from .routing_state import RoutingState
+from .running import RunningWaits
 from .sending import (
     AttemptFailed,
     OpenAnswer,
@@ -93,8 +95,10 @@
     clock: Callable[[], float]
     host_count: Callable[[], int]
     retries: RetryBudgets
+    drain: Drain
     rng: random.Random = field(factory=random.Random)
     held_answers: HeldAnswers = field(factory=HeldAnswers)
+    running: RunningWaits = field(factory=RunningWaits)
 
     async def run(self, call: Call, sink: EventSink) -> Reply | None:
         """Return a call's answer, or None if it was streamed to the sink.
@@ -105,11 +109,13 @@
         self.retries.record_request(call.service, call.arrived_at)
         remaining_seconds = call.expires_at - self.clock() + DEADLINE_SLACK_SECONDS
         try:
-            async with asyncio.timeout(max(0.0, remaining_seconds)):
+            async with self.running.limit(max(0.0, remaining_seconds)):
                 return await self._run(call, sink, progress)
         except TimeoutError:
             refusal = Refusal.TIMEOUT_UNSENT
-            if progress.may_run:
+            if self.running.has_ended:
+                refusal = Refusal.STOPPED if progress.may_run else Refusal.LEAVING
+            elif progress.may_run:
                 refusal = Refusal.TIMEOUT_SENT
             return self._finish_with_refusal(call, sink, progress, refusal)
 
@@ -132,6 +138,10 @@
             now = self.clock()
             if call.expires_at - now < MIN_REMAINING_SECONDS:
                 raise TimeoutError
+            if not self.drain.may_send(
+                now, call.route.objective_seconds, may_have_run=progress.may_run
+            ):
+                return self._finish_with_refusal(call, sink, progress, Refusal.LEAVING)
             if self.crash_reports.is_refused(call, progress, now):
                 return self._finish_with_refusal(
                     call, sink, progress, Refusal.POISONOUS
--- a/packages/teaselpond/src/teaselpond/gateway/replies.py
+++ b/packages/teaselpond/src/teaselpond/gateway/replies.py
@@ -29,6 +29,7 @@
     TIMEOUT_UNSENT = "timeout-unsent"
     TIMEOUT_SENT = "timeout-sent"
     BROKEN = "broken"
+    STOPPED = "stopped"
     INTERNAL = "internal"
 
 
@@ -66,6 +67,8 @@
     Refusal.TIMEOUT_UNSENT: RefusalResponse(503),
     Refusal.TIMEOUT_SENT: RefusalResponse(504),
     Refusal.BROKEN: RefusalResponse(502),
+    # The host ends before the upstream has answered.
+    Refusal.STOPPED: RefusalResponse(502),
     Refusal.INTERNAL: RefusalResponse(502),
 }
 # Randomises Retry-After by up to this fraction in both directions, so that
--- a/packages/teaselpond/src/teaselpond/gateway/servers.py
+++ b/packages/teaselpond/src/teaselpond/gateway/servers.py
@@ -59,6 +59,14 @@
         """Return the open connections."""
         return self._server.connections
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a caller has not received all that was written."""
+        return any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size()
+            for connection in self.connections()
+        )
+
     async def close(self) -> None:
         """Stop listening, and close every connection."""
         if self._listener is not None:
--- a/packages/teaselpond/tests/gateway/test_decisions.py
+++ b/packages/teaselpond/tests/gateway/test_decisions.py
@@ -134,6 +134,27 @@
         drain.record_end()
         self.assertIs(Phase.ENDED, drain.phase(17.0))
 
+    def test_calls_that_are_sent_late_in_the_grace(self) -> None:
+        """Only those that may have run, if an answer can come in time."""
+        drain = Drain(8.0)
+        self.assertTrue(drain.may_send(5.0, 60.0, may_have_run=False))
+        drain.start_stop(10.0)
+        self.assertTrue(drain.may_send(12.9, 60.0, may_have_run=False))
+        drain.record_start(12.9)
+        self.assertFalse(drain.may_send(13.0, 0.1, may_have_run=False))
+        ends_at = 18.0 - EXIT_MARGIN_SECONDS
+        self.assertTrue(drain.may_send(ends_at - 0.5, 0.4, may_have_run=True))
+        self.assertFalse(drain.may_send(ends_at - 0.3, 0.4, may_have_run=True))
+
+    def test_reload_during_a_stop(self) -> None:
+        """It may shorten the grace time, and not extend it."""
+        drain = Drain(8.0)
+        drain.update_grace(9.0)
+        drain.start_stop(10.0)
+        for seconds, expected in ((20.0, 9.0), (6.0, 6.0), (9.0, 6.0)):
+            drain.update_grace(seconds)
+            self.assertEqual(expected, drain.grace_seconds)
+
     def test_second_stop_changes_nothing(self) -> None:
         """The grace time counts from the first request to stop."""
         drain = Drain(8.0)
