Count an answer of the store with impossible values as none

Cause: versions and times were taken over as they came. One that is too great hides all later changes, and fits no message to peers; a time without an end never counts as outdated. Rows of another shape, and JSON nested too deep, ended the task instead of counting as an outage.

Change: versions must be whole numbers of 64 bits from 0 on, and times finite. All such answers raise StoreUnavailable.

The three tests of InvalidAnswerTests failed before.

--- a/packages/teaselpond/src/teaselpond/platform/store.py
+++ b/packages/teaselpond/src/teaselpond/platform/store.py
@@ -14,6 +14,7 @@
 from ..gateway.exceptions import HistoryLost
 from ..gateway.rows import Page, Row
 from ..gateway.tables import Table
+from ..gateway.wire_values import read_integer, read_seconds
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +27,16 @@
 ERA = "Store-Era"
 # The largest page that the store returns.
 PAGE_ROWS = 500
+# JSON that is nested too deep raises RecursionError, a list for a row raises
+# AttributeError.
+INVALID_ANSWER_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 TABLE_NAMES = {
     Table.OPERATOR: "op",
     Table.ENGINES: "servers",
@@ -105,19 +116,27 @@
             rows = [_decode_row(row) for row in raw["Rows"]]
             return Page(
                 rows=tuple(row for row in rows if _has_valid_key(row)),
-                version=raw["Ver"],
-                store_seconds=raw["NowMs"] / MILLISECONDS_PER_SECOND,
+                version=_read_version(raw["Ver"]),
+                store_seconds=read_seconds(raw["NowMs"] / MILLISECONDS_PER_SECOND),
                 has_more=raw.get("HasMore", False),
                 era=int(answer.headers.get(ERA, 0)),
                 last_key=rows[-1].key if rows else None,
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except INVALID_ANSWER_ERRORS as error:
             raise self._connection.unavailable(step, repr(error)) from error
 
 
 def _decode_row(raw: dict) -> Row:
     value = None if raw.get("Removed") else base64.b64decode(raw["Value"])
-    return Row(raw["Key"], value, raw["Ver"])
+    return Row(raw["Key"], value, _read_version(raw["Ver"]))
+
+
+def _read_version(value: int) -> int:
+    """Return a version; a greater one than the store's hides all changes."""
+    version = read_integer(value)
+    if version < 0:
+        raise ValueError(f"expected a version from 0 on, got {value}")
+    return version
 
 
 def _has_valid_key(row: Row) -> bool:
--- a/packages/teaselpond/tests/platform/test_store.py
+++ b/packages/teaselpond/tests/platform/test_store.py
@@ -1,10 +1,12 @@
 """Test the client of the row store, and following a table with it."""
 
 import asyncio
+import json
 import time
 from typing import Any
 
 import aiohttp
+from aiohttp import web
 
 from teaselpond.gateway.exceptions import HistoryLost
 from teaselpond.gateway.following import LONG_POLL_SECONDS, Follower
@@ -15,6 +17,7 @@
 from teaselpond.platform.store import open_store
 from teaselpond_model.exceptions import StoreUnavailable
 from teaselpond_standins.platform import PlatformStandin
+from teaselpond_standins.server import LoopbackServer
 from teaselpond_standins.testing import AsyncTestCase
 
 STORE_TIMEOUT_SECONDS = 0.3
@@ -76,6 +79,46 @@
             await store.follow(Table.ENGINES, 0, 0.05)
 
 
+class InvalidAnswerTests(AsyncTestCase):
+    """Read answers of the store that make no sense."""
+
+    async def check_refused(self, **fields: object) -> None:
+        """Such an answer counts as none."""
+        row = {"Key": "k", "Value": "", "Ver": 1}
+        valid = {"Rows": [row], "Ver": 1, "NowMs": 1}
+        texts = [json.dumps(valid), json.dumps({**valid, **fields})]
+
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(text=texts.pop(0))
+
+        app = web.Application()
+        app.router.add_get("/v1/rows-get", answer)
+        server = LoopbackServer(app)
+        await server.start()
+        session = await self.enter(aiohttp.ClientSession())
+        store = open_store(session, server.address, STORE_TIMEOUT_SECONDS)
+        self.assertEqual(1, (await store.read(Table.ENGINES)).version)
+        with self.assertRaises(StoreUnavailable):
+            await store.read(Table.ENGINES)
+        await server.stop()
+
+    async def test_versions_that_no_peer_can_pass_on(self) -> None:
+        """No change would have a greater one."""
+        await self.check_refused(Ver=10**31)
+        await self.check_refused(Rows=[{"Key": "k", "Value": "", "Ver": 10**31}])
+        await self.check_refused(Ver=-1)
+
+    async def test_rows_of_another_shape(self) -> None:
+        """A list has no fields, and a number is no key."""
+        await self.check_refused(Rows=[["k", "", 1]])
+        await self.check_refused(Rows=[{"Key": 5, "Value": "", "Ver": 1}])
+
+    async def test_time_without_an_end(self) -> None:
+        """A confirmation of then would never be outdated."""
+        await self.check_refused(NowMs=float("inf"))
+        await self.check_refused(NowMs=10**400)
+
+
 class EventRecorder(Journal):
     """Record the events of log lines instead of writing them."""
 
