Pause between whole reads while the store keeps losing its history

Cause: a lost history is read whole at once, without a pause, however often it is lost.

Change: the second loss within two seconds is followed by a pause of a quarter to half a second. The first one is not, so that a restored store is still read at once.

test_history_that_is_lost_with_each_request failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/following.py
+++ b/packages/teaselpond/src/teaselpond/gateway/following.py
@@ -1,6 +1,7 @@
 """Follow a table of the platform's store."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -25,6 +26,9 @@
 # Longer than the store's slowest responses. Hosts that retried more often
 # would use up the fleet's rate of calls in an outage.
 RETRY_MAX_SECONDS = 0.5
+# A history that is lost again within this time is lost with each request, as
+# while the store gives out versions that it does not know itself.
+HISTORY_KEPT_SECONDS = 2.0
 # How often a host that does not read the store checks whether it must.
 IDLE_CHECK_SECONDS = 0.1
 
@@ -68,6 +72,7 @@
     answered_at: float | None = None
     _failing_since: float | None = None
     _is_history_lost: bool = False
+    _history_lost_at: float = -math.inf
 
     @property
     def is_failing(self) -> bool:
@@ -89,10 +94,15 @@
         try:
             await self._poll()
         except HistoryLost as error:
-            self._is_history_lost = True
+            now = self.clock()
             self.journal.write(
-                "history-lost", self.clock(), table=self.table.value, error=str(error)
+                "history-lost", now, table=self.table.value, error=str(error)
             )
+            self._is_history_lost = True
+            is_lost_again = now - self._history_lost_at < HISTORY_KEPT_SECONDS
+            self._history_lost_at = now
+            if is_lost_again:
+                await asyncio.sleep(RETRY_MAX_SECONDS * random.uniform(0.5, 1.0))
         except StoreUnavailable as error:
             self._record_failure(error, self.clock())
             await asyncio.sleep(delay * random.uniform(0.5, 1.0))
--- a/packages/teaselpond/tests/platform/test_store.py
+++ b/packages/teaselpond/tests/platform/test_store.py
@@ -220,6 +220,20 @@
         self.standin.server.abort_connections()
         await self.wait_until(lambda: self.whole_flags.count(True) == 2)
 
+    async def test_history_that_is_lost_with_each_request(self) -> None:
+        """The whole table is not read again without a pause."""
+        await self.start()
+        await self.wait_until(lambda: self.whole_flags)
+        self.rows.oldest_version = 10**6
+        self.standin.server.abort_connections()
+        await self.wait_until(lambda: self.whole_flags.count(True) == 2)
+        calls = self.rows.calls
+        await asyncio.sleep(1.0)
+        self.assertLess(self.rows.calls - calls, 12)
+        self.rows.oldest_version = 0
+        await self.rows.put("servers", "e1", b"{}")
+        await self.wait_until(lambda: "e1" in self.keys)
+
     async def test_restored_store(self) -> None:
         """A table is read whole when the store's era has changed."""
         await self.start()
