Let no change of a new reader hide removals of before its start

Cause: a reader named its newest row as the version from which on its changes are complete. A whole table shows no removals, so after one they are complete only from the version of that table on. With a store that sends its era the two are the same; without it, or after a lost history, the version of the host that was behind jumped past the removal.

test_removal_of_before_a_readers_start_is_not_skipped failed before: 12 for 5.

--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -119,9 +119,7 @@
         scheduler.meeting_seconds = FIRST_MEETING_SECONDS
 
     def apply(page: Page, is_whole: bool, asked_at: float, now: float) -> None:
-        # The page has every change since the newest known row, so a peer that
-        # has that row misses none.
-        newest_before = cache.newest_row_version
+        complete_from = cache.complete_from
         returned_at_before = host.routing_state.outages.returned_at
         rows = host.applier.apply(table, page, is_whole, asked_at, now)
         if host.routing_state.outages.returned_at != returned_at_before:
@@ -129,9 +127,9 @@
             # the removal of expired entries.
             exchange.send_heartbeats(to_all=True)
         if rows and not is_whole:
-            new_rows = tuple(row for row in page.rows if row.version > newest_before)
+            new_rows = tuple(row for row in page.rows if row.version > complete_from)
             update = Page(new_rows, page.version, page.store_seconds, False, page.era)
-            exchange.send_changes(TableChanges(table, newest_before, update))
+            exchange.send_changes(TableChanges(table, complete_from, update))
 
     return Follower(
         table,
--- a/packages/teaselpond/src/teaselpond/gateway/rowcache.py
+++ b/packages/teaselpond/src/teaselpond/gateway/rowcache.py
@@ -68,6 +68,15 @@
             self.version = max(self.version, page.version)
         return changed
 
+    @property
+    def complete_from(self) -> int:
+        """Return the version after which all that changed is known here.
+
+        A peer that knows less may miss a removal if it gets only what changes
+        from now on.
+        """
+        return max(self.newest_row_version, self.history_from)
+
     def rows_after(self, version: int) -> Iterable[Row]:
         """Return the rows with a version above the given one."""
         return [row for row in self.rows_by_key.values() if row.version > version]
--- a/packages/teaselpond/tests/gateway/test_sharing.py
+++ b/packages/teaselpond/tests/gateway/test_sharing.py
@@ -8,9 +8,11 @@
 
 import testtools
 from aiohttp.test_utils import make_mocked_request
-from attrs import define
+from attrs import define, field
 
 from teaselpond.gateway.applying import StoreApplier
+from teaselpond.gateway.assembly import make_follower
+from teaselpond.gateway.datagrams import TableChanges
 from teaselpond.gateway.members import Member, Members
 from teaselpond.gateway.prefixes import PrefixTracker
 from teaselpond.gateway.routing_state import RoutingState
@@ -27,7 +29,7 @@
 from teaselpond_standins.platform.operator import wire_configuration
 from teaselpond_standins.service import ListedUpstream
 from teaselpond_standins.testing import AsyncTestCase
-from teaselpond_standins.testing.exchanges import SilentJournal
+from teaselpond_standins.testing.exchanges import SilentJournal, SimulatedFleet
 from teaselpond_standins.testing.gateways import make_heartbeat
 
 ADDRESS = "127.0.0.1:9"
@@ -122,6 +124,20 @@
     )
 
 
+@define
+class ChangeRecorder:
+    """Record the changes that a host sends to its peers."""
+
+    sent: list[TableChanges] = field(factory=list)
+
+    def send_changes(self, changes: TableChanges) -> None:
+        """Record changes."""
+        self.sent.append(changes)
+
+    def send_heartbeats(self, *, to_all: bool = False) -> None:
+        """Ignore the announcement of a returned store."""
+
+
 class RemovalTests(AsyncTestCase):
     """Pass on removals of before a peer has read the tables."""
 
@@ -138,6 +154,29 @@
             listed = cut_off.applier.routing_state.engines_by_id
             self.assertEqual(["stays"], list(listed), era)
 
+    async def test_removal_of_before_a_readers_start_is_not_skipped(self) -> None:
+        """A host that lacks it hears of later changes from a new reader.
+
+        The store sends no era.
+        """
+        behind = make_sharing("stays", "removed", version=5, era=0)
+        (reader,) = SimulatedFleet(size=1).live_peers
+        recorder = ChangeRecorder()
+        follower = make_follower(reader.host, Table.ENGINES, None, recorder)
+        entry = json.dumps(ListedUpstream("stays").entry("plain", Address=ADDRESS))
+        whole = Page((Row("stays", entry.encode(), 3),), 10, 50.0, False, 0)
+        follower.apply(whole, True, 0.0, 0.0)
+        # The removal has version 8, and the next change version 12.
+        page = Page((Row("stays", entry.encode(), 12),), 12, 51.0, False, 0)
+        follower.apply(page, False, 1.0, 1.0)
+        (changes,) = recorder.sent
+        behind.receive_changes(changes, 1.0)
+        cache = behind.applier.caches_by_table[Table.ENGINES]
+        self.assertEqual((5, 12), (cache.version, cache.newest_row_version))
+        current = make_sharing("stays", version=10, era=0)
+        current.receive_changes(changes, 1.0)
+        self.assertEqual(12, current.applier.versions()[1])
+
 
 class RestoredTablesTests(AsyncTestCase):
     """Pass on tables while a host reads those of a restored store."""
