Suspect parts of prompts for the first second of events

Cause: events that came for 0.25 s cleared all parts of their prompt at every host, and an attempt that had got so far accused none.

test_upstreams_that_crash_some_events_later_accuse_the_part failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -18,8 +18,9 @@
 
 # A host hears of a trial at another one within a few milliseconds.
 MAX_TRIAL_DELAY_SECONDS = 0.1
-# An upstream that crashes as it begins to write may have sent some events.
-UNDERWAY_SECONDS = 0.25
+# An upstream that crashes on a part of a prompt may have sent some events
+# before. Streams that last longer accuse no part when another crash ends them.
+UNDERWAY_SECONDS = 1.0
 
 
 @define(eq=False)
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -88,6 +88,11 @@
         self.break_off(events_seconds=0.05)
         self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
 
+    def test_upstreams_that_crash_some_events_later_accuse_the_part(self) -> None:
+        """They crashed on the fifth event, 0.15 s after the one before."""
+        self.break_off(events_seconds=0.6)
+        self.assertEqual([Scope.LAST_SHARED_PART], self.refused_scopes())
+
     def test_attempts_that_had_begun_accuse_no_part(self) -> None:
         """The upstream did not crash on a part that it wrote on before."""
         self.break_off(events_seconds=UNDERWAY_SECONDS)
