Move the relay of events out of the relay of calls

Change: event_relay.py passes a stream's events on. Calls that a planned stop ends accuse no upstream of silence.

--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -7,6 +7,7 @@
 from .crash_reports import CrashReports
 from .datagrams import TableChanges
 from .entry import CallerRequestHandler
+from .event_relay import EventRelay
 from .following import Follower
 from .host import GatewayHost
 from .liveness import LivenessChecker
@@ -67,6 +68,9 @@
         backoffs=host.backoffs,
     )
     reports = AnswerReports(host.routing_state, host.loads, host.backoffs, host.journal)
+    crash_reports = CrashReports(
+        host.poison, host.loads, host.health, host.journal, host.clock
+    )
     relay = Relay(
         headers,
         host.routing_state,
@@ -75,7 +79,7 @@
         reports,
         host.loads,
         host.health,
-        CrashReports(host.poison, host.loads, host.health, host.journal, host.clock),
+        crash_reports,
         LivenessChecker(
             sender,
             reports,
@@ -92,6 +96,7 @@
         host.host_count,
         host.retries,
         host.drain,
+        EventRelay(crash_reports, host.metrics, host.clock),
     )
     return CallerRequestHandler(
         headers,
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -1,21 +1,18 @@
 """Send calls to upstreams, retry failed attempts, and relay the answers."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 from attrs import define, field
 
 from ..exceptions import UpstreamBroken
-from ..upstreams.events import SparseEventSplitter
-from .answers import AnswerHead
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
 from .crash_reports import CrashReports
 from .drain import Drain
+from .event_relay import EventRelay, EventSink
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .held_answers import HeldAnswers
@@ -23,7 +20,6 @@
 from .liveness import LivenessChecker
 from .loads import LoadTracker
 from .metrics import Metrics
-from .pacing import EventPace
 from .placement import NoPlacement, Placement, Placer
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
@@ -33,7 +29,6 @@
 from .running import RunningWaits
 from .sending import (
     AttemptFailed,
-    OpenAnswer,
     Sender,
     WholeAnswer,
     attempt_failure,
@@ -58,25 +53,12 @@
 # With less time remaining, a call is not sent at all.
 MIN_REMAINING_SECONDS = 0.01
 # A stream that may be repeated is retried on another upstream when its first
-# event takes longer than this multiple of the route's latency objective, or a
-# later event longer than this multiple of the route's longest pause.
+# event takes longer than this multiple of the route's latency objective.
 FIRST_EVENT_TIMEOUT_FACTOR = 1.5
-PAUSE_TIMEOUT_FACTOR = 2.0
 # These statuses promise the caller that the call did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class EventSink(Protocol):
-    """Write the events of a stream to a caller."""
-
-    @property
-    def has_begun(self) -> bool:
-        """Return whether a part of the answer was written to the caller."""
-
-    async def write(self, head: AnswerHead, events: bytes) -> None:
-        """Write whole events; the first write sends the head before them."""
-
-
 @define(eq=False)
 class Relay:
     """Place calls on upstreams, relay answers, and retry where allowed."""
@@ -96,6 +78,7 @@
     host_count: Callable[[], int]
     retries: RetryBudgets
     drain: Drain
+    events: EventRelay
     rng: random.Random = field(factory=random.Random)
     held_answers: HeldAnswers = field(factory=HeldAnswers)
     running: RunningWaits = field(factory=RunningWaits)
@@ -224,8 +207,11 @@
                 progress.may_run = may_run_before or not failed.not_run
                 raise
             except asyncio.CancelledError:
-                # The deadline passed or the caller disconnected.
-                self.crash_reports.record_silence(call, progress, engine, self.clock())
+                # The deadline passed, the caller disconnected or this host ends.
+                if not self.running.has_ended:
+                    self.crash_reports.record_silence(
+                        call, progress, engine, self.clock()
+                    )
                 raise
         self.health.get(engine.engine_id).record(Result.SUCCESS, self.clock())
         self.crash_reports.record_answer(call, progress, self.clock())
@@ -266,7 +252,9 @@
                     check_success_head(head, peer)
                     if sink.has_begun:
                         check_continuation(head, peer)
-                    await self._stream(call, answer, sink, progress, response_timeout)
+                    await self.events.pass_on(
+                        call, answer, sink, progress, response_timeout
+                    )
                     return None
                 finally:
                     self.sender.release(answer)
@@ -277,49 +265,6 @@
                 raise AttemptFailed(Result.SILENT, "silent", peer=peer) from None
             raise
 
-    async def _stream(
-        self,
-        call: Call,
-        answer: OpenAnswer,
-        sink: EventSink,
-        progress: Progress,
-        event_timeout: PauseAwareTimeout,
-    ) -> None:
-        last_id = progress.last_event_id
-        events = SparseEventSplitter(_event_number(last_id))
-        pace = EventPace(self.clock())
-        async for part in answer.parts():
-            progress.heard_at = now = self.clock()
-            count = events.count
-            batch = events.feed(part)
-            wait_seconds = pace.record(events.count - count, now)
-            if not batch:
-                continue
-            has_timeout = event_timeout.when() is not None
-            # A slow caller must not count as a silent upstream.
-            event_timeout.reschedule(None)
-            if not sink.has_begun:
-                self.metrics.record_first_event(call, self.clock())
-            self.crash_reports.record_events(call, progress, self.clock())
-            progress.heard_at = math.inf
-            await sink.write(answer.head, batch)
-            if wait_seconds:
-                await asyncio.sleep(wait_seconds)
-            progress.heard_at = self.clock()
-            if has_timeout:
-                pause = call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR
-                event_timeout.reschedule(asyncio.get_running_loop().time() + pause)
-            if events.last_id >= 0:
-                progress.last_event_id = str(events.last_id)
-        if events.incomplete:
-            raise UpstreamBroken(
-                "the stream ended in the middle of an event", step="stream"
-            )
-        if not sink.has_begun:
-            raise UpstreamBroken(
-                "the stream ended before its first event", step="stream"
-            )
-
     def _response_timeout(self, call: Call, progress: Progress) -> float | None:
         """Return the seconds until an attempt is retried, None for no limit.
 
@@ -500,11 +445,3 @@
 def _shared_part_ids(call: Call) -> list[str]:
     prompt = call.head.prompt
     return [part.part_id for part in prompt.shared_parts] if prompt else []
-
-
-def _event_number(event_id: str | None) -> int:
-    """Return an event id as a number, -1 if it is not one."""
-    try:
-        return int(event_id) if event_id is not None else -1
-    except ValueError:
-        return -1
