--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -207,7 +207,7 @@
                 progress.may_run = may_run_before or not failed.not_run
                 raise
             except asyncio.CancelledError:
-                # The deadline passed, the caller disconnected or this host ends.
+                # The deadline passed, the caller is gone or this host ends.
                 if not self.running.has_ended:
                     self.crash_reports.record_silence(
                         call, progress, engine, self.clock()
