Let a soak of many gateways end without an error of its own

Cause: a series of stops lasted over a minute, as its gaps grow with the fleet, and was cancelled in the middle of a restart. Its gateway had no process then, and the one being started was not ended.

Change: gaps are shorter in fleets of more than twelve; a start that is cancelled ends its process; gateways without one are started before the last check.

--- a/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/fleet/process.py
@@ -34,7 +34,8 @@
         """Start ``python -m`` with the arguments and wait until it listens.
 
         The process prints its addresses as a line of JSON. Raise
-        TeaselpondError if it exits first or exceeds START_TIMEOUT_SECONDS.
+        TeaselpondError if it exits first or exceeds START_TIMEOUT_SECONDS. If
+        cancelled, no process is left.
         """
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -58,6 +59,9 @@
             raise TeaselpondError(
                 f"{name} did not start: {managed.log_tail()}", step="start", peer=name
             ) from error
+        except asyncio.CancelledError:
+            await managed.kill()
+            raise
         return managed
 
     @property
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -10,6 +10,8 @@
 
 # No disturbance starts before the gateways have discovered each other.
 FAULT_FREE_START_SECONDS = 3.0
+# A series of more gateways has shorter gaps, so that it ends with the soak.
+SERIES_GATEWAYS = 12
 
 
 @frozen
@@ -151,7 +153,7 @@
         """Draw gateways to kill."""
         seconds = self._choose_seconds(0.3, 6)
         return KillGateways(
-            at, seconds, self._choose_gateways(1.0), self._choose_seconds(0, 1.5)
+            at, seconds, self._choose_gateways(1.0), self._choose_gap(0, 1.5)
         )
 
     def pause_gateways(self, at: float) -> Disturbance:
@@ -164,7 +166,7 @@
         """Draw gateways to stop."""
         seconds = self._choose_seconds(0.3, 3)
         return StopGateways(
-            at, seconds, self._choose_gateways(1.0), self._choose_seconds(0.2, 2)
+            at, seconds, self._choose_gateways(1.0), self._choose_gap(0.2, 2)
         )
 
     def reload_gateways(self, at: float) -> Disturbance:
@@ -229,6 +231,14 @@
     def _choose_seconds(self, minimum: float, maximum: float) -> float:
         return round(self.random.uniform(minimum, maximum), 2)
 
+    def _choose_gap(self, minimum: float, maximum: float) -> float:
+        """Draw the time between two gateways of a series.
+
+        A series through a large fleet takes as long as through a small one.
+        """
+        seconds = self._choose_seconds(minimum, maximum)
+        return seconds * min(1.0, SERIES_GATEWAYS / len(self.gateways))
+
     def _choose_gateways(self, max_ratio: float) -> tuple[str, ...]:
         maximum = max(1, round(max_ratio * len(self.gateways)))
         return tuple(self.random.sample(self.gateways, self.random.randint(1, maximum)))
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/site.py
@@ -215,6 +215,11 @@
         elif rows.value("servers", engine_id) is not None:
             await rows.remove("servers", engine_id)
 
+    async def start_ended_gateways(self) -> None:
+        """Start the gateways that a disturbance has left without a process."""
+        ended = [each for each in self.gateways if each.process is None]
+        await asyncio.gather(*(each.start() for each in ended))
+
     async def is_ready(self, gateway: SoakGateway) -> bool:
         """Return whether a gateway reports that it is ready for callers."""
         url = f"http://{gateway.ip}:{self.ports['ready']}/v1/readyz"
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/soak.py
@@ -84,6 +84,7 @@
             tasks, self.plan.seconds + SETTLE_SECONDS
         )
         await cancel(tasks)
+        await site.start_ended_gateways()
         await self._check_recovery(context, request_numbers)
 
     def _schedule(self, site: SoakSite) -> tuple[Disturbance, ...]:
