Limit the body of an answer of the store or a peer

Cause: answers of upstreams had a limit, those of the platform and of peers were read whole until a timeout of up to 2.8 s. The daemon kept what came after the last event of a stream for as long as it waited for its end.

Change: 16 MiB, twice the largest object. The daemon drops the bytes after the last event as they come.

EndlessStoreAnswerTests.test_body_without_end failed before. The stand-in of a peer in test_sharing offers its body as a stream now; its checks are the same.

--- a/packages/teaselpond-model/src/teaselpond_model/bounded_answers.py
+++ b/packages/teaselpond-model/src/teaselpond_model/bounded_answers.py
@@ -21,7 +21,16 @@
 INTERIM_STATUSES = range(100, 200)
 
 
-class ExcessiveFraming(aiohttp.ClientError):
+# The largest body that is read from the platform or a peer. The platform's
+# objects have up to 8 MiB.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class ExcessiveAnswer(aiohttp.ClientError):
+    """Report an answer that is larger than any sound one."""
+
+
+class ExcessiveFraming(ExcessiveAnswer):
     """Report an answer that is mostly no body, and may never end."""
 
 
@@ -101,6 +110,7 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**{"socket_factory": open_bounded_socket, **options})
+        # The library has no option for the class that parses answers.
         self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
 
 
@@ -110,3 +120,15 @@
     new_socket = BoundedSocket(family, type_, protocol)
     new_socket.setblocking(False)
     return new_socket
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return the body of an answer; raise ExcessiveAnswer beyond the limit."""
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > limit:
+            raise ExcessiveAnswer(f"the body is larger than {limit} bytes")
+    return bytes(body)
--- a/packages/teaselpond-model/src/teaselpond_model/store_calls.py
+++ b/packages/teaselpond-model/src/teaselpond_model/store_calls.py
@@ -8,6 +8,7 @@
 import attrs
 from attrs import field, frozen
 
+from .bounded_answers import read_bounded
 from .exceptions import StoreOutcomeUnknown, StoreUnavailable
 from .resends import forbid_resend
 
@@ -113,7 +114,7 @@
         async with self.session.request(
             method, self.base_url + path, allow_redirects=False, **arguments
         ) as response:
-            content = await response.read()
+            content = await read_bounded(response)
             return PlatformAnswer(response.status, content, response.headers)
 
     def unavailable(self, step: str, cause: object) -> StoreUnavailable:
--- a/packages/teaselpond-model/tests/test_bounded_answers.py
+++ b/packages/teaselpond-model/tests/test_bounded_answers.py
@@ -64,7 +64,7 @@
             writer.write(head)
             try:
                 while True:
-                    writer.write(junk * 100)
+                    writer.write(junk * (1 + 1000 // len(junk)))
                     await writer.drain()
                     await asyncio.sleep(0)
             except ConnectionError:
@@ -89,6 +89,11 @@
         """They bring hardly any body."""
         await self.check_ends(CHUNKED_HEAD, SMALL_CHUNK)
 
+    async def test_body_without_end(self) -> None:
+        """It comes in large chunks, faster than any timeout ends it."""
+        junk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+        await self.check_ends(CHUNKED_HEAD, junk)
+
     async def test_chunk_extensions_without_end(self) -> None:
         """They bring no body."""
         await self.check_ends(CHUNKED_HEAD + b"1;", b"extension")
--- a/packages/teaselpond/src/teaselpond/gateway/sharing.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sharing.py
@@ -12,6 +12,7 @@
 from aiohttp.web_request import BaseRequest
 from attrs import define, field, frozen
 
+from teaselpond_model.bounded_answers import read_bounded
 from teaselpond_model.exceptions import TeaselpondError
 
 from .applying import StoreApplier
@@ -358,7 +359,7 @@
             async with self.session.get(
                 url, params=params, timeout=timeout
             ) as response:
-                content = await response.read()
+                content = await read_bounded(response)
             if response.status != 200:
                 raise PeerUnavailable(
                     f"peer {peer.heartbeat.host}: expected status 200,"
--- a/packages/teaselpond/src/teaselpond/upstreams/engines.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/engines.py
@@ -120,7 +120,9 @@
         """Read to the end of the answer and release the connection."""
         try:
             async with asyncio.timeout(FINISH_TIMEOUT_SECONDS):
-                await self._response.content.read()
+                # Bytes after the last event may come without end.
+                async for _ in self._response.content.iter_any():
+                    pass
         except (TimeoutError, aiohttp.ClientError, ConnectionError):
             # close() does not reuse a connection whose answer has not ended.
             pass
--- a/packages/teaselpond/tests/gateway/test_sharing.py
+++ b/packages/teaselpond/tests/gateway/test_sharing.py
@@ -103,9 +103,14 @@
         self.status = self.response.status
         yield self
 
-    async def read(self) -> bytes:
-        """Return the body of the answer."""
-        return self.response.body
+    @property
+    def content(self) -> "PeerSession":
+        """Return the reader of the answer's body."""
+        return self
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield the body of the answer."""
+        yield self.response.body or b""
 
 
 def make_sharing(*engine_ids: str, version: int, era: int) -> RoutingStateSharing:
