Let some bodies of the soak come late

The soak did not send what other operators reported: requests whose bodies are complete some time after their heads, beside planned stops.

Change: a tenth of its requests with a body send the rest of it 0.1 to 1.5 s after the head.

--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/callers.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/callers.py
@@ -5,6 +5,7 @@
 import json
 import random
 import time
+from collections.abc import AsyncIterator
 
 import aiohttp
 from attrs import define, field
@@ -29,6 +30,9 @@
 GIVE_UP_RATIO = 0.05
 GIVE_UP_SECONDS = (0.02, 0.3)
 OLD_KEY_RATIO = 0.25
+# Some bodies are complete this much later than their heads.
+SLOW_BODY_RATIO = 0.1
+SLOW_BODY_SECONDS = (0.1, 1.5)
 SESSION_COUNT = 12
 SHARED_PREFIX = "a1:400"
 
@@ -81,6 +85,8 @@
         kind = self.rng.choice(tuple(CallKind))
         attempt = self._build_attempt(address, kind, self._choose_key())
         self.records.attempts.append(attempt)
+        if self.rng.random() < SLOW_BODY_RATIO:
+            attempt.body_seconds = self.rng.uniform(*SLOW_BODY_SECONDS)
         if self.rng.random() < GIVE_UP_RATIO:
             seconds = self.rng.uniform(*GIVE_UP_SECONDS)
             try:
@@ -139,7 +145,7 @@
                 "GET" if is_get else "POST",
                 URL(f"http://{address}{attempt.target}", encoded=True),
                 headers=headers,
-                data=None if is_get else attempt.request_id.encode(),
+                data=None if is_get else _make_body(attempt),
             ) as response:
                 attempt.status = response.status
                 attempt.seal = response.headers.get(SIGNATURE, "")
@@ -200,3 +206,17 @@
             )
         )
         return bool(self._addresses)
+
+
+def _make_body(attempt: Attempt) -> bytes | AsyncIterator[bytes]:
+    """Return a body, or one that comes in two parts after each other."""
+    content = attempt.request_id.encode()
+    return (
+        _send_late(content, attempt.body_seconds) if attempt.body_seconds else content
+    )
+
+
+async def _send_late(content: bytes, seconds: float) -> AsyncIterator[bytes]:
+    yield content[:1]
+    await asyncio.sleep(seconds)
+    yield content[1:]
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/records.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/records.py
@@ -40,7 +40,8 @@
 class Attempt:
     """Record one request to one gateway, and how it ended.
 
-    ``seal`` is the engine's signature in the answer.
+    ``seal`` is the engine's signature in the answer. The body was complete
+    ``body_seconds`` after the head.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     retry_after: float | None = None
     body: bytes = b""
     gave_up_at: float | None = None
+    body_seconds: float = 0.0
 
     @property
     def is_success(self) -> bool:
