End an ejection as unreachable with the first answer

Callers saw 503 for up to 4 s after all upstreams of a service were back.

Cause: an upstream to which no connection is made is left out for 0.5 s, and up to 4 s after further failures, which also count attempts that broke off. A host that has no other upstream tries one each half second. Its answer did not end the time for which it was left out, so all other calls were refused on. If the call was one that needs a health check first, the check used the try up, and the call was refused although the check was answered.

Change: any answer to what was sent after the ejection ends it, that to a health check too. An answer to an earlier request does not, as its connection may live while no new one is made.

--- a/packages/teaselpond/src/teaselpond/gateway/health.py
+++ b/packages/teaselpond/src/teaselpond/gateway/health.py
@@ -53,21 +53,26 @@
     """Track one upstream's failures and ejection.
 
     Times are on the boot clock. ``reason`` is the result that caused the last
-    ejection, ``answered_at`` when an answer last showed that the upstream
-    lives, ``probed_at`` when it was last used in spite of an ejection.
+    ejection, ``ejected_at`` when that was, ``answered_at`` when an answer last
+    showed that the upstream lives, ``probed_at`` when it was last used in
+    spite of an ejection.
     """
 
     failure_rate: float = 0.0
     consecutive_failures: int = 0
+    ejected_at: float = -math.inf
     ejected_until: float = 0.0
     reason: str = ""
     answered_at: float = -math.inf
     probed_at: float = -math.inf
 
-    def record(self, result: Result, now: float) -> bool:
-        """Record a result; return whether it newly ejects the upstream."""
+    def record(self, result: Result, now: float, sent_at: float = -math.inf) -> bool:
+        """Record a result; return whether it newly ejects the upstream.
+
+        ``sent_at`` is when the request was sent, if that is known.
+        """
         if result in ANSWERED_RESULTS:
-            self.answered_at = now
+            self.record_answer(now, sent_at)
         if result is Result.SHED:
             return False
         failed = result is not Result.SUCCESS
@@ -90,12 +95,22 @@
             return self._eject(FAILURE_EJECT_SECONDS, result, now)
         return False
 
+    def record_answer(self, now: float, sent_at: float) -> None:
+        """Record that the upstream answered what was sent to it at a time.
+
+        An ejection of before that ends if it was for an unreachable upstream.
+        """
+        self.answered_at = now
+        if self.reason == Result.UNREACHABLE.value and sent_at >= self.ejected_at:
+            self.ejected_until = min(now, self.ejected_until)
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the upstream is ejected."""
         return now < self.ejected_until
 
     def _eject(self, seconds: float, result: Result, now: float) -> bool:
         was_ejected = self.is_ejected(now)
+        self.ejected_at = now
         self.ejected_until = now + seconds
         self.reason = result.value
         return not was_ejected
--- a/packages/teaselpond/src/teaselpond/gateway/liveness.py
+++ b/packages/teaselpond/src/teaselpond/gateway/liveness.py
@@ -64,7 +64,7 @@
         try:
             path = self._health_path(call)
             head = await self.sender.check_health(engine, path)
-            health.answered_at = self.clock()
+            health.record_answer(self.clock(), started_at)
             self.reports.record(engine, head, self.clock())
         except AttemptFailed as failed:
             result = failed.result
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -213,7 +213,9 @@
                         call, progress, engine, self.clock()
                     )
                 raise
-        self.health.get(engine.engine_id).record(Result.SUCCESS, self.clock())
+        self.health.get(engine.engine_id).record(
+            Result.SUCCESS, self.clock(), progress.sent_at
+        )
         self.crash_reports.record_answer(call, progress, self.clock())
         return reply
 
@@ -294,7 +296,9 @@
             progress.refused_by_ids.add(engine.engine_id)
         progress.arrivals += failed.may_have_arrived
         progress.runs += failed.may_have_arrived and not failed.not_run
-        ejected = self.health.get(engine.engine_id).record(failed.result, now)
+        ejected = self.health.get(engine.engine_id).record(
+            failed.result, now, progress.sent_at
+        )
         self.metrics.record_attempt_failure(failed.result.value)
         self.journal.write(
             "attempt-failed",
--- a/packages/teaselpond/tests/gateway/test_health.py
+++ b/packages/teaselpond/tests/gateway/test_health.py
@@ -3,6 +3,7 @@
 import testtools
 
 from teaselpond.gateway.health import (
+    ANSWERED_RESULTS,
     PROBE_GAP_SECONDS,
     EngineHealth,
     HealthTracker,
@@ -46,6 +47,29 @@
             health.record(Result.SHED, number / 10)
         self.assertFalse(health.is_ejected(5.0))
 
+    def test_answer_shows_that_an_upstream_can_be_reached_again(self) -> None:
+        """Any answer to what was sent after the ejection ends it."""
+        for result in ANSWERED_RESULTS:
+            health = EngineHealth()
+            health.record(Result.UNREACHABLE, 1.0)
+            health.record(result, 1.2, sent_at=1.1)
+            self.assertFalse(health.is_ejected(1.2))
+
+    def test_answer_to_an_earlier_request_ends_no_ejection(self) -> None:
+        """A connection of before may live while no new one is made."""
+        health = EngineHealth()
+        health.record(Result.UNREACHABLE, 1.0)
+        health.record(Result.SUCCESS, 1.1, sent_at=0.9)
+        self.assertTrue(health.is_ejected(1.2))
+
+    def test_answer_ends_no_ejection_for_failures(self) -> None:
+        """An upstream that fails many requests answers others."""
+        health = EngineHealth()
+        for _ in range(8):
+            health.record(Result.FAILED, 1.0)
+        health.record(Result.SUCCESS, 1.6, sent_at=1.5)
+        self.assertTrue(health.is_ejected(1.7))
+
     def test_not_all_are_ejected(self) -> None:
         """If most are ejected, those that can be reached are used."""
         tracker = HealthTracker()
--- a/packages/teaselpond/tests/gateway/test_liveness.py
+++ b/packages/teaselpond/tests/gateway/test_liveness.py
@@ -111,6 +111,14 @@
         self.end_process(self.engine)
         self.assertTrue(self.must_check())
 
+    async def test_unreachable_upstream_that_answers_the_check_is_used(self) -> None:
+        """The call for which it was checked would be refused otherwise."""
+        await self.setup_checker(RelayMode.PASS)
+        self.end_process(make_engine("e2"))
+        self.health.get("e1").record(Result.UNREACHABLE, self.now)
+        await self.check()
+        self.assertEqual(["e1"], self.health.healthy(["e1"], self.now))
+
     async def test_upstream_that_resets_the_check_is_left_out(self) -> None:
         """Nothing is sent to it, and its health suffers."""
         await self.setup_checker(RelayMode.REFUSE)
