Make four tests independent of pauses of their own process

StallWatch: a pause of 30 ms expires the first wait ('caller' != 'engine'). Ledger: a pause of 0.2 s before the write leaves no time until the deadline of 0.15 s, and the call is rightly not sent ('store-unavailable not-run').

Change: the wait that must not expire has 10 s; the deadline is 1 s for work of 1.5 s; the first answer has 500 words; silence is 2 s. What is checked stays the same. A watch that kept the first deadline would now hang the first test.

--- a/packages/teaselpond-standins/tests/engine/test_faults.py
+++ b/packages/teaselpond-standins/tests/engine/test_faults.py
@@ -17,7 +17,8 @@
 WHOLE = expected_answer(MESSAGES)
 # Six words, the finish reason and the end marker.
 ALL_EVENTS = 8
-SILENCE_SECONDS = 0.3
+# Caller and engine share an event loop, so a pause of it is silence too.
+SILENCE_SECONDS = 2.0
 
 
 @frozen
--- a/packages/teaselpond-standins/tests/engine/test_interface.py
+++ b/packages/teaselpond-standins/tests/engine/test_interface.py
@@ -172,12 +172,13 @@
         standin = await self.open_engine(evolve(FAST, slots=1, cold_limit=1))
         order = []
 
-        async def call(name: str, priority: str) -> None:
+        async def call(name: str, priority: str, words: int = 20) -> None:
             headers = {"X-Request-Id": name, "X-Priority": priority}
-            await self.chat(chat_body("words:20 " + name), **headers)
+            await self.chat(chat_body(f"words:{words} {name}"), **headers)
             order.append(name)
 
-        first = asyncio.create_task(call("first", "5"))
+        # It must run until the queue is full and the last request is refused.
+        first = asyncio.create_task(call("first", "5", words=500))
         await self.wait_until(lambda: standin.engine.batch.running)
         others = [asyncio.create_task(call(f"p{n}", str(n))) for n in (3, 2, 1, 0)]
         await self.wait_until(lambda: standin.engine.batch.load == 5)
--- a/packages/teaselpond/tests/delivery/test_ledger.py
+++ b/packages/teaselpond/tests/delivery/test_ledger.py
@@ -36,11 +36,11 @@
 class LedgerEnvironment:
     """Run a platform, a service, and the ledgers of two daemons."""
 
-    def __init__(self) -> None:
+    def __init__(self, idle_seconds: float = 0.6) -> None:
         self.standin = PlatformStandin()
         self.faults = self.standin.faults
         self.service = ServiceStandin()
-        self.client = UpstreamClient(reuse=False, idle_seconds=0.6)
+        self.client = UpstreamClient(reuse=False, idle_seconds=idle_seconds)
 
     def make_ledger(self, daemon: str) -> Ledger:
         table, objects = self.platform.table, self.platform.objects
@@ -271,10 +271,11 @@
 
     async def test_deadline_passes_during_the_call(self) -> None:
         """Report that a call may have run if its deadline passes meanwhile."""
-        async with LedgerEnvironment() as environment:
-            environment.service.work_seconds = 0.25
+        async with LedgerEnvironment(idle_seconds=5.0) as environment:
+            # A busy machine must write the record before the deadline.
+            environment.service.work_seconds = 1.5
             self.assertEqual(
-                "deadline may-have-run", await environment.run_call("a", seconds=0.15)
+                "deadline may-have-run", await environment.run_call("a", seconds=1.0)
             )
             self.assertEqual("200 repeated", await environment.run_call("b"))
             self.assertEqual(1, environment.runs)
--- a/packages/teaselpond/tests/delivery/test_stalls.py
+++ b/packages/teaselpond/tests/delivery/test_stalls.py
@@ -13,7 +13,8 @@
         """Name the wait that took too long, not the one before it."""
         try:
             async with StallWatch(0.02) as watch:
-                watch.start_wait("engine", 0.02)
+                # A pause of the test must not expire the first wait.
+                watch.start_wait("engine", 10.0)
                 await asyncio.sleep(0.001)
                 watch.start_wait("caller", 0.02)
                 await asyncio.Event().wait()
