--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -27,6 +27,9 @@
 PREFIX_HASH = "X-Teaselpond-Prefix-Hash"
 ENDLESS_BODY = bytes(64 * 1024)
 ENDLESS_COMMENTS = b": nothing yet\n\n" * 1024
+ENDLESS_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 256
+ENDLESS_CHUNKS = b"1\r\nx\r\n" * 1024
+ENDLESS_GAP_SECONDS = 0.001
 STREAM_PREFIXES = ("/stream/", "/single/")
 # SO_LINGER with a timeout of 0: closing sends a reset instead of a FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -56,6 +59,9 @@
     CUT_EVENT = "cut-event"
     STALL_STREAM = "stall-stream"
     ENDLESS = "endless"
+    # Bytes without end that are hardly any body: heads, or chunks of one byte.
+    ENDLESS_HEADS = "endless-heads"
+    ENDLESS_CHUNKS = "endless-chunks"
 
 
 NOT_RUN_KINDS = frozenset(
@@ -269,6 +275,8 @@
         ):
             response = web.Response(body=b"failed", headers=headers)
             return await self._apply_fault(request, response, fault)
+        if fault is not None and fault.kind is ListedFaultKind.ENDLESS_HEADS:
+            return await self._send_framing_endlessly(request, ENDLESS_HEADS)
         make_response = UnframedResponse if self.is_unframed else web.StreamResponse
         response = make_response(
             headers={**headers, "Content-Type": "text/event-stream"}
@@ -283,6 +291,8 @@
             if fault is not None and number - first >= fault.events:
                 if fault.kind is ListedFaultKind.ENDLESS:
                     return await self._send_endlessly(response, ENDLESS_COMMENTS)
+                if fault.kind is ListedFaultKind.ENDLESS_CHUNKS:
+                    return await self._send_framing_endlessly(request, ENDLESS_CHUNKS)
                 if fault.kind is ListedFaultKind.STALL_STREAM:
                     await asyncio.Event().wait()
                 if fault.kind is ListedFaultKind.CUT_EVENT:
@@ -324,6 +334,12 @@
                 endless = web.StreamResponse(headers=response.headers)
                 await endless.prepare(request)
                 return await self._send_endlessly(endless, ENDLESS_BODY)
+            case ListedFaultKind.ENDLESS_HEADS:
+                return await self._send_framing_endlessly(request, ENDLESS_HEADS)
+            case ListedFaultKind.ENDLESS_CHUNKS:
+                endless = web.StreamResponse(headers=response.headers)
+                await endless.prepare(request)
+                return await self._send_framing_endlessly(request, ENDLESS_CHUNKS)
         return response
 
     async def _send_endlessly(
@@ -336,6 +352,18 @@
             # Let other calls run when a write does not wait.
             await asyncio.sleep(0)
 
+    async def _send_framing_endlessly(
+        self, request: web.Request, framing: bytes
+    ) -> web.StreamResponse:
+        """Send bytes as they are until the connection is closed."""
+        transport = request.transport
+        while not transport.is_closing():
+            if not transport.get_write_buffer_size():
+                transport.write(framing)
+                self.endless_bytes += len(framing)
+            await asyncio.sleep(ENDLESS_GAP_SECONDS)
+        return web.Response()
+
 
 class UnframedResponse(web.StreamResponse):
     """Send a body without a length or chunks; it ends with the connection."""
