--- a/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/service/listed.py
@@ -101,8 +101,9 @@
 class ListedUpstream:
     """Serve a stand-in of an upstream on one loopback port.
 
-    A stream has ``stream_events`` events, ``event_seconds`` apart. Each
-    answer has a header with the engine's id as its signature. While
+    A stream has ``stream_events`` events, ``event_seconds`` apart, and pauses
+    for ``pause_seconds`` before the event ``pause_event``, if set, unless it
+    goes on there. Each answer has a header with the engine's id as its signature. While
     ``is_leaving`` is set, all answers say so. ``retry_after`` is the header of
     that name in the answers to calls that get the fault BACK_OFF. A call whose
     target or body contains ``crash_marker`` runs, and is not answered:
@@ -118,6 +119,8 @@
     port: int = 0
     stream_events: int = 5
     event_seconds: float = 0.0
+    pause_event: int | None = None
+    pause_seconds: float = 0.0
     work_seconds: float = 0.0
     is_leaving: bool = False
     retry_after: str = "1"
@@ -302,6 +305,8 @@
                 # Closing sends what was written; an abort would discard it.
                 request.transport.close()
                 return response
+            if number == self.pause_event and number > first:
+                await asyncio.sleep(self.pause_seconds)
             lines = (f"id: {number}", f"data: event {number}", "", "")
             await response.write(self.line_end.join(lines).encode())
             await asyncio.sleep(self.event_seconds)
