Keep lines on the end of calls when a host logs too much

One accepted request of the users' record has no line on its host: lines that decide an end shared one limit with those of all placed calls, and an answer that its caller did not take was not logged. The last 150 of 600 lines of a burst are now for the former, and the latter is a line of its own; retry-refused tells what remains of the budget, attempt-failed the silence, so that the lines tell the three hypotheses apart.

--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -99,9 +99,15 @@
         try:
             await response.prepare(request)
             await response.write_eof()
-        except ConnectionError:
+        except ConnectionError as error:
             # The caller is gone, or its connection was closed on purpose.
-            return
+            self.journal.write(
+                "answer-not-taken",
+                self.clock(),
+                path=request.raw_path[:80],
+                status=response.status,
+                error=repr(error)[:80],
+            )
 
     async def _wait_for_start(self) -> None:
         """Wait a little while a process that has just started reads its state.
--- a/packages/teaselpond/src/teaselpond/gateway/journal.py
+++ b/packages/teaselpond/src/teaselpond/gateway/journal.py
@@ -14,6 +14,21 @@
 # Rate and burst that the operators' log store accepts from one process.
 LINES_PER_SECOND = 200.0
 BURST_LINES = 600.0
+# Lines that tell how a call ended may use the last part of the burst alone.
+RESERVED_LINES = 150.0
+END_EVENTS = frozenset(
+    {
+        "answer-not-taken",
+        "attempt-failed",
+        "caller-gone",
+        "calls-cut",
+        "cut",
+        "ending-calls",
+        "internal-error",
+        "not-placed",
+        "retry-refused",
+    }
+)
 # Limits the lines buffered while standard output accepts no data.
 MAX_PENDING_BYTES = 256 * 1024
 # A library's message may quote a caller's request, so it is truncated.
@@ -43,7 +58,8 @@
     def write(self, event: str, now: float, /, **fields: Any) -> None:
         """Queue one line; ``now`` is a time of the boot clock."""
         self._refill(now)
-        if self._tokens < 1 or len(self._pending) > MAX_PENDING_BYTES:
+        reserved = 0.0 if event in END_EVENTS else RESERVED_LINES
+        if self._tokens < 1 + reserved or len(self._pending) > MAX_PENDING_BYTES:
             self._dropped_count += 1
             return
         self._tokens -= 1
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -309,6 +309,7 @@
             reason=failed.reason,
             not_run=failed.not_run,
             age_seconds=round(now - call.arrived_at, 3),
+            silent_seconds=round(max(0.0, now - progress.heard_at), 3),
             after_event=progress.last_event_id,
             has_begun=progress.begun_at is not None,
             parts=_shared_part_ids(call),
@@ -339,6 +340,7 @@
                 service=call.service,
                 requests=budget.request_count(now),
                 retries=budget.retry_count(now),
+                remaining=round(budget.remaining(now, host_count), 2),
                 excess_of_others=round(
                     self.retries.excess_of_others(call.service, now, host_count), 2
                 ),
