Give up a silent attempt only when another one is certain

Cause: an attempt that was silent for a time was ended first; only then were a placement, the stop, a probation and the retry budget asked, and each of these can say no. A retry that the budget allowed was refused for good if peers had not confirmed the last report, which takes a round trip.

An overdue attempt stays open now. While all attempts of a call are overdue, it asks for another one, which is started when it is placed, may run and is within the budget. Attempts run side by side until the first has something for the caller, on begun streams for 0.3 s at most, so that no two upstreams go on with one stream. Retries that wait for a confirmation alone ask again for 0.3 s. Calls that must not run twice have one attempt at a time, as before.

--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -11,6 +11,7 @@
 from .following import Follower
 from .host import GatewayHost
 from .liveness import LivenessChecker
+from .next_attempts import NextAttempts
 from .peers import PeerExchange
 from .placement import Placer
 from .readers import FIRST_MEETING_SECONDS, ReadScheduler
@@ -71,31 +72,42 @@
     crash_reports = CrashReports(
         host.poison, host.loads, host.health, host.journal, host.clock
     )
+    liveness = LivenessChecker(
+        sender,
+        reports,
+        host.routing_state,
+        host.poison,
+        host.health,
+        host.loads,
+        host.journal,
+        host.clock,
+    )
+    next_attempts = NextAttempts(
+        placer,
+        crash_reports,
+        liveness,
+        host.retries,
+        host.drain,
+        host.journal,
+        host.metrics,
+        host.clock,
+        host.host_count,
+    )
     relay = Relay(
         headers,
         host.routing_state,
+        next_attempts,
         placer,
         sender,
         reports,
         host.loads,
         host.health,
         crash_reports,
-        LivenessChecker(
-            sender,
-            reports,
-            host.routing_state,
-            host.poison,
-            host.health,
-            host.loads,
-            host.journal,
-            host.clock,
-        ),
         host.journal,
         host.metrics,
         host.clock,
         host.host_count,
         host.retries,
-        host.drain,
         EventRelay(crash_reports, host.metrics, host.clock),
     )
     return CallerRequestHandler(
--- a/packages/teaselpond/src/teaselpond/gateway/budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/budgets.py
@@ -102,16 +102,23 @@
         return self._unreported_limit + earned * USABLE_RATIO - retries < 1
 
     def try_acquire(self, now: float, host_count: int, excess: float = 0.0) -> bool:
-        """Use one retry if any remains; return whether one did.
+        """Use one retry if any remains; return whether one did."""
+        if not self.may_retry(now, host_count, excess):
+            return False
+        self.record_retry(now)
+        return True
+
+    def may_retry(self, now: float, host_count: int, excess: float = 0.0) -> bool:
+        """Return whether any retry remains that may be used now.
 
         ``excess`` are retries of other hosts that count as this one's.
         """
-        if self.remaining(now, host_count) - excess < 1:
-            return False
-        if self.must_report(now):
-            return False
+        remaining = self.remaining(now, host_count) - excess
+        return remaining >= 1 and not self.must_report(now)
+
+    def record_retry(self, now: float) -> None:
+        """Count a retry."""
         self._retries.add(now)
-        return True
 
 
 @define
--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -6,8 +6,8 @@
 
 from attrs import define, field
 
+from .attempts import Attempt
 from .calls import Call
-from .engines import Engine
 from .health import HealthTracker
 from .journal import Journal
 from .liveness import answered_at
@@ -63,40 +63,42 @@
         return progress.is_trial
 
     def record_broken(
-        self, call: Call, progress: Progress, engine: Engine, now: float
+        self, call: Call, progress: Progress, attempt: Attempt, now: float
     ) -> None:
-        """Record that an upstream broke off the latest attempt."""
-        traits = _suspected_traits(progress)
-        self._record_ended_process(call, progress, engine, traits, now)
+        """Record that an upstream broke an attempt off."""
+        traits = _suspected_traits(progress, attempt)
+        self._record_ended_process(call, progress, attempt, traits, now)
 
     def record_silence(
-        self, call: Call, progress: Progress, engine: Engine, now: float
+        self, call: Call, progress: Progress, attempt: Attempt, now: float
     ) -> None:
         """Record that an upstream ended if it has answered nobody since."""
         shortest = min(call.route.objective_seconds, call.route.pause_seconds)
-        if now - progress.heard_at < shortest:
+        if now - attempt.heard_at < shortest:
             return
-        last_at = answered_at(engine.engine_id, self.health, self.loads)
-        if last_at > progress.heard_at:
+        last_at = answered_at(attempt.engine.engine_id, self.health, self.loads)
+        if last_at > attempt.heard_at:
             return
-        traits = _suspected_traits(progress)
-        if progress.heard_at <= progress.sent_at:
+        traits = _suspected_traits(progress, attempt)
+        if attempt.heard_at <= attempt.sent_at:
             # The upstream may have fallen silent before it got the call. All
             # prompts with a popular part may meet several such upstreams.
             traits = _without_parts(traits)
-        self._record_ended_process(call, progress, engine, traits, now)
+        self._record_ended_process(call, progress, attempt, traits, now)
 
-    def record_events(self, call: Call, progress: Progress, now: float) -> None:
-        """Record that events of the latest attempt's answer have come.
+    def record_events(
+        self, call: Call, progress: Progress, attempt: Attempt, now: float
+    ) -> None:
+        """Record that events of an attempt's answer have come.
 
         Once they have come for a while, no part of the prompt crashes
         upstreams.
         """
-        if progress.begun_at is None:
-            progress.begun_at = now
-        if progress.is_underway or now - progress.begun_at < UNDERWAY_SECONDS:
+        if attempt.begun_at is None:
+            attempt.begun_at = now
+        if attempt.is_underway or now - attempt.begun_at < UNDERWAY_SECONDS:
             return
-        progress.is_underway = True
+        attempt.is_underway = True
         lifted = self.poison.record_underway(progress.traits, now)
         self._log("request-cleared", call, lifted, now)
 
@@ -109,20 +111,21 @@
         self,
         call: Call,
         progress: Progress,
-        engine: Engine,
+        attempt: Attempt,
         traits: Iterable[Trait],
         now: float,
     ) -> None:
         progress.is_trial = False
         traits = tuple(traits)
-        refused = self.poison.record_own(traits, engine, progress.sent_at, now)
+        engine = attempt.engine
+        refused = self.poison.record_own(traits, engine, attempt.sent_at, now)
         self.journal.write(
             "process-ended",
             now,
             id=call.head.request_id,
             engine=engine.engine_id,
             born_ms=engine.born_ms,
-            ran_seconds=round(now - progress.sent_at, 3),
+            ran_seconds=round(now - attempt.sent_at, 3),
             path=call.head.path,
             suspected=[
                 f"{trait.scope.name.lower()} {trait.fingerprint.hex()}"
@@ -144,12 +147,12 @@
             )
 
 
-def _suspected_traits(progress: Progress) -> tuple[Trait, ...]:
-    """Return what may have ended the upstream of the latest attempt.
+def _suspected_traits(progress: Progress, attempt: Attempt) -> tuple[Trait, ...]:
+    """Return what may have ended the upstream of an attempt.
 
     A part that crashes upstreams does so before the answer is well underway.
     """
-    return _without_parts(progress.traits) if progress.is_underway else progress.traits
+    return _without_parts(progress.traits) if attempt.is_underway else progress.traits
 
 
 def _without_parts(traits: Iterable[Trait]) -> tuple[Trait, ...]:
--- a/packages/teaselpond/src/teaselpond/gateway/event_relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/event_relay.py
@@ -10,16 +10,16 @@
 from ..exceptions import UpstreamBroken
 from ..upstreams.events import SparseEventSplitter
 from .answers import AnswerHead
+from .attempts import Attempt, OpenAttempts
 from .calls import Call
 from .crash_reports import CrashReports
 from .metrics import Metrics
 from .pacing import EventPace
 from .progress import Progress
 from .sending import OpenAnswer
-from .timeouts import PauseAwareTimeout
 
-# A stream that may be repeated is retried on another upstream when an event
-# after the first takes longer than this multiple of the route's longest pause.
+# An attempt at a stream that may be repeated is overdue when an event after
+# the first takes longer than this multiple of the route's longest pause.
 PAUSE_TIMEOUT_FACTOR = 2.0
 
 
@@ -48,37 +48,39 @@
         answer: OpenAnswer,
         sink: EventSink,
         progress: Progress,
-        event_timeout: PauseAwareTimeout,
+        attempts: OpenAttempts,
+        attempt: Attempt,
     ) -> None:
         """Write an answer's events to the sink until the stream ends.
 
-        ``event_timeout`` limits the wait for each event, if it is set. Raise
+        The first event of an attempt ends the others that are open. Raise
         UpstreamBroken if the stream has no event or ends inside one.
         """
-        last_id = progress.last_event_id
-        events = SparseEventSplitter(_event_number(last_id))
+        events = SparseEventSplitter(_event_number(attempt.last_event_id))
         pace = EventPace(self.clock())
         async for part in answer.parts():
-            progress.heard_at = now = self.clock()
+            attempt.heard_at = now = self.clock()
             count = events.count
             batch = events.feed(part)
             wait_seconds = pace.record(events.count - count, now)
             if not batch:
                 continue
-            has_timeout = event_timeout.when() is not None
+            if attempt.is_given_up:
+                # Another attempt writes to the caller already.
+                raise asyncio.CancelledError
+            attempts.give_up_others(attempt)
             # A slow caller must not count as a silent upstream.
-            event_timeout.reschedule(None)
+            attempt.limit_silence(None)
             if not sink.has_begun:
                 self.metrics.record_first_event(call, self.clock())
-            self.crash_reports.record_events(call, progress, self.clock())
-            progress.heard_at = math.inf
+            self.crash_reports.record_events(call, progress, attempt, self.clock())
+            attempt.heard_at = math.inf
             await sink.write(answer.head, batch)
             if wait_seconds:
                 await asyncio.sleep(wait_seconds)
-            progress.heard_at = self.clock()
-            if has_timeout:
-                pause = call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR
-                event_timeout.reschedule(asyncio.get_running_loop().time() + pause)
+            attempt.heard_at = self.clock()
+            if attempt.is_limited:
+                attempt.limit_silence(call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR)
             if events.last_id >= 0:
                 progress.last_event_id = str(events.last_id)
         if events.incomplete:
--- a/packages/teaselpond/src/teaselpond/gateway/journal.py
+++ b/packages/teaselpond/src/teaselpond/gateway/journal.py
@@ -20,6 +20,7 @@
     {
         "answer-not-taken",
         "attempt-failed",
+        "attempt-overdue",
         "caller-gone",
         "calls-cut",
         "cut",
--- a/packages/teaselpond/src/teaselpond/gateway/loads.py
+++ b/packages/teaselpond/src/teaselpond/gateway/loads.py
@@ -45,13 +45,21 @@
     @contextmanager
     def track(self, engine_id: str) -> Iterator[None]:
         """Count one request while the context is active."""
-        self._own_by_engine[engine_id] += 1
+        self.begin(engine_id)
         try:
             yield
         finally:
-            self._own_by_engine[engine_id] -= 1
-            if not self._own_by_engine[engine_id]:
-                del self._own_by_engine[engine_id]
+            self.end(engine_id)
+
+    def begin(self, engine_id: str) -> None:
+        """Count one more request of this host at an upstream."""
+        self._own_by_engine[engine_id] += 1
+
+    def end(self, engine_id: str) -> None:
+        """Count one request less."""
+        self._own_by_engine[engine_id] -= 1
+        if not self._own_by_engine[engine_id]:
+            del self._own_by_engine[engine_id]
 
     def own_counts(self) -> dict[str, int]:
         """Return the number of this host's requests at each upstream."""
--- /dev/null
+++ b/packages/teaselpond/src/teaselpond/gateway/next_attempts.py
@@ -0,0 +1,225 @@
+"""Decide whether a call is sent to an upstream, to which one, or what else.
+
+A call is sent for the first time, again after a failed attempt, or again while
+its earlier attempts are silent. Nothing is sent here.
+"""
+
+from collections.abc import Callable
+
+from attrs import define, frozen
+
+from .calls import Call
+from .crash_reports import CrashReports
+from .drain import Drain
+from .journal import Journal
+from .liveness import LivenessChecker
+from .metrics import Metrics
+from .placement import NoPlacement, Placement, Placer
+from .progress import Progress
+from .replies import Refusal
+from .retry_budgets import RetryBudgets
+
+# Limits how many upstreams a call is sent to, counting those that shed it.
+MAX_PLACEMENTS = 4
+# Pause before a call that may have run is offered again to upstreams that shed
+# it. It cannot be refused any more, and they may have room by then.
+SHED_AGAIN_SECONDS = 0.1
+# How often a call that may have run checks whether the trial of another one
+# has ended, and after which time it gives up.
+TRIAL_CHECK_SECONDS = 0.1
+MAX_TRIAL_WAIT_SECONDS = 1.0
+# The same for peers that confirm what this host has used of the retry budget.
+# They do within a round trip and the time between two heartbeats.
+CONFIRMATION_CHECK_SECONDS = 0.02
+MAX_CONFIRMATION_WAIT_SECONDS = 0.3
+# With less time remaining, a call is not sent at all.
+MIN_REMAINING_SECONDS = 0.01
+
+
+@frozen
+class Wait:
+    """Tell a call to ask again after some seconds."""
+
+    seconds: float
+
+
+@frozen
+class NoAttempt:
+    """Explain why a call is not sent, or not sent again.
+
+    ``retry_seconds`` is when an upstream may be used again, if known.
+    """
+
+    refusal: Refusal
+    retry_seconds: float | None = None
+
+
+@define(eq=False)
+class NextAttempts:
+    """Decide on the next attempt of calls."""
+
+    placer: Placer
+    crash_reports: CrashReports
+    liveness: LivenessChecker
+    retries: RetryBudgets
+    drain: Drain
+    journal: Journal
+    metrics: Metrics
+    clock: Callable[[], float]
+    host_count: Callable[[], int]
+
+    async def decide(
+        self, call: Call, progress: Progress, open_count: int
+    ) -> Placement | Wait | NoAttempt:
+        """Return where to send a call now, or why not.
+
+        ``open_count`` is the number of its attempts that may still answer.
+        With a placement, nothing more may be asked before the call is sent.
+        Raise TimeoutError if the call has no time left.
+        """
+        now = self.clock()
+        if call.expires_at - now < MIN_REMAINING_SECONDS:
+            raise TimeoutError
+        if not _may_run_again(call, progress, open_count):
+            failed = progress.last_failure
+            was_shed = failed is not None and failed.not_run
+            return NoAttempt(Refusal.SHED if was_shed else Refusal.BROKEN)
+        if not self.drain.may_send(
+            now, call.route.objective_seconds, may_have_run=progress.may_run
+        ):
+            return NoAttempt(Refusal.LEAVING)
+        is_retry = bool(progress.arrivals or open_count)
+        if is_retry and not self._may_retry(call, progress, now):
+            if self._may_wait_for_confirmation(call, progress, now):
+                return Wait(CONFIRMATION_CHECK_SECONDS)
+            return NoAttempt(Refusal.SHED)
+        if self.crash_reports.is_refused(call, progress, now):
+            return NoAttempt(Refusal.POISONOUS)
+        placement = self.placer.place(call, progress.tried_ids, now, self.host_count())
+        if isinstance(placement, NoPlacement):
+            return self._wait_for_placement(call, progress, placement, open_count, now)
+        if self.liveness.must_check(progress, placement.record.engine):
+            await self.liveness.check(call, progress, placement.record.engine)
+            return Wait(0.0)
+        if self.crash_reports.is_on_probation(progress):
+            if await self.crash_reports.try_on_probation(call, progress):
+                return Wait(0.0)
+            if self._may_wait_for_trial(call, progress):
+                return Wait(TRIAL_CHECK_SECONDS)
+            return NoAttempt(Refusal.SUSPECTED)
+        if is_retry:
+            self.retries.record_retry(call.service, now)
+        return placement
+
+    def _may_retry(self, call: Call, progress: Progress, now: float) -> bool:
+        """Return whether the retry budget has room; log once if not."""
+        host_count = self.host_count()
+        if self.retries.may_retry(call.service, now, host_count):
+            return True
+        if progress.is_retry_refused:
+            return False
+        progress.is_retry_refused = True
+        budget = self.retries.for_service(call.service, now)
+        self.metrics.record_attempt_failure("retry-budget-empty")
+        self.journal.write(
+            "retry-refused",
+            now,
+            id=call.head.request_id,
+            service=call.service,
+            requests=budget.request_count(now),
+            retries=budget.retry_count(now),
+            remaining=round(budget.remaining(now, host_count), 2),
+            excess_of_others=round(
+                self.retries.excess_of_others(call.service, now, host_count), 2
+            ),
+            former_is_unknown=self.retries.is_asking(now),
+            must_report=budget.must_report(now),
+            sharing_hosts=host_count,
+        )
+        return False
+
+    def _may_wait_for_confirmation(
+        self, call: Call, progress: Progress, now: float
+    ) -> bool:
+        if not self.retries.awaits_confirmation(call.service, now, self.host_count()):
+            return False
+        if progress.unconfirmed_since is None:
+            progress.unconfirmed_since = now
+        return now - progress.unconfirmed_since < MAX_CONFIRMATION_WAIT_SECONDS
+
+    def _wait_for_placement(
+        self,
+        call: Call,
+        progress: Progress,
+        no_placement: NoPlacement,
+        open_count: int,
+        now: float,
+    ) -> Wait | NoAttempt:
+        if self._may_offer_again(progress):
+            progress.tried_ids -= progress.shed_ids
+            progress.shed_ids.clear()
+            return Wait(SHED_AGAIN_SECONDS)
+        if self._may_wait(call, progress, no_placement, now):
+            return Wait(no_placement.retry_seconds)
+        if not open_count:
+            self.journal.write(
+                "not-placed",
+                now,
+                id=call.head.request_id,
+                service=call.service,
+                reason=no_placement.reason,
+                listed=no_placement.listed,
+                offers=progress.placements,
+            )
+        refusal = Refusal.NO_UPSTREAM
+        if no_placement.reason in ("all-cold", "all-full", "all-back-off"):
+            refusal = Refusal.OVERLOADED
+        return NoAttempt(refusal, no_placement.retry_seconds)
+
+    def _may_offer_again(self, progress: Progress) -> bool:
+        """Return whether to go back to upstreams that shed a call.
+
+        A call that cannot have run is refused instead: its caller may come
+        back to any host.
+        """
+        return (
+            bool(progress.shed_ids)
+            and progress.may_run
+            and progress.placements < MAX_PLACEMENTS
+        )
+
+    def _may_wait(
+        self, call: Call, progress: Progress, no_placement: NoPlacement, now: float
+    ) -> bool:
+        """Return whether to wait until an upstream may be used again.
+
+        A call that cannot have run is refused instead, as in
+        ``_may_offer_again``.
+        """
+        seconds = no_placement.retry_seconds
+        return (
+            seconds is not None
+            and progress.may_run
+            and now + seconds < call.expires_at - MIN_REMAINING_SECONDS
+        )
+
+    def _may_wait_for_trial(self, call: Call, progress: Progress) -> bool:
+        """Return whether to wait until another call's trial has ended.
+
+        A call that cannot have run is refused instead, as in
+        ``_may_offer_again``.
+        """
+        now = self.clock()
+        progress.held_since = progress.held_since or now
+        return (
+            progress.may_run
+            and now - progress.held_since < MAX_TRIAL_WAIT_SECONDS
+            and now + TRIAL_CHECK_SECONDS < call.expires_at - MIN_REMAINING_SECONDS
+        )
+
+
+def _may_run_again(call: Call, progress: Progress, open_count: int) -> bool:
+    runs = progress.runs + open_count
+    if progress.placements >= MAX_PLACEMENTS or (runs and not call.may_repeat):
+        return False
+    return runs < call.route.max_attempts
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -11,19 +11,17 @@
     """Track the attempts of one call.
 
     ``traits`` name what the request has in common with others that may crash
-    upstreams. ``placements`` counts the upstreams that the call was placed on,
+    upstreams. The caller has the events up to ``last_event_id``.
+    ``placements`` counts the upstreams that the call was placed on,
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
     have run or may still run. ``shed_ids`` are the tried upstreams that did
-    not run it. ``is_trial`` is true if the call may be sent in spite of a
-    probation, until it ends a process. It waits for the trial of another call
-    since ``held_since``.
+    not run it, and ``engine_id`` is the one that was tried last.
 
-    Of the latest attempt, ``engine_id`` is the upstream and ``sent_at`` the
-    time, ``begun_at`` when the first event of its answer came, and
-    ``is_underway`` whether events have come for a while. Since
-    ``heard_at`` no bytes of the answer have come; it is infinite while none
-    are expected.
+    ``is_trial`` is true if the call may be sent in spite of a probation, until
+    it ends a process. It waits for the trial of another call since
+    ``held_since``, and for peers to confirm what this host has used of the
+    retry budget since ``unconfirmed_since``.
     """
 
     traits: tuple[Trait, ...]
@@ -37,9 +35,7 @@
     may_run: bool = False
     last_failure: AttemptFailed | None = None
     engine_id: str = ""
-    sent_at: float = 0.0
-    begun_at: float | None = None
-    is_underway: bool = False
-    heard_at: float = 0.0
     is_trial: bool = False
     held_since: float | None = None
+    unconfirmed_since: float | None = None
+    is_retry_refused: bool = False
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -7,20 +7,20 @@
 from attrs import define, field
 
 from ..exceptions import UpstreamBroken
+from .attempts import Attempt, OpenAttempts
 from .calls import Call
 from .codec import HeaderCodec
 from .configuration import RouteType
 from .crash_reports import CrashReports
-from .drain import Drain
 from .event_relay import EventRelay, EventSink
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
 from .held_answers import HeldAnswers
 from .journal import Journal
-from .liveness import LivenessChecker
 from .loads import LoadTracker
 from .metrics import Metrics
-from .placement import NoPlacement, Placement, Placer
+from .next_attempts import NextAttempts, Wait
+from .placement import Placement, Placer
 from .progress import Progress
 from .replies import RESPONSES_BY_REFUSAL, Refusal, Reply, jittered_retry_after
 from .reports import AnswerReports
@@ -36,25 +36,18 @@
     check_continuation,
     check_success_head,
 )
-from .timeouts import PauseAwareTimeout
 from .traits import traits_of
 
-# Limits how many upstreams a call is sent to, counting those that shed it.
-MAX_PLACEMENTS = 4
 # An answer sent at the deadline arrives up to this much later.
 DEADLINE_SLACK_SECONDS = 0.12
-# Pause before a call that may have run is offered again to upstreams that shed
-# it. It cannot be refused any more, and they may have room by then.
-SHED_AGAIN_SECONDS = 0.1
-# How often a call that may have run checks whether the trial of another one
-# has ended, and after which time it gives up.
-TRIAL_CHECK_SECONDS = 0.1
-MAX_TRIAL_WAIT_SECONDS = 1.0
-# With less time remaining, a call is not sent at all.
-MIN_REMAINING_SECONDS = 0.01
-# A stream that may be repeated is retried on another upstream when its first
-# event takes longer than this multiple of the route's latency objective.
+# An attempt at a stream that may be repeated is overdue when its first event
+# takes longer than this multiple of the route's latency objective.
 FIRST_EVENT_TIMEOUT_FACTOR = 1.5
+# How often a call whose attempts are overdue asks for another one.
+ASK_AGAIN_SECONDS = 0.1
+# An upstream that sheds a call does so within this time. No two upstreams may
+# work on the rest of a begun stream for longer.
+OVERLAP_SECONDS = 0.3
 # These statuses promise the caller that the call did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -65,19 +58,18 @@
 
     codec: HeaderCodec
     routing_state: RoutingState
+    next_attempts: NextAttempts
     placer: Placer
     sender: Sender
     reports: AnswerReports
     loads: LoadTracker
     health: HealthTracker
     crash_reports: CrashReports
-    liveness: LivenessChecker
     journal: Journal
     metrics: Metrics
     clock: Callable[[], float]
     host_count: Callable[[], int]
     retries: RetryBudgets
-    drain: Drain
     events: EventRelay
     rng: random.Random = field(factory=random.Random)
     held_answers: HeldAnswers = field(factory=HeldAnswers)
@@ -117,65 +109,63 @@
     async def _run(
         self, call: Call, sink: EventSink, progress: Progress
     ) -> Reply | None:
-        while True:
-            now = self.clock()
-            if call.expires_at - now < MIN_REMAINING_SECONDS:
-                raise TimeoutError
-            if not self.drain.may_send(
-                now, call.route.objective_seconds, may_have_run=progress.may_run
-            ):
-                return self._finish_with_refusal(call, sink, progress, Refusal.LEAVING)
-            if self.crash_reports.is_refused(call, progress, now):
-                return self._finish_with_refusal(
-                    call, sink, progress, Refusal.POISONOUS
-                )
-            placement = self.placer.place(
-                call, progress.tried_ids, now, self.host_count()
-            )
-            if isinstance(placement, NoPlacement):
-                if self._may_offer_again(progress):
-                    progress.tried_ids -= progress.shed_ids
-                    progress.shed_ids.clear()
-                    await asyncio.sleep(SHED_AGAIN_SECONDS)
-                    continue
-                if self._may_wait(call, progress, placement, now):
-                    await asyncio.sleep(placement.retry_seconds)
-                    continue
-                return self._refuse_unplaced(call, sink, progress, placement)
-            if self.liveness.must_check(progress, placement.record.engine):
-                await self.liveness.check(call, progress, placement.record.engine)
-                continue
-            if self.crash_reports.is_on_probation(progress):
-                if await self.crash_reports.try_on_probation(call, progress):
-                    continue
-                if self._may_wait_for_trial(call, progress):
-                    await asyncio.sleep(TRIAL_CHECK_SECONDS)
+        """Start attempts until one of them answers the call.
+
+        While all are overdue another one is started, if it may be. Without
+        one, an upstream may still answer until the call's time is over.
+        """
+        async with OpenAttempts() as attempts:
+            while True:
+                for attempt in attempts.take_ended():
+                    try:
+                        return attempt.result()
+                    except AttemptFailed as failed:
+                        self._record_failure(call, progress, attempt, failed)
+                        progress.may_run = bool(progress.runs or len(attempts))
+                for attempt in attempts.take_overdue():
+                    self._record_overdue(call, progress, attempt)
+                if not attempts.are_overdue():
+                    await attempts.wait(self._end_overlap(sink, attempts))
                     continue
-                return self._finish_with_refusal(
-                    call, sink, progress, Refusal.SUSPECTED
-                )
-            if progress.arrivals and not self._acquire_retry(call, now):
-                return self._finish_with_refusal(call, sink, progress, Refusal.SHED)
-            try:
-                return await self._attempt(call, sink, progress, placement)
-            except AttemptFailed as failed:
-                self._record_failure(call, progress, placement, failed)
-                if not self._may_retry(call, progress, failed):
-                    refusal = Refusal.SHED if failed.not_run else Refusal.BROKEN
-                    return self._finish_with_refusal(call, sink, progress, refusal)
+                step = await self.next_attempts.decide(call, progress, len(attempts))
+                if isinstance(step, Placement):
+                    self._start(call, sink, progress, attempts, step)
+                elif isinstance(step, Wait):
+                    await attempts.wait(step.seconds)
+                elif attempts:
+                    await attempts.wait(ASK_AGAIN_SECONDS)
+                else:
+                    return self._finish_with_refusal(
+                        call, sink, progress, step.refusal, step.retry_seconds
+                    )
+
+    def _end_overlap(self, sink: EventSink, attempts: OpenAttempts) -> float | None:
+        """Give up earlier attempts at a begun stream that was resumed.
 
-    async def _attempt(
+        Return after how many seconds to do so, None if there are none.
+        """
+        if len(attempts) < 2 or not sink.has_begun:
+            return None
+        seconds = attempts.newest.sent_at + OVERLAP_SECONDS - self.clock()
+        if seconds <= 0.0:
+            attempts.give_up_others(attempts.newest)
+            return None
+        return seconds
+
+    def _start(
         self,
         call: Call,
         sink: EventSink,
         progress: Progress,
+        attempts: OpenAttempts,
         placement: Placement,
-    ) -> Reply | None:
+    ) -> None:
         engine = placement.record.engine
         now = self.clock()
         progress.engine_id = engine.engine_id
         progress.placements += 1
         progress.tried_ids.add(engine.engine_id)
+        progress.may_run = True
         self.journal.write(
             "placed",
             now,
@@ -191,30 +181,44 @@
             is_held=placement.is_held,
             copy_from=placement.copy_from.engine_id if placement.copy_from else None,
             offer=progress.placements,
+            overdue=len(attempts),
             heard_seconds=round(now - placement.record.received_at, 3),
             after_event=progress.last_event_id,
         )
-        progress.sent_at = progress.heard_at = now
-        progress.begun_at = None
-        progress.is_underway = False
         self.placer.record_sent(call, placement, now, self.host_count())
-        with self.loads.track(engine.engine_id):
-            may_run_before = progress.may_run
-            progress.may_run = True
-            try:
-                reply = await self._send(call, sink, progress, placement)
-            except AttemptFailed as failed:
-                progress.may_run = may_run_before or not failed.not_run
-                raise
-            except asyncio.CancelledError:
-                # The deadline passed, the caller is gone or this host ends.
-                if not self.running.has_ended:
-                    self.crash_reports.record_silence(
-                        call, progress, engine, self.clock()
-                    )
-                raise
-        self.health.get(engine.engine_id).record(
-            Result.SUCCESS, self.clock(), progress.sent_at
+        # The last permitted run is limited only by the deadline of the call.
+        runs = progress.runs + len(attempts) + 1
+        attempt = Attempt(
+            placement,
+            now,
+            progress.last_event_id,
+            is_limited=call.may_repeat and runs < call.route.max_attempts,
+        )
+        if attempt.is_limited:
+            attempt.limit_silence(_first_limit_seconds(call))
+        self.loads.begin(engine.engine_id)
+        answering = self._answer(call, sink, progress, attempts, attempt)
+        attempts.add(attempt, answering, lambda: self.loads.end(engine.engine_id))
+
+    async def _answer(
+        self,
+        call: Call,
+        sink: EventSink,
+        progress: Progress,
+        attempts: OpenAttempts,
+        attempt: Attempt,
+    ) -> Reply | None:
+        try:
+            reply = await self._send(call, sink, progress, attempts, attempt)
+        except asyncio.CancelledError:
+            # The deadline passed, the caller is gone, this host ends, or
+            # another attempt answers the call.
+            is_known = attempt.is_overdue or attempt.is_given_up
+            if not is_known and not self.running.has_ended:
+                self.crash_reports.record_silence(call, progress, attempt, self.clock())
+            raise
+        self.health.get(attempt.engine.engine_id).record(
+            Result.SUCCESS, self.clock(), attempt.sent_at
         )
         self.crash_reports.record_answer(call, progress, self.clock())
         return reply
@@ -224,59 +228,42 @@
         call: Call,
         sink: EventSink,
         progress: Progress,
-        placement: Placement,
+        attempts: OpenAttempts,
+        attempt: Attempt,
     ) -> Reply | None:
-        engine = placement.record.engine
+        engine = attempt.engine
         peer = str(engine.address)
-        remaining_seconds = call.expires_at - self.clock()
-        timeout_seconds = self._response_timeout(call, progress)
         try:
-            async with PauseAwareTimeout(timeout_seconds) as response_timeout:
-                answer = await self.sender.open(
-                    call,
-                    engine,
-                    remaining_seconds,
-                    progress.last_event_id,
-                    placement.copy_from,
-                    was_refused=engine.engine_id in progress.refused_by_ids,
-                )
-                try:
-                    head = answer.head
-                    self.reports.record(engine, head, self.clock())
-                    progress.heard_at = self.clock()
-                    if call.route.type is not RouteType.STREAM or not head.is_success:
-                        body = await answer.read(self.held_answers)
-                        whole = WholeAnswer(head, body)
-                        check_answer(whole, peer)
-                        if sink.has_begun:
-                            check_continuation(head, peer)
-                        return self._reply_from(whole)
-                    check_success_head(head, peer)
+            answer = await self.sender.open(
+                call,
+                engine,
+                call.expires_at - self.clock(),
+                attempt.last_event_id,
+                attempt.placement.copy_from,
+                was_refused=engine.engine_id in progress.refused_by_ids,
+            )
+            try:
+                head = answer.head
+                self.reports.record(engine, head, self.clock())
+                attempt.heard_at = self.clock()
+                if call.route.type is not RouteType.STREAM or not head.is_success:
+                    body = await answer.read(self.held_answers)
+                    whole = WholeAnswer(head, body)
+                    check_answer(whole, peer)
                     if sink.has_begun:
                         check_continuation(head, peer)
-                    await self.events.pass_on(
-                        call, answer, sink, progress, response_timeout
-                    )
-                    return None
-                finally:
-                    self.sender.release(answer)
+                    return self._reply_from(whole)
+                check_success_head(head, peer)
+                if sink.has_begun:
+                    check_continuation(head, peer)
+                await self.events.pass_on(
+                    call, answer, sink, progress, attempts, attempt
+                )
+                return None
+            finally:
+                self.sender.release(answer)
         except UpstreamBroken as error:
             raise attempt_failure(error, peer) from error
-        except TimeoutError:
-            if timeout_seconds is not None and response_timeout.expired():
-                raise AttemptFailed(Result.SILENT, "silent", peer=peer) from None
-            raise
-
-    def _response_timeout(self, call: Call, progress: Progress) -> float | None:
-        """Return the seconds until an attempt is retried, None for no limit.
-
-        The last permitted run is limited only by the deadline of the call.
-        """
-        if not call.may_repeat or progress.runs + 1 >= call.route.max_attempts:
-            return None
-        if call.route.type is RouteType.STREAM:
-            return call.route.objective_seconds * FIRST_EVENT_TIMEOUT_FACTOR
-        return call.route.objective_seconds
 
     def _reply_from(self, answer: WholeAnswer) -> Reply:
         return Reply(answer.head.status, answer.head.headers, answer.body)
@@ -285,10 +272,10 @@
         self,
         call: Call,
         progress: Progress,
-        placement: Placement,
+        attempt: Attempt,
         failed: AttemptFailed,
     ) -> None:
-        engine = placement.record.engine
+        engine = attempt.engine
         now = self.clock()
         progress.last_failure = failed
         if failed.result is Result.SHED:
@@ -296,8 +283,11 @@
             progress.refused_by_ids.add(engine.engine_id)
         progress.arrivals += failed.may_have_arrived
         progress.runs += failed.may_have_arrived and not failed.not_run
+        if attempt.is_given_up:
+            # Its silence is recorded already.
+            return
         ejected = self.health.get(engine.engine_id).record(
-            failed.result, now, progress.sent_at
+            failed.result, now, attempt.sent_at
         )
         self.metrics.record_attempt_failure(failed.result.value)
         self.journal.write(
@@ -309,16 +299,16 @@
             reason=failed.reason,
             not_run=failed.not_run,
             age_seconds=round(now - call.arrived_at, 3),
-            silent_seconds=round(max(0.0, now - progress.heard_at), 3),
+            silent_seconds=round(max(0.0, now - attempt.heard_at), 3),
             after_event=progress.last_event_id,
-            has_begun=progress.begun_at is not None,
+            has_begun=attempt.begun_at is not None,
             parts=_shared_part_ids(call),
             engine_left_out=ejected,
         )
         if failed.result is Result.BROKEN:
-            self.crash_reports.record_broken(call, progress, engine, now)
+            self.crash_reports.record_broken(call, progress, attempt, now)
         elif failed.result is Result.SILENT:
-            self.crash_reports.record_silence(call, progress, engine, now)
+            self.crash_reports.record_silence(call, progress, attempt, now)
         answer = failed.answer
         if answer is not None and answer.head.is_other_engine:
             # Another upstream has the address now.
@@ -327,95 +317,24 @@
                 "engine-gone", now, engine=engine.engine_id, reason="other engine"
             )
 
-    def _acquire_retry(self, call: Call, now: float) -> bool:
-        host_count = self.host_count()
-        acquired = self.retries.try_acquire(call.service, now, host_count)
-        if not acquired:
-            budget = self.retries.for_service(call.service, now)
-            self.metrics.record_attempt_failure("retry-budget-empty")
-            self.journal.write(
-                "retry-refused",
-                now,
-                id=call.head.request_id,
-                service=call.service,
-                requests=budget.request_count(now),
-                retries=budget.retry_count(now),
-                remaining=round(budget.remaining(now, host_count), 2),
-                excess_of_others=round(
-                    self.retries.excess_of_others(call.service, now, host_count), 2
-                ),
-                former_is_unknown=self.retries.is_asking(now),
-                must_report=budget.must_report(now),
-                sharing_hosts=host_count,
-            )
-        return acquired
-
-    def _may_offer_again(self, progress: Progress) -> bool:
-        """Return whether to go back to upstreams that shed a call.
-
-        A call that cannot have run is refused instead: its caller may come
-        back to any host.
-        """
-        return (
-            bool(progress.shed_ids)
-            and progress.may_run
-            and progress.placements < MAX_PLACEMENTS
-        )
-
-    def _may_wait(
-        self, call: Call, progress: Progress, no_placement: NoPlacement, now: float
-    ) -> bool:
-        """Return whether to wait until an upstream may be used again.
-
-        A call that cannot have run is refused instead, as in
-        ``_may_offer_again``.
-        """
-        seconds = no_placement.retry_seconds
-        return (
-            seconds is not None
-            and progress.may_run
-            and now + seconds < call.expires_at - MIN_REMAINING_SECONDS
-        )
-
-    def _may_wait_for_trial(self, call: Call, progress: Progress) -> bool:
-        """Return whether to wait until another call's trial has ended.
-
-        A call that cannot have run is refused instead, as in
-        ``_may_offer_again``.
-        """
+    def _record_overdue(self, call: Call, progress: Progress, attempt: Attempt) -> None:
+        engine = attempt.engine
         now = self.clock()
-        progress.held_since = progress.held_since or now
-        return (
-            progress.may_run
-            and now - progress.held_since < MAX_TRIAL_WAIT_SECONDS
-            and now + TRIAL_CHECK_SECONDS < call.expires_at - MIN_REMAINING_SECONDS
+        ejected = self.health.get(engine.engine_id).record(
+            Result.SILENT, now, attempt.sent_at
         )
-
-    def _may_retry(self, call: Call, progress: Progress, failed: AttemptFailed) -> bool:
-        if progress.placements >= MAX_PLACEMENTS:
-            return False
-        if progress.runs and not call.may_repeat:
-            return False
-        return progress.runs < call.route.max_attempts
-
-    def _refuse_unplaced(
-        self, call: Call, sink: EventSink, progress: Progress, no_placement: NoPlacement
-    ) -> Reply:
+        self.metrics.record_attempt_failure(Result.SILENT.value)
         self.journal.write(
-            "not-placed",
-            self.clock(),
+            "attempt-overdue",
+            now,
             id=call.head.request_id,
-            service=call.service,
-            reason=no_placement.reason,
-            listed=no_placement.listed,
-            offers=progress.placements,
-        )
-        refusal = Refusal.NO_UPSTREAM
-        if no_placement.reason in ("all-cold", "all-full", "all-back-off"):
-            refusal = Refusal.OVERLOADED
-        return self._finish_with_refusal(
-            call, sink, progress, refusal, no_placement.retry_seconds
+            engine=engine.engine_id,
+            age_seconds=round(now - call.arrived_at, 3),
+            silent_seconds=round(max(0.0, now - attempt.heard_at), 3),
+            after_event=progress.last_event_id,
+            engine_left_out=ejected,
         )
+        self.crash_reports.record_silence(call, progress, attempt, now)
 
     def _finish_with_refusal(
         self,
@@ -451,3 +370,10 @@
 def _shared_part_ids(call: Call) -> list[str]:
     prompt = call.head.prompt
     return [part.part_id for part in prompt.shared_parts] if prompt else []
+
+
+def _first_limit_seconds(call: Call) -> float:
+    """Return after which silence a new attempt is overdue."""
+    if call.route.type is RouteType.STREAM:
+        return call.route.objective_seconds * FIRST_EVENT_TIMEOUT_FACTOR
+    return call.route.objective_seconds
--- a/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
+++ b/packages/teaselpond/src/teaselpond/gateway/retry_budgets.py
@@ -87,13 +87,37 @@
 
     def try_acquire(self, service: str, now: float, host_count: int) -> bool:
         """Use one retry if any remains; return whether one did."""
+        if not self.may_retry(service, now, host_count):
+            return False
+        self.record_retry(service, now)
+        return True
+
+    def may_retry(self, service: str, now: float, host_count: int) -> bool:
+        """Return whether any retry remains that may be used now.
+
+        If peers must hear of this host first, tell them.
+        """
         if self.is_asking(now):
             return False
         excess = self.excess_of_others(service, now, host_count)
         budget = self.for_service(service, now)
         if budget.must_report(now):
             self.send_report()
-        return budget.try_acquire(now, host_count, excess)
+        return budget.may_retry(now, host_count, excess)
+
+    def record_retry(self, service: str, now: float) -> None:
+        """Count a retry."""
+        self.for_service(service, now).record_retry(now)
+
+    def awaits_confirmation(self, service: str, now: float, host_count: int) -> bool:
+        """Return whether a retry must wait just for a report's confirmation."""
+        if self.is_asking(now):
+            return False
+        excess = self.excess_of_others(service, now, host_count)
+        budget = self.for_service(service, now)
+        return budget.must_report(now) and budget.remaining(now, host_count) >= (
+            1 + excess
+        )
 
     def record_sent(self, now: float) -> None:
         """Record that this host's usage was sent to peers."""
--- a/packages/teaselpond/src/teaselpond/gateway/timeouts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/timeouts.py
@@ -1,6 +1,7 @@
 """Limit waits by the time in which the process ran."""
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 
 from attrs import define, field
@@ -10,6 +11,41 @@
 PAUSE_SECONDS = 0.05
 
 
+@define(eq=False)
+class PauseAwareTimer:
+    """Call back after some time, but not right after the process paused."""
+
+    callback: Callable[[], None]
+    _handle: asyncio.TimerHandle | None = None
+    _when: float | None = None
+
+    def when(self) -> float | None:
+        """Return when the timer calls back on the event loop's clock."""
+        return self._when
+
+    def start(self, seconds: float | None) -> None:
+        """Call back after some seconds instead, or not at all if None."""
+        if seconds is not None:
+            seconds += asyncio.get_running_loop().time()
+        self.reschedule(seconds)
+
+    def reschedule(self, when: float | None) -> None:
+        """Call back at another time instead, or not at all if None."""
+        if self._handle is not None:
+            self._handle.cancel()
+        self._when, self._handle = when, None
+        if when is not None:
+            loop = asyncio.get_running_loop()
+            self._handle = loop.call_at(when, self._expire, when)
+
+    def _expire(self, when: float) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() - when >= PAUSE_SECONDS:
+            self._handle = loop.call_later(PAUSE_SECONDS, self.callback)
+        else:
+            self.callback()
+
+
 @define(eq=False)
 class PauseAwareTimeout:
     """Cancel the block like ``asyncio.timeout``, but not right after a pause.
@@ -19,14 +55,13 @@
 
     seconds: float | None
     _timeout: asyncio.Timeout = field(init=False)
-    _handle: asyncio.TimerHandle | None = None
-    _when: float | None = None
+    _timer: PauseAwareTimer = field(init=False)
 
     async def __aenter__(self) -> "PauseAwareTimeout":
         self._timeout = asyncio.timeout(None)
         await self._timeout.__aenter__()
-        if self.seconds is not None:
-            self.reschedule(asyncio.get_running_loop().time() + self.seconds)
+        self._timer = PauseAwareTimer(self._cancel)
+        self._timer.start(self.seconds)
         return self
 
     async def __aexit__(
@@ -40,27 +75,15 @@
 
     def when(self) -> float | None:
         """Return when the block is cancelled, None if it is not."""
-        return self._when
+        return self._timer.when()
 
     def reschedule(self, when: float | None) -> None:
         """Change when the block is cancelled."""
-        if self._handle is not None:
-            self._handle.cancel()
-        self._when, self._handle = when, None
-        if when is not None:
-            loop = asyncio.get_running_loop()
-            self._handle = loop.call_at(when, self._expire, when)
+        self._timer.reschedule(when)
 
     def expired(self) -> bool:
         """Return whether the block was cancelled by the timeout."""
         return self._timeout.expired()
 
-    def _expire(self, when: float) -> None:
-        loop = asyncio.get_running_loop()
-        if loop.time() - when >= PAUSE_SECONDS:
-            self._handle = loop.call_later(PAUSE_SECONDS, self._cancel)
-        else:
-            self._cancel()
-
     def _cancel(self) -> None:
         self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -4,11 +4,14 @@
 
 import testtools
 
+from teaselpond.gateway.attempts import Attempt
 from teaselpond.gateway.crash_reports import UNDERWAY_SECONDS, CrashReports
 from teaselpond.gateway.health import HealthTracker, Result
 from teaselpond.gateway.loads import LoadTracker
+from teaselpond.gateway.placement import Placement
 from teaselpond.gateway.poison import QUARANTINE_TRIAL_SECONDS, PoisonTracker
 from teaselpond.gateway.progress import Progress
+from teaselpond.gateway.routing_state import EngineRecord
 from teaselpond.gateway.traits import Scope, traits_of
 from teaselpond_standins.testing.exchanges import SilentJournal
 from teaselpond_standins.testing.gateways import (
@@ -37,17 +40,18 @@
         )
         self.now = 100.0
 
-    def make_progress(self, number: int) -> tuple:
+    def make_attempt(self, number: int) -> tuple:
         """Return a call with the part, and an attempt of it that was sent."""
         prompt = make_prompt("first", "part", f"own{number}")
         call = make_call(head=make_head(prompt=prompt), body=b"%d" % number)
-        progress = Progress(traits_of(call), None)
-        progress.sent_at = progress.heard_at = self.now
-        return call, progress
+        engine = make_engine(f"e{number}")
+        placement = Placement(EngineRecord(engine, 0.0, 0.0), 0, 0.0, 1, 0)
+        attempt = Attempt(placement, self.now)
+        return call, Progress(traits_of(call), None), attempt
 
     def refused_scopes(self) -> list[Scope]:
         """Return the scopes of a new prompt's traits that are refused."""
-        call, _ = self.make_progress(99)
+        call, _, _ = self.make_attempt(99)
         return [
             trait.scope
             for trait in traits_of(call)
@@ -60,23 +64,21 @@
         Their events came for ``events_seconds``; there were none if None.
         """
         for number in range(CRASHES):
-            call, progress = self.make_progress(number)
+            call, progress, attempt = self.make_attempt(number)
             if events_seconds is not None:
-                self.reports.record_events(call, progress, self.now)
+                self.reports.record_events(call, progress, attempt, self.now)
                 self.now += events_seconds
-                self.reports.record_events(call, progress, self.now)
+                self.reports.record_events(call, progress, attempt, self.now)
             self.now += 0.5
-            engine = make_engine(f"e{number}")
-            self.reports.record_broken(call, progress, engine, self.now)
+            self.reports.record_broken(call, progress, attempt, self.now)
 
     def fall_silent(self, *, after_seconds: float) -> None:
         """Let upstreams fall silent some time after they were sent a call."""
         for number in range(CRASHES):
-            call, progress = self.make_progress(number)
-            progress.heard_at += after_seconds
+            call, progress, attempt = self.make_attempt(number)
+            attempt.heard_at += after_seconds
             self.now += SILENT_SECONDS
-            engine = make_engine(f"e{number}")
-            self.reports.record_silence(call, progress, engine, self.now)
+            self.reports.record_silence(call, progress, attempt, self.now)
 
     def test_attempts_that_had_not_begun_accuse_the_part(self) -> None:
         """Prompts with the same last shared part are refused."""
@@ -120,11 +122,11 @@
         """The next one is refused until its result is known."""
         self.break_off(events_seconds=None)
         self.now += QUARANTINE_TRIAL_SECONDS
-        call, progress = self.make_progress(CRASHES)
+        call, progress, attempt = self.make_attempt(CRASHES)
         self.assertFalse(self.reports.is_refused(call, progress, self.now))
         self.assertTrue(self.reports.is_refused(call, progress, self.now))
-        self.reports.record_events(call, progress, self.now + 0.1)
+        self.reports.record_events(call, progress, attempt, self.now + 0.1)
         self.assertTrue(self.reports.is_refused(call, progress, self.now + 0.1))
         later = self.now + 0.1 + UNDERWAY_SECONDS
-        self.reports.record_events(call, progress, later)
+        self.reports.record_events(call, progress, attempt, later)
         self.assertFalse(self.reports.is_refused(call, progress, later))
