Let the daemon give up a silent engine only for a retry with a slot

While an engine is silent, the daemon now reserves a slot for a retry first.

test_only_engine_is_waited_for and test_engine_is_waited_for_without_a_retry failed before (refused as no-upstream and upstream-silent), as did no other; the tests of delivery pass.

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -66,6 +66,36 @@
     started: bool = False
 
 
+@define
+class RetryState:
+    """Track the attempts of one call.
+
+    ``attempts`` counts them, ``failures`` those since the last event.
+    ``events_before`` were received before the current one, which is at the
+    engine ``engine_id``. ``deadline`` limits the wait for a slot, and
+    ``next_grant`` is the slot of the next attempt, if it is known already.
+    """
+
+    deadline: float
+    attempts: int = 0
+    failures: int = 0
+    excluded: tuple[str, ...] = ()
+    engine_id: str = ""
+    events_before: int = 0
+    next_grant: Grant | None = None
+
+    def take_grant(self) -> Grant | None:
+        """Return the slot that is known already, if any, to use it."""
+        grant, self.next_grant = self.next_grant, None
+        return grant
+
+    def begin(self, grant: Grant, events: int) -> None:
+        """Record that an attempt begins, after a number of events."""
+        self.attempts += 1
+        self.engine_id = grant.engine_id
+        self.events_before = events
+
+
 class Attempt:
     """Send a chat to one engine and forward its events to the caller.
 
@@ -80,6 +110,7 @@
         sink: Sink,
         progress: Progress,
         call: ChatCall | None = None,
+        state: RetryState | None = None,
     ) -> None:
         self._relay = relay
         self._engine_id = engine_id
@@ -87,6 +118,7 @@
         self._sink = sink
         self._progress = progress
         self._call = call
+        self._state = state
         self._may_still_run = False
         self._opening: asyncio.Task[EngineStream] | None = None
         self._stream: EngineStream | None = None
@@ -95,6 +127,7 @@
         self._sent_at = 0.0
         self._first_event_at: float | None = None
         self._events_before = progress.events
+        self._silent_since: float | None = None
         self.caller_disconnected = False
 
     # Running
@@ -166,13 +199,11 @@
                 body,
                 request_id=self._call.request_id,
                 priority=priority,
-                idle_seconds=self._relay.settings.event_idle_seconds,
+                idle_seconds=self._head_limit_seconds(),
             )
         )
         try:
-            # If this wait is cancelled, the request goes on until its response
-            # head names the stream to cancel.
-            return await asyncio.shield(self._opening)
+            return await self._wait_for_head()
         except UpstreamUnavailable:
             progress.history.record_not_run()
             raise self._failed(
@@ -192,6 +223,49 @@
                 RetryReason.ANSWER_CUT, RefusalCause.ANSWER_BROKEN
             ) from None
 
+    def _head_limit_seconds(self) -> float:
+        remaining = self._call.deadline - self._relay.clock()
+        return max(self._relay.settings.event_idle_seconds, remaining)
+
+    async def _wait_for_head(self) -> EngineStream:
+        """Return the stream; give it up only if a retry has a slot.
+
+        If this wait is cancelled, the request goes on until its response head
+        names the stream to cancel.
+        """
+        idle = self._relay.settings.event_idle_seconds
+        while True:
+            await asyncio.wait((self._opening,), timeout=idle)
+            if not self._opening.done() and await self._reserve_retry():
+                raise UpstreamSilent(
+                    f"sent no answer for {idle} s",
+                    step="open",
+                    peer=str(self._address),
+                )
+            if self._opening.done():
+                return self._opening.result()
+
+    async def _reserve_retry(self) -> bool:
+        """Return whether a retry of the call has a slot."""
+        return await self._relay.reserve_retry(self._call, self._progress, self._state)
+
+    async def _may_wait(self) -> bool:
+        """Return whether a silent engine may still send the rest.
+
+        It may until a retry has a slot, or the time for it is over.
+        """
+        if self._call is None:
+            return False
+        now = self._relay.clock()
+        if self._silent_since is None:
+            self._silent_since = now
+        ends_at = self._silent_since + self._relay.settings.continuation_seconds
+        if not self._progress.events:
+            ends_at = min(ends_at, self._call.deadline)
+        if now >= ends_at:
+            return False
+        return not await self._reserve_retry()
+
     def _refused(self, error: UpstreamRefused) -> AttemptFailed:
         if not error.not_run:
             return self._failed(RetryReason.ANSWER_CUT, RefusalCause.UPSTREAM_ERROR)
@@ -215,10 +289,15 @@
             except UpstreamBroken as error:
                 stream.close()
                 broken = error
-            resumes = 0 if stream.last_event_number > start else resumes + 1
+            if stream.last_event_number > start:
+                resumes, self._silent_since = 0, None
+            else:
+                resumes += 1
             if resumes > MAX_RESUMES:
-                await self._end_broken(broken)
-                return
+                if not isinstance(broken, UpstreamSilent) or not await self._may_wait():
+                    await self._end_broken(broken)
+                    return
+                resumes = MAX_RESUMES
             self._relay.counters.incr("streams.resumed")
             await asyncio.sleep(RESUME_DELAY_SECONDS * resumes)
             try:
@@ -243,6 +322,10 @@
                 resumes += 1
                 missing = isinstance(error, UpstreamStreamMissing)
                 if missing or resumes > MAX_RESUMES:
+                    silent = isinstance(error, UpstreamSilent)
+                    if silent and await self._may_wait():
+                        resumes = MAX_RESUMES
+                        continue
                     raise self._failed(
                         RetryReason.ANSWER_CUT, RefusalCause.ANSWER_BROKEN
                     ) from error
--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -1,6 +1,7 @@
 """Deliver a complete answer to each chat, from one or more engines."""
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -11,7 +12,7 @@
 from ..policy import Grant, Outcome, Release, RetryReason, SlotRequest
 from ..reasons import Reason
 from ..upstreams import EngineClient
-from .attempts import Attempt, AttemptFailed, Progress
+from .attempts import Attempt, AttemptFailed, Progress, RetryState
 from .chats import ChatCall
 from .counters import Counters, NullCounters
 from .deaths import EngineDeathDetector
@@ -155,42 +156,83 @@
         task.add_done_callback(self._cleanups.discard)
 
     async def _run(self, call: ChatCall, sink: Sink, progress: Progress) -> None:
-        attempt = 0
-        failures = 0
-        excluded: tuple[str, ...] = ()
-        deadline = call.deadline
-        while True:
-            self._check_quarantine(call)
-            attempt += 1
-            events_before = progress.events
-            request = self._slot_request(call, attempt, excluded, deadline)
-            grant = await self._acquire(request, progress)
-            try:
-                await self._attempt(call, grant, sink, progress)
-                return
-            except AttemptFailed as failed:
-                failure = failed
-            excluded = (*excluded, grant.engine_id)
-            progressed = progress.events > events_before
-            failures = 0 if progressed else failures + 1
-            if progress.events:
-                self._check_continuable(progress, attempt)
-                deadline = self.clock() + self.settings.continuation_seconds
-            retry = self._retries.decide(
-                failures,
-                failure.reason,
-                now=self.clock(),
-                deadline=deadline,
-                progressed=progressed,
+        state = RetryState(call.deadline)
+        try:
+            while True:
+                grant = state.take_grant()
+                if grant is None:
+                    self._check_quarantine(call)
+                    request = self._slot_request(call, state, state.excluded)
+                    grant = await self._acquire(request, progress)
+                state.begin(grant, progress.events)
+                try:
+                    await self._attempt(call, grant, sink, progress, state)
+                    return
+                except AttemptFailed as failed:
+                    failure = failed
+                state.excluded = (*state.excluded, grant.engine_id)
+                if state.next_grant is None:
+                    delay = self._delay_retry(state, progress, failure)
+                    await asyncio.sleep(delay)
+        finally:
+            if state.next_grant is not None:
+                release = Release(state.next_grant.grant_id, Outcome.CANCELLED)
+                self.start_cleanup(self._slots.release(release))
+
+    def _delay_retry(
+        self, state: RetryState, progress: Progress, failure: AttemptFailed
+    ) -> float:
+        """Return how long to wait before a retry; raise Refused if none."""
+        progressed = progress.events > state.events_before
+        state.failures = 0 if progressed else state.failures + 1
+        if progress.events:
+            if not self._is_continuable(progress, state):
+                raise refuse(RefusalCause.STREAM_BROKEN)
+            state.deadline = self.clock() + self.settings.continuation_seconds
+        retry = self._retries.decide(
+            state.failures,
+            failure.reason,
+            now=self.clock(),
+            deadline=state.deadline,
+            progressed=progressed,
+        )
+        if not retry.allowed:
+            cause = (
+                RefusalCause.RETRY_BUDGET_EMPTY if retry.budget_empty else failure.cause
             )
-            if not retry.allowed:
-                cause = (
-                    RefusalCause.RETRY_BUDGET_EMPTY
-                    if retry.budget_empty
-                    else failure.cause
+            raise refuse(cause, peer=failure.peer, retry_after=1.0)
+        return retry.delay
+
+    async def reserve_retry(
+        self, call: ChatCall, progress: Progress, state: RetryState
+    ) -> bool:
+        """Acquire a slot for a retry while an attempt is silent.
+
+        Return whether there is one. Without it, the engine of the attempt may
+        still answer.
+        """
+        if progress.events and not self._is_continuable(progress, state):
+            return False
+        progressed = progress.events > state.events_before
+        retry = self._retries.decide(
+            0 if progressed else state.failures + 1,
+            RetryReason.ANSWER_SILENT,
+            now=self.clock(),
+            deadline=math.inf,
+            progressed=progressed,
+        )
+        if not retry.allowed:
+            return False
+        excluded = (*state.excluded, state.engine_id)
+        try:
+            async with asyncio.timeout(self.settings.resume_idle_seconds):
+                state.next_grant = await self._slots.acquire(
+                    self._slot_request(call, state, excluded)
                 )
-                raise refuse(cause, peer=failure.peer, retry_after=1.0)
-            await asyncio.sleep(retry.delay)
+        except (Refused, TimeoutError):
+            return False
+        state.failures = 0 if progressed else state.failures + 1
+        return True
 
     async def _acquire(self, request: SlotRequest, progress: Progress) -> Grant:
         """Acquire a slot, retrying if the caller has part of an answer.
@@ -216,7 +258,12 @@
             await asyncio.sleep(REACQUIRE_INTERVAL_SECONDS)
 
     async def _attempt(
-        self, call: ChatCall, grant: Grant, sink: Sink, progress: Progress
+        self,
+        call: ChatCall,
+        grant: Grant,
+        sink: Sink,
+        progress: Progress,
+        state: RetryState,
     ) -> None:
         release = Release(grant.grant_id, Outcome.CANCELLED)
         address = self._addresses.address_of(grant.engine_id)
@@ -225,7 +272,7 @@
             raise AttemptFailed(
                 RetryReason.ENGINE_UNREACHABLE, RefusalCause.CONNECT_FAILED, ""
             )
-        attempt = Attempt(self, grant.engine_id, address, sink, progress, call)
+        attempt = Attempt(self, grant.engine_id, address, sink, progress, call, state)
         try:
             if self.pauses is not None:
                 # The request may have arrived during a pause, in which this
@@ -253,7 +300,7 @@
             await self._slots.release(release)
 
     def _slot_request(
-        self, call: ChatCall, attempt: int, excluded: tuple[str, ...], deadline: float
+        self, call: ChatCall, state: RetryState, excluded: tuple[str, ...]
     ) -> SlotRequest:
         return SlotRequest(
             request_id=call.request_id,
@@ -263,20 +310,19 @@
             request_class=call.request_class,
             prompt_tokens=call.prompt_tokens,
             prefixes=call.prefixes,
-            deadline=deadline,
+            deadline=state.deadline,
             origin_daemon=self._daemon,
             hint_engine="" if call.hint_engine in excluded else call.hint_engine,
             excluded=excluded,
-            attempt=attempt,
+            attempt=state.attempts + 1,
         )
 
     def _check_quarantine(self, call: ChatCall) -> None:
         if self.quarantine.is_quarantined(call.fingerprint, self.wall_clock()):
             raise refuse(RefusalCause.QUARANTINED)
 
-    def _check_continuable(self, progress: Progress, attempt: int) -> None:
-        if not progress.text.continuable or attempt > MAX_CONTINUATIONS:
-            raise refuse(RefusalCause.STREAM_BROKEN)
+    def _is_continuable(self, progress: Progress, state: RetryState) -> bool:
+        return progress.text.continuable and state.attempts <= MAX_CONTINUATIONS
 
 
 def _deadline_cause(progress: Progress) -> RefusalCause:
--- a/packages/teaselpond/tests/delivery/test_relay.py
+++ b/packages/teaselpond/tests/delivery/test_relay.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import json
+import time
 
 from attrs import frozen
 
 from teaselpond.delivery.tokens import SigningKey
-from teaselpond.policy import Outcome
-from teaselpond_standins.engine import EngineFaultKind
+from teaselpond.policy import Outcome, PolicySettings
+from teaselpond_standins.engine import EngineFaultKind, EngineSettings
 from teaselpond_standins.testing import AsyncTestCase
 
 from .relay_harness import RecordingCaller, RelayHarness, answer_to, make_call
@@ -15,6 +16,8 @@
 F = EngineFaultKind
 # An answer of 12 words has 14 events: words, finish reason, terminal event.
 EVENTS = 14
+# Each event takes longer than the harness's limits on silence together.
+SLOW_ENGINE = EngineSettings(cold_factor=1.0, step_seconds=1.7)
 
 
 @frozen
@@ -166,6 +169,39 @@
             self.assertLessEqual(len(harness.slots.requests), 330)
 
 
+class SlowEngineTests(AsyncTestCase):
+    """Check engines that pause for longer than an attempt may be silent."""
+
+    async def run_slow_call(self, **fields: object) -> tuple[str, int]:
+        """Return a call's result, and how many slots were granted."""
+        async with RelayHarness(engine=SLOW_ENGINE, **fields) as harness:
+            result = await harness.run_call(make_call("words:2"))
+            return result, len(harness.slots.releases)
+
+    async def test_only_engine_is_waited_for(self) -> None:
+        """Guard against answers given up because no other engine is free."""
+        self.assertEqual(("whole", 1), await self.run_slow_call(engines=1))
+
+    async def test_engine_is_waited_for_without_a_retry(self) -> None:
+        """Guard against answers given up because a retry is refused."""
+        policy = PolicySettings(attempts_per_request=1)
+        result, granted = await self.run_slow_call(engines=2, policy=policy)
+        self.assertEqual("whole", result)
+        self.assertLessEqual(granted, 2)
+
+    async def test_silence_ends_with_the_time_of_the_call(self) -> None:
+        """Guard against a call that waits for a silent engine for ever."""
+        async with RelayHarness(engines=1, continuation_seconds=1.0) as harness:
+            for event in (0, 4):
+                harness.standins[0].add_fault(F.SILENCE, event=event)
+                harness.standins[0].add_fault(F.SILENCE, "resume", count=-1)
+                call = make_call(request_id=f"r{event}", seconds=2.0)
+                started_at = time.monotonic()
+                result = await harness.run_call(call)
+                self.assertNotEqual("whole", result)
+                self.assertLess(time.monotonic() - started_at, 6.0)
+
+
 class RelayCallerTests(AsyncTestCase):
     """Check callers that disconnect, stall and resume."""
 
