Bound what polls, health checks and lists of caches hold and how long

Calls were bounded, but not these: 20 polls of the daemon at engines that send bodies without end held 375 MB together (16 MB each, without a limit on all), and a poll of an engine that sends a few bytes at a time did not end; 20 lists of caches of a gateway held 164 MB and health checks 97 MB, and an upstream that answered a check with such a body counted as silent. Measured with a server and a client process for each, eleven kinds of bytes.

--- a/packages/teaselpond/src/teaselpond/gateway/assembly.py
+++ b/packages/teaselpond/src/teaselpond/gateway/assembly.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..upstreams.connections import UpstreamClient
+from ..upstreams.held_answers import HeldAnswers
 from .adapters import Adapter, Store
 from .crash_reports import CrashReports
 from .datagrams import TableChanges
@@ -39,6 +40,7 @@
         "connect_seconds": CONNECT_TIMEOUT_SECONDS,
         "idle_seconds": IDLE_TIMEOUT_SECONDS,
         "skip_auto_headers": SKIPPED_AUTO_HEADERS,
+        "held_answers": HeldAnswers(),
     }
     id_option = {"id_header": adapter.headers.REQUEST_ID}
     return Sender(
@@ -109,6 +111,7 @@
         host.host_count,
         host.retries,
         EventRelay(crash_reports, host.metrics, host.clock),
+        sender.pooled_client.held_answers,
     )
     return CallerRequestHandler(
         headers,
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..exceptions import UpstreamBroken
+from ..upstreams.held_answers import HeldAnswers
 from .attempts import Attempt, OpenAttempts
 from .calls import Call
 from .codec import HeaderCodec
@@ -15,7 +16,6 @@
 from .event_relay import EventRelay, EventSink
 from .exceptions import StreamCut
 from .health import HealthTracker, Result
-from .held_answers import HeldAnswers
 from .journal import Journal
 from .loads import LoadTracker
 from .metrics import Metrics
@@ -72,8 +72,8 @@
     host_count: Callable[[], int]
     retries: RetryBudgets
     events: EventRelay
+    held_answers: HeldAnswers
     rng: random.Random = field(factory=random.Random)
-    held_answers: HeldAnswers = field(factory=HeldAnswers)
     running: RunningWaits = field(factory=RunningWaits)
 
     async def run(self, call: Call, sink: EventSink) -> Reply | None:
--- a/packages/teaselpond/src/teaselpond/gateway/sending.py
+++ b/packages/teaselpond/src/teaselpond/gateway/sending.py
@@ -15,17 +15,16 @@
     UpstreamUnavailable,
 )
 from ..upstreams.connections import (
-    Answer,
     UpstreamClient,
     is_unframed,
     translate_upstream_errors,
 )
+from ..upstreams.held_answers import HeldAnswers
 from .answers import AnswerHead
 from .calls import Call
 from .codec import HeaderCodec
 from .engines import Engine
 from .health import Result
-from .held_answers import HeldAnswers
 from .timeouts import PAUSE_SECONDS, PauseAwareTimeout
 
 # An answer without a length ends with its connection. Limits the wait for the
@@ -103,11 +102,11 @@
                 f"the answer has {length} bytes", step="answer", peer=self.peer
             )
         body = bytearray()
-        with held_answers.hold() as held:
+        with held_answers.hold(body) as held:
             async for part in self.parts():
                 held.add(len(part))
                 body += part
-        return bytes(body)
+            return bytes(body)
 
     async def _check_end(self) -> None:
         # After a connection error, a body without a length may be incomplete.
@@ -199,14 +198,17 @@
         """
         peer = str(engine.address)
 
-        async def ask() -> Answer:
-            return await self.check_client.fetch(
+        async def ask() -> aiohttp.ClientResponse:
+            response = await self.check_client.open(
                 engine.address,
                 "GET",
                 path,
                 request_id=CHECK_ID,
                 check_id=False,
             )
+            # The body has no meaning, and may have no end.
+            self.check_client.finish(response)
+            return response
 
         try:
             async with PauseAwareTimeout(CHECK_TIMEOUT_SECONDS):
--- a/packages/teaselpond/src/teaselpond/upstreams/connections.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/connections.py
@@ -26,10 +26,13 @@
     UpstreamSilent,
     UpstreamUnavailable,
 )
+from .held_answers import HeldAnswers
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 IDLE_TIMEOUT_SECONDS = 20.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Several large answers of services may be read at a time.
+MAX_HELD_BYTES = 64 * 1024 * 1024
 READ_BUFFER_BYTES = 64 * 1024
 REQUEST_ID_HEADER = "X-Request-Id"
 # How long the pool keeps an idle connection for another request.
@@ -102,7 +105,8 @@
     """Send requests to engines and services over pooled connections.
 
     Without ``reuse``, each request opens a new connection. ``idle_seconds``
-    limits the time without received bytes. ``id_header`` names the header
+    limits the time without received bytes, ``held_answers`` what all answers
+    of ``fetch`` hold at a time. ``id_header`` names the header
     that carries a request's id. ``skip_auto_headers`` are headers that the
     HTTP library must not add.
     """
@@ -115,11 +119,13 @@
         idle_seconds: float = IDLE_TIMEOUT_SECONDS,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         keepalive_seconds: float = KEEPALIVE_TIMEOUT_SECONDS,
+        held_answers: HeldAnswers | None = None,
         id_header: str = REQUEST_ID_HEADER,
         skip_auto_headers: tuple[str, ...] = ("User-Agent",),
     ) -> None:
         self.idle_seconds = idle_seconds
         self.max_answer_bytes = max_answer_bytes
+        self.held_answers = held_answers or HeldAnswers(MAX_HELD_BYTES)
         self._reuse = reuse
         self.connect_seconds = connect_seconds
         self._keepalive_seconds = keepalive_seconds
@@ -285,19 +291,18 @@
             self.finish(response)
 
     async def _read_body(self, response: aiohttp.ClientResponse, peer: str) -> bytes:
-        chunks = []
-        size = 0
-        with translate_upstream_errors(peer):
+        body = bytearray()
+        with translate_upstream_errors(peer), self.held_answers.hold(body) as held:
             async for chunk in response.content.iter_any():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > self.max_answer_bytes:
+                body += chunk
+                held.add(len(chunk))
+                if len(body) > self.max_answer_bytes:
                     raise UpstreamInvalid(
                         f"the answer is larger than {self.max_answer_bytes} bytes",
                         step="answer",
                         peer=peer,
                     )
-        return b"".join(chunks)
+            return bytes(body)
 
 
 def _trace_reuse() -> aiohttp.TraceConfig:
--- a/packages/teaselpond/src/teaselpond/upstreams/engines.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Mapping
+from typing import Any
 
 import aiohttp
 import cattrs
@@ -217,13 +218,12 @@
         self, address: Address, stream_id: str, *, request_id: str
     ) -> None:
         """Stop a stream; raise the errors of ``UpstreamClient.fetch``."""
-        await self._client.fetch(
+        await self._fetch_within(
+            CANCEL_TIMEOUT_SECONDS,
             address,
             "DELETE",
             f"/streams/{_path_segment(stream_id)}",
             request_id=request_id,
-            idle_seconds=CANCEL_TIMEOUT_SECONDS,
-            check_id=False,
         )
 
     async def load(self, address: Address) -> LoadReport:
@@ -263,15 +263,14 @@
         """Send an order; an old fence raises UpstreamRefused with 409."""
         body = asdict(order)
         body["kind"] = order.kind.value
-        answer = await self._client.fetch(
+        answer = await self._fetch_within(
+            seconds,
             address,
             "POST",
             "/orders",
             request_id=f"order-{order.fence}",
             headers_by_name={"Content-Type": "application/json"},
             body=json.dumps(body).encode(),
-            idle_seconds=seconds,
-            check_id=False,
         )
         _require_success(answer, address, "order")
 
@@ -304,16 +303,25 @@
         _require_success(answer, address, "import")
 
     async def _poll(self, address: Address, path: str) -> Answer:
-        answer = await self._client.fetch(
-            address,
-            "GET",
-            path,
-            request_id="poll",
-            idle_seconds=POLL_TIMEOUT_SECONDS,
-            check_id=False,
+        answer = await self._fetch_within(
+            POLL_TIMEOUT_SECONDS, address, "GET", path, request_id="poll"
         )
         return _require_success(answer, address, "poll")
 
+    async def _fetch_within(
+        self, seconds: float, address: Address, method: str, path: str, **options: Any
+    ) -> Answer:
+        """Return an answer that is complete after some seconds.
+
+        An engine may send a few bytes at a time without end. Raise
+        UpstreamSilent then, and the errors of ``UpstreamClient.fetch``.
+        """
+        with translate_upstream_errors(str(address)):
+            async with asyncio.timeout(seconds):
+                return await self._client.fetch(
+                    address, method, path, check_id=False, **options
+                )
+
 
 async def _read_refusal(
     client: UpstreamClient, response: aiohttp.ClientResponse, address: Address
--- a/packages/teaselpond/src/teaselpond/gateway/held_answers.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/held_answers.py
@@ -7,8 +7,8 @@
 
 from ..exceptions import UpstreamInvalid
 
-# The largest answer, and also the limit of all that a host holds at a time. A
-# failing upstream may send without end.
+# The largest answer, and also the limit of all that a gateway holds at a time.
+# A failing upstream may send without end.
 MAX_HELD_BYTES = 16 * 1024 * 1024
 
 
@@ -26,22 +26,25 @@
         if self.held_answers.is_exceeded_by(self):
             raise UpstreamInvalid(
                 f"no room for {self.held_bytes} bytes of the answer, of"
-                f" {self.held_answers.held_bytes} that the host holds",
+                f" {self.held_answers.held_bytes} that are held",
                 step="answer",
             )
 
 
 @define(eq=False)
 class HeldAnswers:
-    """Count the bytes of all answers that a host holds."""
+    """Count the bytes of all answers that a process holds."""
 
     limit_bytes: int = MAX_HELD_BYTES
     held_bytes: int = 0
     _count: int = 0
 
     @contextlib.contextmanager
-    def hold(self) -> Iterator[HeldAnswer]:
-        """Yield the count of an answer, and release its bytes at the end."""
+    def hold(self, body: bytearray) -> Iterator[HeldAnswer]:
+        """Yield the count of an answer, and release its bytes at the end.
+
+        ``body`` is emptied, as an error's traceback would keep it.
+        """
         answer = HeldAnswer(self)
         self._count += 1
         try:
@@ -49,6 +52,7 @@
         finally:
             self._count -= 1
             self.held_bytes -= answer.held_bytes
+            body.clear()
 
     def is_exceeded_by(self, answer: HeldAnswer) -> bool:
         """Return whether an answer is the one that there is no room for.
--- a/packages/teaselpond/tests/gateway/test_endless_answers.py
+++ b/packages/teaselpond/tests/gateway/test_endless_answers.py
@@ -7,9 +7,9 @@
 import testtools
 
 from teaselpond.exceptions import UpstreamInvalid
-from teaselpond.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
 from teaselpond.gateway.pacing import BURST_EVENTS, EVENTS_PER_SECOND
 from teaselpond.upstreams.events import MAX_EVENTLESS_BYTES, SparseEventSplitter
+from teaselpond.upstreams.held_answers import MAX_HELD_BYTES, HeldAnswers
 from teaselpond_model.bounded_sockets import READ_BYTES, BoundedSocket
 from teaselpond_standins.service import ListedFaultKind as Kind
 from teaselpond_standins.service.listed import REQUEST_ID, SIGNATURE
@@ -32,14 +32,14 @@
     def test_all_answers_share_the_limit(self) -> None:
         """The largest answer is broken off, and its bytes are released."""
         answers = HeldAnswers(1000)
-        with answers.hold() as large, answers.hold() as small:
+        with answers.hold(bytearray()) as large, answers.hold(bytearray()) as small:
             large.add(900)
             small.add(90)
             with testtools.ExpectedException(UpstreamInvalid):
                 large.add(200)
             small.add(300)
         self.assertEqual(0, answers.held_bytes)
-        with answers.hold() as alone:
+        with answers.hold(bytearray()) as alone:
             alone.add(1000)
 
 
