Keep events and a whole answer of one call apart

An attempt writes only if no other one has an answer (test_no_attempt_writes_beside_a_whole_answer). Besides, a timer of an ended attempt is stopped, and answer-not-taken is not written after cut.

--- a/packages/teaselpond/src/teaselpond/gateway/attempts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/attempts.py
@@ -54,14 +54,28 @@
         """Return whether the attempt has succeeded, failed or was given up."""
         return self._task is not None and self._task.done()
 
+    @property
+    def has_succeeded(self) -> bool:
+        """Return whether the attempt has ended with an answer."""
+        return (
+            self.has_ended
+            and not self._task.cancelled()
+            and self._task.exception() is None
+        )
+
     def start(
         self,
         answering: Coroutine[None, None, Reply | None],
         on_end: Callable[[], None],
     ) -> None:
         """Run the attempt in a task, and call back at its end."""
+
+        def end(task: asyncio.Task[Reply | None]) -> None:
+            self._timer.start(None)
+            on_end()
+
         self._task = asyncio.create_task(answering)
-        self._task.add_done_callback(lambda task: on_end())
+        self._task.add_done_callback(end)
 
     def limit_silence(self, seconds: float | None) -> None:
         """Count the attempt as overdue after some seconds, None for never."""
@@ -160,6 +174,15 @@
 
         attempt.start(answering, record_end)
 
+    def claim_caller(self, attempt: Attempt) -> bool:
+        """Return whether an attempt may write to the caller, alone then."""
+        if any(each.has_succeeded for each in self._open):
+            attempt.is_given_up = True
+        if attempt.is_given_up:
+            return False
+        self.give_up_others(attempt)
+        return True
+
     def give_up_others(self, attempt: Attempt | None) -> None:
         """End all attempts but one."""
         for other in self._open:
--- a/packages/teaselpond/src/teaselpond/gateway/entry.py
+++ b/packages/teaselpond/src/teaselpond/gateway/entry.py
@@ -96,11 +96,15 @@
 
         A planned stop thereby waits for callers that read slowly.
         """
+        transport = request.transport
+        is_closed = transport is None or transport.is_closing()
         try:
             await response.prepare(request)
             await response.write_eof()
         except ConnectionError as error:
-            # The caller is gone, or its connection was closed on purpose.
+            if is_closed:
+                # The connection was closed on purpose, or its end is logged.
+                return
             self.journal.write(
                 "answer-not-taken",
                 self.clock(),
--- a/packages/teaselpond/src/teaselpond/gateway/event_relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/event_relay.py
@@ -65,10 +65,8 @@
             wait_seconds = pace.record(events.count - count, now)
             if not batch:
                 continue
-            if attempt.is_given_up:
-                # Another attempt writes to the caller already.
+            if not attempts.claim_caller(attempt):
                 raise asyncio.CancelledError
-            attempts.give_up_others(attempt)
             # A slow caller must not count as a silent upstream.
             attempt.limit_silence(None)
             if not sink.has_begun:
