--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/checks.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/checks.py
@@ -29,6 +29,8 @@
 ALLOWED_DENIAL_RATIO = 1 / 500
 STOP_MARGIN_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.5
+# The gateway's answer to a call whose upstream it has given up.
+GIVEN_UP_STATUS = 502
 
 
 @define(eq=False)
@@ -309,6 +311,29 @@
     return Verdict("a planned stop cuts nothing", len(records.stops), tuple(breaches))
 
 
+def check_slow_engines(evidence: Evidence) -> Verdict:
+    """Check that no answer is given up while its engine may send it.
+
+    An answer that another disturbance could have cut is left out.
+    """
+    undisturbed = [
+        each
+        for each in evidence.records.attempts
+        if each.gave_up_at is None
+        and evidence.calls_by_id.get(each.request_id)
+        and evidence.was_gateway_stable(each, each.ended)
+        and _is_undisturbed(evidence, each)
+    ]
+    breaches = tuple(
+        f"{each.request_id} at {each.gateway}: {each.ending.value} {each.status} "
+        f"after {each.ended - each.sent:.1f} s"
+        for each in undisturbed
+        if (each.ending is Ending.CUT or each.status == GIVEN_UP_STATUS)
+        and each.ended - each.sent < each.deadline_seconds - LATE_TOLERANCE_SECONDS
+    )
+    return Verdict("no engine is given up too early", len(undisturbed), breaches)
+
+
 def check_directory(evidence: Evidence) -> Verdict:
     """Check that the directory does not return killed gateways.
 
@@ -359,6 +384,7 @@
     check_retry_budget,
     check_abandoned_requests,
     check_planned_stops,
+    check_slow_engines,
     check_directory,
     check_recovery,
 )
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/injection.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/injection.py
@@ -24,6 +24,8 @@
 REWRITE_SECONDS = 1.2
 SLOW_CONNECTION_SECONDS = 0.3
 SLOW_STORE_SECONDS = 0.4
+# Streams of slow engines pause before this event.
+PAUSE_EVENT = 3
 CONFIGURATION_GAP_SECONDS = 0.06
 MALFORMED_VALUES = (b"\xff\xfe", b"{", b"[]", b'{"Service": 7, "Address": "nowhere"}')
 
@@ -339,6 +341,25 @@
     )
 
 
+@inject.register
+async def _(disturbance: schedule.SlowEngines, context: InjectionContext) -> None:
+    # Slowness excuses no lost answer, so it is no trouble of the engines.
+    upstreams = [engine.upstream for engine in context.site.engines_by_id.values()]
+    with context.reserve("speed of engines") as is_free:
+        if not is_free:
+            return
+        work_seconds = [upstream.work_seconds for upstream in upstreams]
+        for upstream in upstreams:
+            upstream.pause_event = PAUSE_EVENT
+            upstream.pause_seconds = disturbance.pause_seconds
+            if upstream.engine_id.startswith("plain"):
+                upstream.work_seconds = disturbance.pause_seconds
+        await asyncio.sleep(disturbance.seconds)
+        for upstream, seconds in zip(upstreams, work_seconds, strict=True):
+            upstream.pause_event = None
+            upstream.work_seconds = seconds
+
+
 @inject.register
 async def _(disturbance: schedule.RevokeKey, context: InjectionContext) -> None:
     await _revoke_key(context)
--- a/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/soak/schedule.py
@@ -118,6 +118,16 @@
     count: int
 
 
+@frozen
+class SlowEngines(Disturbance):
+    """Make all engines slow, so that they pause in each stream.
+
+    They pause for ``pause_seconds`` and work on other calls for as long.
+    """
+
+    pause_seconds: float
+
+
 @frozen
 class RevokeKey(Disturbance):
     """Revoke a workspace's key, and give it a new one."""
@@ -216,6 +226,11 @@
             at, 0, self._choose_engine(), kind, events, self.random.randint(1, 6)
         )
 
+    def slow_engines(self, at: float) -> Disturbance:
+        """Draw how slow all engines are."""
+        pause_seconds = self._choose_seconds(0.4, 1.2)
+        return SlowEngines(at, self._choose_seconds(0.5, 3), pause_seconds)
+
     def revoke_key(self, at: float) -> Disturbance:
         """Return a revocation of the newest key; nothing is drawn."""
         return RevokeKey(at, 0)
@@ -267,6 +282,7 @@
     Drawing.disrupt_answers,
     Drawing.disrupt_answers,
     Drawing.disrupt_answers,
+    Drawing.slow_engines,
     Drawing.revoke_key,
     Drawing.revoke_key,
     Drawing.change_routes,
--- a/packages/teaselpond-standins/tests/soak/test_checks.py
+++ b/packages/teaselpond-standins/tests/soak/test_checks.py
@@ -208,6 +208,22 @@
         self.records.stops.append(Stop("edge-0", 99.0, 104.0, 1))
         self.assert_verdict(checks.check_planned_stops, held=False)
 
+    def test_slow_engines(self) -> None:
+        """Cut and given up before the deadline, with no other disturbance."""
+        self.record_call(self.attempt())
+        late = {"ended": 102.8, "ending": Ending.CUT}
+        self.record_call(self.attempt(CallKind.STREAM, **late))
+        self.assert_verdict(checks.check_slow_engines, held=True, cases=2)
+        self.record_call(self.attempt(CallKind.STREAM, ending=Ending.CUT))
+        self.assert_verdict(checks.check_slow_engines, held=False)
+
+    def test_calls_of_slow_engines(self) -> None:
+        """A 502 gives an engine up, unless its connection was disturbed."""
+        self.record_call(self.attempt(CallKind.STOCK, status=502))
+        self.assert_verdict(checks.check_slow_engines, held=False)
+        self.records.troubles.append(Trouble("plain-0", "crashed", 100.0, 100.5))
+        self.assert_verdict(checks.check_slow_engines, held=True, cases=0)
+
     def test_directory(self) -> None:
         self.records.troubles.append(Trouble("edge-1", "killed", 80.0, 200.0))
         for _ in range(3):
