Give the slot of the daemon's retry its time, and release it when unused

The slot that is reserved while an engine is silent was asked for with the call's deadline, which a begun stream may have passed; and one that was granted after the engine had answered replaced that answer. test_reserved_slot_of_a_begun_stream_has_time and test_reserved_slot_is_released_when_the_engine_answers failed before. test_answer_that_begins_late_is_waited_for fails on (no-upstream).

--- a/packages/teaselpond/src/teaselpond/delivery/attempts.py
+++ b/packages/teaselpond/src/teaselpond/delivery/attempts.py
@@ -236,14 +236,17 @@
         idle = self._relay.settings.event_idle_seconds
         while True:
             await asyncio.wait((self._opening,), timeout=idle)
-            if not self._opening.done() and await self._reserve_retry():
+            is_reserved = not self._opening.done() and await self._reserve_retry()
+            if self._opening.done():
+                # The engine may have answered while a slot was reserved.
+                self._relay.release_reserved(self._state)
+                return self._opening.result()
+            if is_reserved:
                 raise UpstreamSilent(
                     f"sent no answer for {idle} s",
                     step="open",
                     peer=str(self._address),
                 )
-            if self._opening.done():
-                return self._opening.result()
 
     async def _reserve_retry(self) -> bool:
         """Return whether a retry of the call has a slot."""
--- a/packages/teaselpond/src/teaselpond/delivery/relay.py
+++ b/packages/teaselpond/src/teaselpond/delivery/relay.py
@@ -175,9 +175,14 @@
                     delay = self._delay_retry(state, progress, failure)
                     await asyncio.sleep(delay)
         finally:
-            if state.next_grant is not None:
-                release = Release(state.next_grant.grant_id, Outcome.CANCELLED)
-                self.start_cleanup(self._slots.release(release))
+            self.release_reserved(state)
+
+    def release_reserved(self, state: RetryState) -> None:
+        """Release the slot that was reserved for a retry, if there is one."""
+        grant = state.take_grant()
+        if grant is not None:
+            release = Release(grant.grant_id, Outcome.CANCELLED)
+            self.start_cleanup(self._slots.release(release))
 
     def _delay_retry(
         self, state: RetryState, progress: Progress, failure: AttemptFailed
@@ -211,8 +216,10 @@
         Return whether there is one. Without it, the engine of the attempt may
         still answer.
         """
-        if progress.events and not self._is_continuable(progress, state):
-            return False
+        if progress.events:
+            if not self._is_continuable(progress, state):
+                return False
+            state.deadline = self.clock() + self.settings.continuation_seconds
         progressed = progress.events > state.events_before
         retry = self._retries.decide(
             0 if progressed else state.failures + 1,
--- a/packages/teaselpond/tests/delivery/test_relay.py
+++ b/packages/teaselpond/tests/delivery/test_relay.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from teaselpond.delivery.tokens import SigningKey
-from teaselpond.policy import Outcome, PolicySettings
+from teaselpond.policy import Grant, Outcome, PolicySettings, SlotRequest
 from teaselpond_standins.engine import EngineFaultKind, EngineSettings
 from teaselpond_standins.testing import AsyncTestCase
 
@@ -18,6 +18,10 @@
 EVENTS = 14
 # Each event takes longer than the harness's limits on silence together.
 SLOW_ENGINE = EngineSettings(cold_factor=1.0, step_seconds=1.7)
+# A second request waits for the end of the first one.
+BUSY_ENGINE = EngineSettings(slots=1, cold_limit=1, cold_factor=1.0, step_seconds=0.4)
+# The first request ends in this time.
+LATE_SLOT_SECONDS = 2.0
 
 
 @frozen
@@ -189,6 +193,46 @@
         self.assertEqual("whole", result)
         self.assertLessEqual(granted, 2)
 
+    async def test_reserved_slot_of_a_begun_stream_has_time(self) -> None:
+        """Guard against retries whose slot is refused as too late."""
+        async with RelayHarness(engines=2) as harness:
+            harness.standins[0].add_fault(F.SILENCE, event=4)
+            harness.standins[0].add_fault(F.SILENCE, "resume", count=-1)
+            call = make_call(seconds=0.5)
+            self.assertEqual("whole", await harness.run_call(call))
+            _, retry = harness.slots.requests
+            self.assertGreater(retry.deadline, call.deadline)
+
+    async def test_answer_that_begins_late_is_waited_for(self) -> None:
+        """Guard against calls given up before the head of their answer."""
+        async with RelayHarness(engine=BUSY_ENGINE, engines=1) as harness:
+            calls = (make_call("words:2", request_id=name) for name in "ab")
+            results = await asyncio.gather(*map(harness.run_call, calls))
+            self.assertEqual(["whole", "whole"], results)
+
+    async def test_reserved_slot_is_released_when_the_engine_answers(self) -> None:
+        """Guard against slots that are held for the time of a stream."""
+        async with RelayHarness(
+            engine=BUSY_ENGINE, engines=2, resume_idle_seconds=5.0
+        ) as harness:
+            slots = harness.slots
+            acquire, granted = slots.acquire, asyncio.Event()
+
+            async def acquire_late(request: SlotRequest) -> Grant:
+                if request.excluded:
+                    await asyncio.sleep(LATE_SLOT_SECONDS)
+                    granted.set()
+                return await acquire(request)
+
+            slots.acquire = acquire_late
+            first = harness.run_call(make_call("words:2", request_id="a"))
+            second = harness.run_call(make_call("words:9", request_id="b"))
+            running = asyncio.gather(first, second)
+            await granted.wait()
+            await asyncio.sleep(0.1)
+            self.assertEqual(["e0"], list(slots.engine_ids_by_grant_id.values()))
+            self.assertEqual(["whole", "whole"], await running)
+
     async def test_silence_ends_with_the_time_of_the_call(self) -> None:
         """Guard against a call that waits for a silent engine for ever."""
         async with RelayHarness(engines=1, continuation_seconds=1.0) as harness:
