--- a/packages/teaselpond-standins/tests/soak/test_slow_engines.py
+++ b/packages/teaselpond-standins/tests/soak/test_slow_engines.py
@@ -55,6 +55,16 @@
         statuses = await self.send_all("/stream/", stops=True)
         self.assertEqual([200] * CALLS, statuses)
 
+    async def test_streams_without_a_stop(self) -> None:
+        """Guard against streams that are cut without planned work."""
+        statuses = await self.send_all("/stream/", stops=False)
+        self.assertEqual([200] * CALLS, statuses)
+
+    async def test_calls_around_a_planned_stop(self) -> None:
+        """Guard against calls that are given up by a host that leaves."""
+        statuses = await self.send_all("/stock/", stops=True)
+        self.assertEqual([200] * CALLS, statuses)
+
     async def test_calls_without_a_stop(self) -> None:
         """Guard against calls that are given up before their answers."""
         statuses = await self.send_all("/stock/", stops=False)
