--- a/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
+++ b/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
@@ -19,9 +19,7 @@
 from teaselpond.gateway.health import HealthTracker
 from teaselpond.gateway.loads import LOAD_CAP_SLACK, LoadTracker
 from teaselpond.gateway.placement import Placer
-from teaselpond.gateway.prefixes import PrefixTracker, PrefixUse
 from teaselpond.gateway.routing_state import EngineRecord, RoutingState
-from teaselpond.gateway.starts import StartTracker
 from teaselpond_standins.testing.gateways import (
     make_call,
     make_configuration,
@@ -29,6 +27,7 @@
     make_head,
     make_prompt,
 )
+from teaselpond_standins.testing.late_news import LatePrefixes, LateStarts
 
 HOSTS, ENGINES = 195, 59
 REQUESTS_PER_SECOND, RUN_SECONDS = 272.0, 1.4
@@ -40,41 +39,6 @@
 STEP_SECONDS, STEP_TOKENS = 0.001, 512
 
 
-class LateStarts(StartTracker):
-    """Count starts when most hosts hear of them."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.late: deque[tuple[int, float]] = deque()
-
-    def record_own(self, engine_key: int, now: float) -> None:
-        """Keep one start until it is due."""
-        self.late.append((engine_key, now))
-
-    def advance(self, now: float) -> None:
-        """Count the starts that are due, and forget old ones."""
-        while self.late and self.late[0][1] <= now - NEWS_DELAY_SECONDS:
-            super().record_own(*self.late.popleft())
-        self.expire(now)
-
-
-class LatePrefixes(PrefixTracker):
-    """Know the holders of prompts when most hosts hear of them."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.late: deque[PrefixUse] = deque()
-
-    def record(self, prefix_use: PrefixUse, *, is_news: bool = True) -> None:
-        """Keep one use until it is due."""
-        self.late.append(prefix_use)
-
-    def advance(self, now: float) -> None:
-        """Record the uses that are due."""
-        while self.late and self.late[0].at <= now - NEWS_DELAY_SECONDS:
-            super().record(self.late.popleft())
-
-
 class FormerPlacer(Placer):
     """Choose the first below the load limit in the order of affinity."""
 
@@ -121,7 +85,8 @@
     rng = random.Random(seed)
     state = RoutingState()
     state.update_configuration(make_configuration())
-    starts, prefixes, health = LateStarts(), LatePrefixes(), HealthTracker()
+    starts, prefixes = LateStarts(NEWS_DELAY_SECONDS), LatePrefixes(NEWS_DELAY_SECONDS)
+    health = HealthTracker()
     loads = LoadTracker(peer_age_seconds=3.0, starts=starts)
     cold = ColdBudget(1.5, 5.0)
     placers = [
--- a/packages/teaselpond/tests/gateway/test_hot_prefix.py
+++ b/packages/teaselpond/tests/gateway/test_hot_prefix.py
@@ -2,7 +2,6 @@
 
 import heapq
 import random
-from collections import deque
 
 import testtools
 
@@ -12,7 +11,6 @@
 from teaselpond.gateway.placement import Placer
 from teaselpond.gateway.prefixes import PrefixTracker
 from teaselpond.gateway.routing_state import RoutingState
-from teaselpond.gateway.starts import StartTracker
 from teaselpond_standins.testing.gateways import (
     make_call,
     make_configuration,
@@ -20,6 +18,7 @@
     make_head,
     make_prompt,
 )
+from teaselpond_standins.testing.late_news import LateStarts
 
 HOSTS = 195
 ENGINES = 59
@@ -39,24 +38,6 @@
 PLAYED_SECONDS = 30.0
 
 
-class LateStarts(StartTracker):
-    """Count starts when most hosts hear of them."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.late: deque[tuple[int, float]] = deque()
-
-    def record_own(self, engine_key: int, now: float) -> None:
-        """Keep one start until it is due."""
-        self.late.append((engine_key, now))
-
-    def advance(self, now: float) -> None:
-        """Count the starts that are due, and forget old ones."""
-        while self.late and self.late[0][1] <= now - START_DELAY_SECONDS:
-            super().record_own(*self.late.popleft())
-        self.expire(now)
-
-
 class HotPrefixTests(testtools.TestCase):
     """Place requests as a large fleet does, whose hosts see the same loads."""
 
@@ -65,7 +46,7 @@
         self.rng = random.Random(5)
         self.routing_state = RoutingState()
         self.routing_state.update_configuration(make_configuration())
-        self.starts = LateStarts()
+        self.starts = LateStarts(START_DELAY_SECONDS)
         self.loads = LoadTracker(peer_age_seconds=3.0, starts=self.starts)
         health, prefixes = HealthTracker(), PrefixTracker()
         self.placers = [
