Count only running requests for the load cap of late loads

What callers saw: prompts went to engines that held more than the load cap allows, though others had room.

Cause: where loads are late, an engine's load was its newest reading and all requests sent to it since, also those that had ended. For the cap this raised the mean: 4.5 in a model of 131 hosts and 70 engines in which 2.5 ran, which allows 12 requests where 8 are allowed. The cap and the loads compared with it are now the estimates of requests that still run, which the choice already used otherwise (2.5 in that model). The request to be sent counts too.

test_requests_that_ended_do_not_raise_the_cap failed before.

--- a/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
@@ -43,21 +43,21 @@
 def weigh_prompt(
     read_costs: Sequence[float],
     remaining: Sequence[float],
-    loads: Sequence[float],
     cap: float,
 ) -> list[float]:
     """Return the relative chance of each upstream.
 
-    It is 0 above the cap while half of the upstreams or more are below it.
-    With fewer, all hosts would crowd these until the next loads arrive.
+    It is 0 where the request would exceed the cap while half of the upstreams
+    or more are below it. With fewer, all hosts would crowd these until the
+    next loads arrive.
 
     ``read_costs`` are the seconds of reading there, 0 where the prompt is
-    held, ``remaining`` the estimated numbers of known requests that still run,
-    and ``loads`` those of all known requests, as the ``cap`` counts them.
+    held, and ``remaining`` the estimated numbers of known requests that still
+    run. Counts of all known requests would also raise the cap by those that
+    have ended.
     """
     mean = sum(remaining) / len(remaining)
-    mean_load = sum(loads) / len(loads)
-    room = cap - mean_load - MARGIN_DEVIATIONS * math.sqrt(mean_load)
+    room = cap - mean - MARGIN_DEVIATIONS * math.sqrt(mean)
     # With less room half of the upstreams would be avoided, and hosts would
     # crowd the others.
     limit = mean + max(math.sqrt(mean), room)
@@ -66,10 +66,11 @@
         read + per_request * count
         for read, count in zip(read_costs, remaining, strict=True)
     ]
-    if 2 * sum(load <= cap for load in loads) >= len(loads):
+    is_full = [count + 1 > cap for count in remaining]
+    if 2 * sum(is_full) <= len(is_full):
         costs = [
-            math.inf if load > cap else cost + AVOIDED_SECONDS * (count > limit)
-            for load, count, cost in zip(loads, remaining, costs, strict=True)
+            math.inf if full else cost + AVOIDED_SECONDS * (count > limit)
+            for full, count, cost in zip(is_full, remaining, costs, strict=True)
         ]
     least = min(costs)
     return [math.exp((least - cost) / SPREAD_SECONDS) for cost in costs]
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -331,7 +331,7 @@
     ) -> int:
         """Return the position of the upstream to send an ordered call to."""
         if self.loads.uses_readings:
-            weights = self.weigh_prompt(call, order, loads_by_id, mean, now, host_count)
+            weights = self.weigh_prompt(call, order, loads_by_id, now, host_count)
             return choose(weights, self.rng)
         key = _affinity_key(call)
         rate = self.prefix_rates.fleet_rate(key, now, host_count) if key else 0.0
@@ -349,12 +349,14 @@
         self,
         call: Call,
         candidates: Sequence[EngineRecord],
-        loads_by_id: Mapping[str, int],
-        mean: float,
+        service_ids: Collection[str],
         now: float,
         host_count: int,
     ) -> list[float]:
-        """Return the relative chances for a prompt where loads are late."""
+        """Return the relative chances for a prompt where loads are late.
+
+        ``service_ids`` are those of all upstreams that the mean includes.
+        """
         prompt = call.head.prompt
         shared = prompt.shared_parts if prompt is not None else ()
         key = _affinity_key(call)
@@ -366,10 +368,13 @@
         if not any(each in holders for each in ids):
             # All hosts prefer the same one, which reads it once.
             holders = [_id_of(order_by_affinity(key, candidates, ())[0])]
+        remaining_by_id = {
+            each: self.loads.remaining(each, now) for each in service_ids
+        }
+        mean = sum(remaining_by_id.values()) / len(remaining_by_id)
         return weigh_prompt(
             [0.0 if each in holders else read_cost for each in ids],
-            [self.loads.remaining(each, now) for each in ids],
-            [loads_by_id[each] for each in ids],
+            [remaining_by_id[each] for each in ids],
             self.load_cap_factor * mean + LOAD_CAP_SLACK,
         )
 
--- a/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
+++ b/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
@@ -19,6 +19,7 @@
 from teaselpond.gateway.health import HealthTracker
 from teaselpond.gateway.loads import LOAD_CAP_SLACK, LoadTracker
 from teaselpond.gateway.placement import Placer
+from teaselpond.gateway.prefixes import PrefixTracker, PrefixUse, prefix_key
 from teaselpond.gateway.routing_state import EngineRecord, RoutingState
 from teaselpond_standins.testing.gateways import (
     make_call,
@@ -178,6 +179,29 @@
         )
 
 
+class EndedRequestsTests(testtools.TestCase):
+    """Compare an upstream with the mean of requests that still run."""
+
+    def test_requests_that_ended_do_not_raise_the_cap(self) -> None:
+        """A full upstream must not get more because others had many before."""
+        state, prefixes = RoutingState(), PrefixTracker()
+        state.update_configuration(make_configuration())
+        loads = LoadTracker(peer_age_seconds=3.0)
+        for number in range(4):
+            state.update_engine(make_engine(f"e{number}"), 0.0)
+            loads.record_reading(f"e{number}", 0, 0.0)
+            for _ in range(8):
+                loads.record_start(f"e{number}", 0.1)
+        loads.record_reading("e0", 8, 2.9)
+        prompt = make_prompt("system", "thing", "own")
+        call = make_call(2.9, head=make_head(prompt=prompt))
+        prefixes.record(PrefixUse(prefix_key(call.service, "thing"), "e0", 2.8))
+        trackers = HealthTracker(), ColdBudget(1.5, 5.0), prefixes
+        placer = Placer(state, loads, *trackers, "zone-a", 2.0, random.Random(1))
+        placement = placer.place(call, (), 2.9, HOSTS)
+        self.assertNotEqual("e0", placement.record.engine.engine_id)
+
+
 class DecisionTests(testtools.TestCase):
     """Weigh an upstream that holds the prompt against one that does not."""
 
@@ -185,24 +209,24 @@
         """A prompt moves only if waiting costs more than reading it again."""
         loads = [12.0, 6.0, 6.0]
         for seconds, is_moved in ((AVOIDED_SECONDS / 2, True), (1.3, False)):
-            weights = weigh_prompt([0.0, seconds, seconds], loads, loads, 14.0)
+            weights = weigh_prompt([0.0, seconds, seconds], loads, 14.0)
             self.assertEqual(is_moved, weights[0] < weights[1], weights)
 
     def test_cap(self) -> None:
         """No upstream above the cap is chosen while others are below it."""
-        weights = weigh_prompt([0.0, 1.3], [20.0, 6.0], [20.0, 6.0], 14.0)
+        weights = weigh_prompt([0.0, 1.3], [20.0, 6.0], 14.0)
         self.assertEqual(0.0, weights[0])
 
     def test_few_below_the_cap(self) -> None:
         """Hosts must not all send to the least loaded engine."""
         for cap in (3.0, 5.0):
-            weights = weigh_prompt([0.0] * 3, [9, 9, 4], [9, 9, 4], cap)
+            weights = weigh_prompt([0.0] * 3, [9, 9, 4], cap)
             self.assertGreater(min(weights), 0.0)
             self.assertLess(weights[2] / sum(weights), 0.8)
 
     def test_more_room_is_chosen_more_often(self) -> None:
         """Engines that hold a popular prompt must not be filled to the cap."""
-        weights = weigh_prompt([0.0] * 3, [8, 11, 2], [8, 11, 2], 10.0)
+        weights = weigh_prompt([0.0] * 3, [8, 11, 2], 10.0)
         self.assertEqual(0.0, weights[1])
         self.assertAlmostEqual(0.15, weights[0] / sum(weights), delta=0.03)
 
