Tell popular prompts by the starts of all hosts

Cause: a host knew how popular a prompt is from its own requests alone. Of 26 a second for one prompt a host of 131 gets one in 5 s, and prompts are popular for 6 s. So reading the prompt elsewhere seemed to cost every request 1.3 s, and the fleet sent all to the three engines that hosts remember as holders, until their loads were known half a second later.

Hosts already tell each other each start of a request. The upper 20 bits of its random number now identify the prompt prefix, so that all hosts know a prompt's rate 0.4 s after it rose; the format stays as it is, and numbers of older builds are noise. A prompt is spread over as many engines as its running requests need room, the same ones by hash at all hosts, each of which reads it once. An engine is full one request earlier, for what peers have just sent.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/late_news.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/late_news.py
@@ -16,11 +16,11 @@
     def __init__(self, delay_seconds: float) -> None:
         super().__init__()
         self.delay_seconds = delay_seconds
-        self.late: deque[tuple[int, float]] = deque()
+        self.late: deque[tuple[int, float, bytes]] = deque()
 
-    def record_own(self, engine_key: int, now: float) -> None:
+    def record_own(self, engine_key: int, now: float, prefix: bytes = b"") -> None:
         """Keep one start until it is due."""
-        self.late.append((engine_key, now))
+        self.late.append((engine_key, now, prefix))
 
     def advance(self, now: float) -> None:
         """Count the starts that are due, and forget old ones."""
--- a/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
@@ -9,6 +9,8 @@
 import math
 from collections.abc import Sequence
 
+from ..loads import RUN_SECONDS
+
 # What an engine reads of a prompt in a second. The daemon's policy assumes the
 # same; slower than most engines are, so that prompts stay where they are held.
 READ_TOKENS_PER_SECOND = 8000.0
@@ -28,6 +30,12 @@
 MARGIN_DEVIATIONS = 1.2
 # What being close to the cap counts as, in seconds of waiting.
 AVOIDED_SECONDS = 0.1
+# The running requests for one prompt may take this part of the room between
+# the mean load and the cap at an upstream.
+POPULAR_ROOM_RATIO = 0.2
+# An upstream is full for a host this much below the cap: the request itself
+# counts too, and peers have mostly sent one that the host has not heard of.
+ADDED_REQUESTS = 2
 
 
 def read_seconds(tokens: int, rate: float, upstreams: int) -> float:
@@ -40,6 +48,15 @@
     return tokens / READ_TOKENS_PER_SECOND / (1.0 + followers)
 
 
+def spread_count(rate: float, mean: float, cap: float) -> int:
+    """Return over how many upstreams the requests for a prompt are spread.
+
+    ``rate`` is their number a second.
+    """
+    running = rate * RUN_SECONDS
+    return max(1, math.ceil(running / (POPULAR_ROOM_RATIO * (cap - mean))))
+
+
 def weigh_prompt(
     read_costs: Sequence[float],
     remaining: Sequence[float],
@@ -47,9 +64,9 @@
 ) -> list[float]:
     """Return the relative chance of each upstream.
 
-    It is 0 where the request would exceed the cap while half of the upstreams
-    or more are below it. With fewer, all hosts would crowd these until the
-    next loads arrive.
+    It is 0 where the request may exceed the cap while half of the upstreams or
+    more are below it. With fewer, all hosts would crowd these until the next
+    loads arrive.
 
     ``read_costs`` are the seconds of reading there, 0 where the prompt is
     held, and ``remaining`` the estimated numbers of known requests that still
@@ -66,7 +83,7 @@
         read + per_request * count
         for read, count in zip(read_costs, remaining, strict=True)
     ]
-    is_full = [count + 1 > cap for count in remaining]
+    is_full = [count + ADDED_REQUESTS > cap for count in remaining]
     if 2 * sum(is_full) <= len(is_full):
         costs = [
             math.inf if full else cost + AVOIDED_SECONDS * (count > limit)
--- a/packages/teaselpond/src/teaselpond/gateway/loads.py
+++ b/packages/teaselpond/src/teaselpond/gateway/loads.py
@@ -134,10 +134,13 @@
             response_times=self.response_times.copy(),
         )
 
-    def record_start(self, engine_id: str, now: float) -> None:
-        """Record that this host sends a request to an upstream."""
+    def record_start(self, engine_id: str, now: float, prefix: bytes = b"") -> None:
+        """Record that this host sends a request to an upstream.
+
+        ``prefix`` is the key of its prompt prefix, empty without one.
+        """
         if self.uses_readings:
-            self.starts.record_own(engine_key(engine_id), now)
+            self.starts.record_own(engine_key(engine_id), now, prefix)
 
     def set_peer_loads(self, host: str, loads: Mapping[str, int]) -> None:
         """Replace the number of a peer's requests at each upstream."""
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -16,7 +16,7 @@
     order_by_load,
     put_first,
 )
-from .balancing.prompts import read_seconds, weigh_prompt
+from .balancing.prompts import read_seconds, spread_count, weigh_prompt
 from .budgets import ColdBudget
 from .calls import Call
 from .configuration import Service
@@ -172,17 +172,17 @@
     ) -> None:
         """Record that a call is being sent to an upstream."""
         engine_id = _id_of(placement.record)
-        self.loads.record_start(engine_id, now)
+        key = _affinity_key(call)
+        prefix = prefix_key(call.service, key) if key else b""
+        self.loads.record_start(engine_id, now, prefix)
         service = self._service(call)
         if service is not None and service.cold_per_second > 0:
             self.cold_budget.record_sent(
                 engine_id, service.cold_per_second, now, host_count
             )
-        key = _affinity_key(call)
         if key:
             self.prefix_rates.record(key, now)
-            use = PrefixUse(prefix_key(call.service, key), engine_id, now)
-            self.prefixes.record(use)
+            self.prefixes.record(PrefixUse(prefix, engine_id, now))
 
     def _available(self, service_records: Sequence[EngineRecord]) -> list[EngineRecord]:
         evacuated = self.routing_state.evacuated_zones
@@ -360,22 +360,28 @@
         prompt = call.head.prompt
         shared = prompt.shared_parts if prompt is not None else ()
         key = _affinity_key(call)
-        rate = self.prefix_rates.fleet_rate(key, now, host_count, LONG_WINDOW_SECONDS)
+        rate = max(
+            self.prefix_rates.fleet_rate(key, now, host_count, LONG_WINDOW_SECONDS),
+            self.loads.starts.prefix_rate(prefix_key(call.service, key), now),
+        )
         tokens = sum(part.tokens for part in shared)
         read_cost = read_seconds(tokens, rate, len(candidates))
         holders = self.holders(call, now)
         ids = [_id_of(record) for record in candidates]
-        if not any(each in holders for each in ids):
-            # All hosts prefer the same one, which reads it once.
-            holders = [_id_of(order_by_affinity(key, candidates, ())[0])]
         remaining_by_id = {
             each: self.loads.remaining(each, now) for each in service_ids
         }
         mean = sum(remaining_by_id.values()) / len(remaining_by_id)
+        cap = self.load_cap_factor * mean + LOAD_CAP_SLACK
+        count = spread_count(rate, mean, cap)
+        if count > 1 or not any(each in holders for each in ids):
+            # All hosts prefer the same ones, which read it once each.
+            preferred = order_by_affinity(key, candidates, ())[:count]
+            holders += [_id_of(record) for record in preferred]
         return weigh_prompt(
             [0.0 if each in holders else read_cost for each in ids],
             [remaining_by_id[each] for each in ids],
-            self.load_cap_factor * mean + LOAD_CAP_SLACK,
+            cap,
         )
 
     def load_limit(self, mean: float) -> int:
--- a/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
+++ b/packages/teaselpond/tests/gateway/balancing/test_late_prompts.py
@@ -12,6 +12,7 @@
 from teaselpond.gateway.balancing.prompts import (
     AVOIDED_SECONDS,
     read_seconds,
+    spread_count,
     weigh_prompt,
 )
 from teaselpond.gateway.budgets import ColdBudget
@@ -234,3 +235,9 @@
         """The requests for a popular prompt share the cost of reading it."""
         self.assertEqual(0.0875, read_seconds(700, 0.0, 40))
         self.assertLess(read_seconds(700, 35.0, 40), 0.0025)
+
+    def test_upstreams_of_popular_prompts(self) -> None:
+        """A prompt with more requests is spread over more upstreams."""
+        self.assertEqual(1, spread_count(0.0, 2.5, 8.0))
+        self.assertEqual(13, spread_count(10.0, 2.5, 8.0))
+        self.assertEqual(5, spread_count(10.0, 12.0, 27.0))
--- a/packages/teaselpond/tests/gateway/test_fleet_view.py
+++ b/packages/teaselpond/tests/gateway/test_fleet_view.py
@@ -17,7 +17,7 @@
 from teaselpond.gateway.poison import PoisonTracker
 from teaselpond.gateway.prefixes import PrefixUse
 from teaselpond.gateway.sightings import SIGHTING, apply_sightings, pack_sightings
-from teaselpond.gateway.starts import COUNTED_SECONDS, StartTracker
+from teaselpond.gateway.starts import COUNTED_SECONDS, START, StartTracker
 from teaselpond.gateway.surveying import RETURNED_RATIO
 from teaselpond.gateway.suspects import MIN_ENDS_BY_SCOPE
 from teaselpond.gateway.traits import Scope, Trait
@@ -311,6 +311,55 @@
         self.assertEqual(0, ours.count_since(7, 0.0))
 
 
+class PrefixRateTests(testtools.TestCase):
+    """Tell from all hosts' starts how popular a prompt is."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.ours = StartTracker(random.Random(1))
+
+    def hear(self, prefixes: list[bytes], started_at: float) -> None:
+        """Record starts of one peer each, at upstreams in turn."""
+        for number, prefix in enumerate(prefixes):
+            peer = StartTracker(random.Random(number + 2))
+            peer.record_own(number % 5, started_at + number * 0.01, prefix)
+            heard_at = started_at + number * 0.01 + 0.1
+            self.ours.merge_news(peer.pack_news(heard_at), heard_at)
+
+    def test_prompt_that_became_popular(self) -> None:
+        """One request at each of many hosts makes a prompt popular."""
+        self.hear([b"12345678"] * 40, 1.0)
+        self.assertEqual(0.0, self.ours.prefix_rate(b"12345678", 1.2))
+        self.assertAlmostEqual(
+            80.0, self.ours.prefix_rate(b"12345678", 1.85), delta=8.0
+        )
+        self.assertAlmostEqual(21.0, self.ours.prefix_rate(b"12345678", 3.3), delta=2.0)
+        self.assertEqual(0.0, self.ours.prefix_rate(b"12345678", 4.0))
+
+    def test_different_prompts(self) -> None:
+        """Requests for other prompts, or without one, do not count."""
+        self.hear([b"%08d" % number for number in range(40)] + [b""] * 40, 1.0)
+        for prefix in (b"%08d" % 7, b""):
+            self.assertEqual(0.0, self.ours.prefix_rate(prefix, 2.3))
+
+    def test_starts_of_older_builds(self) -> None:
+        """Random numbers must not look like a popular prompt."""
+        rng = random.Random(3)
+        for _ in range(1000):
+            start = START.pack(rng.getrandbits(32), 7, 0)
+            self.ours.merge_news(start, 1.0)
+        rates = [self.ours.prefix_rate(b"%08d" % n, 1.5) for n in range(1000)]
+        self.assertEqual({0.0}, set(rates))
+        self.assertEqual(1000, self.ours.count_since(7, 0.0))
+
+    def test_old_starts_are_forgotten(self) -> None:
+        """Starts must not be kept for ever, and none be counted twice."""
+        self.hear([b"12345678"] * 40, 1.0)
+        self.assertEqual(8, self.ours.count_since(3, 0.0))
+        self.ours.expire(2.0 + COUNTED_SECONDS)
+        self.assertEqual(StartTracker(self.ours.rng, news=self.ours._news), self.ours)
+
+
 class RelayedAttemptsTests(testtools.TestCase):
     """Pass on which requests broke upstreams."""
 
