Move prompts to upstreams that get few requests

Cause: prompts stay where they are held, and an added engine holds none. It got only what others had no room for, lowered the mean and thereby the cap, and the other engines, as full as before, were above it.

An engine that got less than half of the mean number of starts in 3 s, by more than two deviations, now counts as a holder of its part of all prompts. All hosts choose the same prompts for it by hash, so that each is read there once.

--- a/packages/teaselpond/src/teaselpond/gateway/balancing/orders.py
+++ b/packages/teaselpond/src/teaselpond/gateway/balancing/orders.py
@@ -16,6 +16,8 @@
 # Requests last about this long, so that an upstream with a load of n gets
 # about n requests in this time.
 REQUEST_SECONDS = 1.0
+SCORE_BYTES = 8
+MAX_SCORE = 1 << 8 * SCORE_BYTES
 
 
 def order_by_load(
@@ -89,6 +91,11 @@
     return min(range(len(loads)), key=loads.__getitem__)
 
 
+def is_among_first(key: str, engine_id: str, part: float) -> bool:
+    """Return whether a part of all keys includes a key, for an upstream."""
+    return _score(key, engine_id) < part * MAX_SCORE
+
+
 def put_first(
     candidates: Sequence[EngineRecord], holders: Sequence[str]
 ) -> list[EngineRecord]:
@@ -97,5 +104,7 @@
 
 
 def _score(key: str, engine_id: str) -> int:
-    digest = hashlib.blake2b(f"{key} {engine_id}".encode(), digest_size=8).digest()
+    digest = hashlib.blake2b(
+        f"{key} {engine_id}".encode(), digest_size=SCORE_BYTES
+    ).digest()
     return int.from_bytes(digest, "big")
--- a/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/balancing/prompts.py
@@ -57,6 +57,15 @@
     return max(1, math.ceil(running / (POPULAR_ROOM_RATIO * (cap - mean))))
 
 
+def is_underused(count: int, mean: float) -> bool:
+    """Return whether an upstream gets far fewer requests than the mean.
+
+    That is so after it was added, as prompts go where they are held. The
+    difference has to be more than that of random numbers of requests.
+    """
+    return count < min(mean / 2, mean - 2 * math.sqrt(mean))
+
+
 def weigh_prompt(
     read_costs: Sequence[float],
     remaining: Sequence[float],
--- a/packages/teaselpond/src/teaselpond/gateway/placement.py
+++ b/packages/teaselpond/src/teaselpond/gateway/placement.py
@@ -12,15 +12,21 @@
 from .balancing.metrics import Spread
 from .balancing.orders import (
     choose_below_limit,
+    is_among_first,
     order_by_affinity,
     order_by_load,
     put_first,
 )
-from .balancing.prompts import read_seconds, spread_count, weigh_prompt
+from .balancing.prompts import (
+    is_underused,
+    read_seconds,
+    spread_count,
+    weigh_prompt,
+)
 from .budgets import ColdBudget
 from .calls import Call
 from .configuration import Service
-from .engines import Engine, EngineState
+from .engines import Engine, EngineState, engine_key
 from .health import HealthTracker
 from .loads import LOAD_CAP_SLACK, LoadTracker
 from .prefix_rates import LONG_WINDOW_SECONDS, PrefixRates
@@ -378,12 +384,27 @@
             # All hosts prefer the same ones, which read it once each.
             preferred = order_by_affinity(key, candidates, ())[:count]
             holders += [_id_of(record) for record in preferred]
+        holders += self._takers(key, ids)
         return weigh_prompt(
             [0.0 if each in holders else read_cost for each in ids],
             [remaining_by_id[each] for each in ids],
             cap,
         )
 
+    def _takers(self, key: str, ids: Sequence[str]) -> list[str]:
+        """Return the underused upstreams that a prompt moves to.
+
+        Each takes its part of all prompts, the same ones for all hosts.
+        """
+        starts = self.loads.starts
+        counts = [starts.count(engine_key(each)) for each in ids]
+        mean = sum(counts) / len(counts)
+        return [
+            each
+            for each, count in zip(ids, counts, strict=True)
+            if is_underused(count, mean) and is_among_first(key, each, 1 / len(ids))
+        ]
+
     def load_limit(self, mean: float) -> int:
         """Return the load above which an upstream is a last choice."""
         return math.floor(LOAD_CAP_RATIO * self.load_cap_factor * mean + LOAD_SLACK)
--- a/packages/teaselpond/src/teaselpond/gateway/starts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/starts.py
@@ -91,6 +91,10 @@
         # A prompt that became popular within the time is as popular since.
         return len(counted) / max(MIN_RATE_SECONDS, newest - min(counted))
 
+    def count(self, engine_key: int) -> int:
+        """Return how many recent starts at an upstream are known."""
+        return len(self._times_by_key.get(engine_key, ()))
+
     def count_since(self, engine_key: int, since: float) -> int:
         """Return how many requests were sent to an upstream after a time."""
         count = 0
--- a/packages/teaselpond/tests/gateway/balancing/test_popular_long_prompts.py
+++ b/packages/teaselpond/tests/gateway/balancing/test_popular_long_prompts.py
@@ -1,4 +1,4 @@
-"""Place requests of 131 hosts at 70 engines while one prompt is popular."""
+"""Place prompts of 131 hosts at 70 engines, and at engines that are added."""
 
 import heapq
 import math
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from teaselpond.gateway.budgets import ColdBudget
+from teaselpond.gateway.engines import Engine, EngineState
 from teaselpond.gateway.health import HealthTracker
 from teaselpond.gateway.loads import LoadTracker
 from teaselpond.gateway.placement import Placer
@@ -30,6 +31,9 @@
 # engine above the cap.
 MAX_SHARE_ABOVE_CAP, WINDOW_SECONDS = 0.03, 5
 WARM_UP_SECONDS, POPULAR_SECONDS, END_SECONDS = 14.0, 6.0, 24.0
+# Engines are added from the first time on, and replaced one by one.
+ADDED_FROM, ADDED_EACH_SECONDS, REPLACED_EACH_SECONDS = 10.0, 0.15, 1.5
+COLD_SECONDS, DRAIN_DELAY_SECONDS = 3.0, 0.3
 
 
 @frozen
@@ -85,6 +89,9 @@
     popular_kind: Kind = KINDS[0]
     rate: float = 1.0
     reading_delay_seconds: float = READING_DELAY_SECONDS
+    added: int = 0
+    replaced: int = 0
+    state: RoutingState = field(factory=RoutingState)
     now: float = 0.0
     running: Counter[str] = field(factory=Counter)
     free_at: dict[str, float] = field(factory=lambda: defaultdict(float))
@@ -96,7 +103,7 @@
     def run(self) -> Result:
         """Return how requests fared."""
         rng = random.Random(self.seed)
-        state = RoutingState()
+        state = self.state
         state.update_configuration(make_configuration())
         starts = LateStarts(NEWS_DELAY_SECONDS)
         prefixes = LatePrefixes(NEWS_DELAY_SECONDS)
@@ -110,6 +117,7 @@
         ]
         for number in range(ENGINES):
             state.update_engine(make_engine(f"e{number}"), 0.0)
+        changes = self.changes()
         weights = [kind.requests_per_second for kind in KINDS]
         while self.now < END_SECONDS:
             self.now += rng.expovariate(self.rate * sum(weights))
@@ -123,6 +131,8 @@
                 loads.readings.record(engine_id, load, read_at)
             starts.advance(now)
             prefixes.advance(now)
+            while changes and changes[-1][0] <= now:
+                state.update_engine(changes.pop()[1], now)
             kind = rng.choices(KINDS, weights)[0]
             name = self.draw_prompt(kind, rng)
             half = kind.shared_tokens // 2
@@ -134,6 +144,22 @@
             self.start(placement.record.engine.engine_id, kind, name, rng)
         return self.result
 
+    def changes(self) -> list[tuple[float, Engine]]:
+        """Return new entries of engines and their times, the last first."""
+        changes = [
+            (
+                ADDED_FROM + number * ADDED_EACH_SECONDS,
+                make_engine(f"added{number}", cold_seconds=COLD_SECONDS),
+            )
+            for number in range(self.added)
+        ]
+        for number in range(self.replaced):
+            at = ADDED_FROM + number * REPLACED_EACH_SECONDS
+            new = make_engine(f"new{number}", cold_seconds=COLD_SECONDS)
+            old = make_engine(f"e{number}", state=EngineState.DRAINING)
+            changes += [(at, new), (at + DRAIN_DELAY_SECONDS, old)]
+        return sorted(changes, key=lambda change: change[0], reverse=True)
+
     def draw_prompt(self, kind: Kind, rng: random.Random) -> str:
         """Return the prompt of the next request of a kind."""
         popular_for = self.now - WARM_UP_SECONDS
@@ -160,7 +186,12 @@
         heapq.heappush(self.ends, (end, engine_id))
         heapq.heappush(self.readings, (first_at, engine_id, load))
         second = int(now)
-        cap = CAP_FACTOR * self.running.total() / ENGINES + CAP_SLACK
+        engines = [
+            record.engine
+            for record in self.state.engines_by_id.values()
+            if record.engine.state is EngineState.READY
+        ]
+        cap = CAP_FACTOR * self.running.total() / len(engines) + CAP_SLACK
         result.placed[second] += 1
         result.above_cap[second] += load > cap
         result.held += is_held
@@ -196,6 +227,21 @@
         """Engines that answer late must not get more."""
         self.assert_below_cap(Play(6, 0.28, reading_delay_seconds=1.2))
 
+    def test_added_engines(self) -> None:
+        """Engines without prompts must not stay empty beside full ones."""
+        self.assert_below_cap(
+            Play(1, added=14),
+            Play(2, added=14),
+            Play(1, rate=1.3, added=14),
+            Play(2, rate=1.3, added=14),
+        )
+
+    def test_added_and_replaced_engines(self) -> None:
+        """The same holds while engines are replaced one after the other."""
+        self.assert_below_cap(
+            Play(1, added=14, replaced=7), Play(2, rate=1.3, added=14, replaced=7)
+        )
+
     def test_normal_operation(self) -> None:
         """Prompts stay where they are held, also close to the cap."""
         result = Play(1).run()
