--- a/packages/teaselpond/src/teaselpond/gateway/balancing/orders.py
+++ b/packages/teaselpond/src/teaselpond/gateway/balancing/orders.py
@@ -92,7 +92,7 @@
 
 
 def is_among_first(key: str, engine_id: str, part: float) -> bool:
-    """Return whether a part of all keys includes a key, for an upstream."""
+    """Return whether a key is in an upstream's part of all keys."""
     return _score(key, engine_id) < part * MAX_SCORE
 
 
