Show that a restored store ends an evacuation that nobody took back

Two seconds after the store's return from a copy without the evacuation, all machines use the zone again, until the operator has written again.

--- a/review/lib3/kit.py
+++ b/review/lib3/kit.py
@@ -120,7 +120,8 @@
 
     def __init__(self, ip):
         super().__init__(ip)
-        self.rows, self.version = {}, 0
+        self.rows, self.version, self.era, self.oldest = {}, 0, 1, 0
+        self.is_away = False
         self.changed = asyncio.Condition()
 
     async def put(self, table, key, value):
@@ -142,6 +143,25 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy of all rows, to come back from later."""
+        return {key: dict(row) for key, row in self.rows.items()}, self.version
+
+    def go_away(self):
+        """Reset all connections, and new ones, until the store is back."""
+        self.is_away = True
+        for task in list(self.tasks):
+            task.cancel()
+
+    def come_back(self, copy=None):
+        """Serve again; from an older copy, in a new era and without history."""
+        self.is_away = False
+        if copy is not None:
+            rows, self.version = copy
+            self.rows = {key: dict(row) for key, row in rows.items()}
+            self.oldest = self.version
+            self.era += 1
+
     def since(self, table, version):
         rows = [r for (t, _), r in self.rows.items() if t == table and r["Ver"] > version]
         return sorted(rows, key=lambda row: row["Ver"])
@@ -152,12 +172,15 @@
         return json.dumps(body | more).encode()
 
     async def serve(self, reader, writer):
+        if self.is_away:
+            writer.transport.abort()
+            return
         while True:
             first, headers = await read_head(reader)
             body = await read_body(reader, headers)
             await asyncio.sleep(0.004)
             status, content = await self.call(first, body)
-            head = {"Content-Type": "application/json"}
+            head = {"Content-Type": "application/json", "Store-Era": self.era}
             writer.write(response(status, head, content))
             await writer.drain()
 
@@ -174,7 +197,7 @@
             return 200, self.answer(rows)
         if path == "/v1/rows-feed":
             table, after = fields["Table"], int(fields["After"])
-            if after > self.version:
+            if not self.oldest <= after <= self.version:
                 return 410, b"{}"
             seconds = int(fields.get("WaitMs", 0)) / 1000
             with contextlib.suppress(TimeoutError):
@@ -225,7 +248,8 @@
         async def beat():
             while True:
                 await asyncio.sleep(1.2)
-                await self.store.put("servers", self.engine_id, self.entry())
+                if not self.store.is_away:
+                    await self.store.put("servers", self.engine_id, self.entry())
 
         self.beats = asyncio.create_task(beat())
 
