Never begin a stream again within an answer

Callers got pieces twice in a stream that ended as complete, when an upstream broke off a stream whose event ids have more than twelve digits.

Cause: an id that could not be read counted as "no event was passed on yet", so that the stream was resumed from its start. The size of the id was one form of it; streams without ids, with an id at the first event alone and with ids that are no numbers were begun again too, and ids with leading zeros were resumed at an id that no upstream wrote. Events whose ids did not rise were dropped as repeats within one answer, and so were new ones of an upstream whose ids began again after a resume.

Change: a position holds the id as it was written, and whether it is known. An unknown position allows no further attempt, so that the stream is broken off as where it may not be resumed. It is unknown while events are written, and may become so while the next attempt is decided on.

test_repeats_with_other_line_ends played the resume with one splitter; it has one for each attempt now, as the gateway has, and expects the same. Progress begins at the start of a stream without being told.

--- a/packages/teaselpond/src/teaselpond/gateway/attempts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/attempts.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..timeouts import PauseAwareTimer
+from ..upstreams.positions import StreamPosition
 from .engines import Engine
 from .health import Result
 from .placement import Placement
@@ -19,10 +20,10 @@
 class Attempt:
     """Track one attempt of a call.
 
-    ``sent_at`` is when it was sent, ``last_event_id`` after which event it
-    goes on with a stream, ``begun_at`` when its first event came, and
-    ``is_underway`` whether events have come for a while. Since ``heard_at`` no
-    bytes of the answer have come; it is infinite while none are expected.
+    ``sent_at`` is when it was sent, ``position`` where it goes on with a
+    stream, ``begun_at`` when its first event came, and ``is_underway`` whether
+    events have come for a while. Since ``heard_at`` no bytes of the answer
+    have come; it is infinite while none are expected.
 
     If it ``is_limited``, it ``is_overdue`` while its upstream has been silent
     for too long. It ``is_given_up`` once another one has taken its place.
@@ -31,7 +32,7 @@
 
     placement: Placement
     sent_at: float
-    last_event_id: str | None = None
+    position: StreamPosition = field(factory=StreamPosition)
     is_limited: bool = False
     version_run: VersionRun | NoRun = NO_RUN
     heard_at: float = field(init=False)
--- a/packages/teaselpond/src/teaselpond/gateway/event_relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/event_relay.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import UpstreamBroken
 from ..upstreams.events import SparseEventSplitter
+from ..upstreams.positions import UNKNOWN_POSITION
 from .answers import AnswerHead
 from .attempts import Attempt, OpenAttempts
 from .calls import Call
@@ -54,9 +55,10 @@
         """Write an answer's events to the sink until the stream ends.
 
         The first event of an attempt ends the others that are open. Raise
-        UpstreamBroken if the stream has no event or ends inside one.
+        UpstreamBroken if the stream has no event, ends inside one, or does
+        not go on where the caller is.
         """
-        events = SparseEventSplitter(_event_number(attempt.last_event_id))
+        events = SparseEventSplitter(attempt.position)
         pace = EventPace(self.clock())
         async for part in answer.parts():
             attempt.heard_at = now = self.clock()
@@ -74,27 +76,17 @@
             attempt.version_run.record_first_event(self.clock())
             self.crash_reports.record_events(call, progress, attempt, self.clock())
             attempt.heard_at = math.inf
+            # A write that is cancelled may have reached the caller or not.
+            progress.position = UNKNOWN_POSITION
             await sink.write(answer.head, batch)
+            progress.position = events.position
             if wait_seconds:
                 await asyncio.sleep(wait_seconds)
             attempt.heard_at = self.clock()
             if attempt.is_limited:
                 attempt.limit_silence(call.route.pause_seconds * PAUSE_TIMEOUT_FACTOR)
-            if events.last_id >= 0:
-                progress.last_event_id = str(events.last_id)
-        if events.incomplete:
-            raise UpstreamBroken(
-                "the stream ended in the middle of an event", step="stream"
-            )
+        events.check_end()
         if not sink.has_begun:
             raise UpstreamBroken(
                 "the stream ended before its first event", step="stream"
             )
-
-
-def _event_number(event_id: str | None) -> int:
-    """Return an event id as a number, -1 if it is not one."""
-    try:
-        return int(event_id) if event_id is not None else -1
-    except ValueError:
-        return -1
--- a/packages/teaselpond/src/teaselpond/gateway/next_attempts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/next_attempts.py
@@ -108,6 +108,9 @@
             if step is not None:
                 return step
         await self.crash_reports.space_trials(progress)
+        if not progress.position.is_known:
+            # An upstream that was silent has sent more meanwhile.
+            return NoAttempt(Refusal.BROKEN)
         now = self.clock()
         if self.crash_reports.is_refused(call, progress, now):
             return NoAttempt(Refusal.POISONOUS)
@@ -328,6 +331,9 @@
 
 
 def _may_run_again(call: Call, progress: Progress, open_count: int) -> bool:
+    if not progress.position.is_known:
+        # From the start, the caller would get the same events once more.
+        return False
     runs = progress.runs + open_count
     if progress.placements >= MAX_PLACEMENTS or (runs and not call.may_repeat):
         return False
--- a/packages/teaselpond/src/teaselpond/gateway/progress.py
+++ b/packages/teaselpond/src/teaselpond/gateway/progress.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from ..upstreams.positions import StreamPosition
 from .sending import AttemptFailed
 from .traits import Trait
 
@@ -11,7 +12,7 @@
     """Track the attempts of one call.
 
     ``traits`` name what the request has in common with others that may crash
-    upstreams. The caller has the events up to ``last_event_id``.
+    upstreams. The caller has the events up to ``position``.
     ``placements`` counts the upstreams that the call was placed on,
     ``arrivals`` the failed attempts that may have reached one, and ``runs``
     those of them that may have run. ``may_run`` is true if any attempt may
@@ -27,7 +28,7 @@
     """
 
     traits: tuple[Trait, ...]
-    last_event_id: str | None
+    position: StreamPosition = field(factory=StreamPosition)
     tried_ids: set[str] = field(factory=set)
     shed_ids: set[str] = field(factory=set)
     refused_by_ids: set[str] = field(factory=set)
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -9,6 +9,7 @@
 from ..exceptions import UpstreamBroken
 from ..timeouts import PauseAwareTimer, RunningWaits
 from ..upstreams.held_answers import HeldAnswers
+from ..upstreams.positions import StreamPosition
 from .attempts import Attempt, OpenAttempts
 from .calls import Call, Forwarding
 from .codec import HeaderCodec
@@ -82,7 +83,9 @@
 
         Raise StreamCut if an answer has begun and cannot be completed.
         """
-        progress = Progress(traits_of(call), call.head.last_event_id)
+        progress = Progress(
+            traits_of(call), StreamPosition.stated(call.head.last_event_id)
+        )
         self.retries.record_request(call.service, call.arrived_at)
         self.capacity_reports.control.record_call(call, call.arrived_at)
         remaining_seconds = call.expires_at - self.clock() + DEADLINE_SLACK_SECONDS
@@ -190,7 +193,7 @@
             offer=progress.placements,
             overdue=len(attempts),
             heard_seconds=round(now - placement.record.received_at, 3),
-            after_event=progress.last_event_id,
+            after_event=progress.position.event_id,
         )
         self.placer.record_sent(call, placement, now, self.host_count())
         version_run = self.placer.rollouts.begin(
@@ -201,7 +204,7 @@
         attempt = Attempt(
             placement,
             now,
-            progress.last_event_id,
+            progress.position,
             is_limited=call.may_repeat and runs < call.route.max_attempts,
             version_run=version_run,
         )
@@ -258,7 +261,7 @@
                 engine,
                 call.expires_at - self.clock(),
                 Forwarding(
-                    attempt.last_event_id,
+                    attempt.position.event_id,
                     attempt.placement.copy_from,
                     self.capacity_reports.urgency_class(call, attempt.sent_at),
                 ),
@@ -327,7 +330,8 @@
             not_run=failed.not_run,
             age_seconds=round(now - call.arrived_at, 3),
             silent_seconds=round(max(0.0, now - attempt.heard_at), 3),
-            after_event=progress.last_event_id,
+            after_event=progress.position.event_id,
+            is_position_known=progress.position.is_known,
             has_begun=attempt.begun_at is not None,
             parts=_shared_part_ids(call),
             engine_left_out=ejected,
@@ -359,7 +363,7 @@
             engine=engine.engine_id,
             age_seconds=round(now - call.arrived_at, 3),
             silent_seconds=round(max(0.0, now - attempt.heard_at), 3),
-            after_event=progress.last_event_id,
+            after_event=progress.position.event_id,
             engine_left_out=ejected,
         )
         timer = PauseAwareTimer(lambda: self._record_hang(call, progress, attempt))
--- a/packages/teaselpond/src/teaselpond/upstreams/events.py
+++ b/packages/teaselpond/src/teaselpond/upstreams/events.py
@@ -1,11 +1,11 @@
 """Split server-sent event streams into events without parsing their data."""
 
-import itertools
 import re
 
 from attrs import define, field, frozen
 
 from ..exceptions import UpstreamBroken, UpstreamInvalid
+from .positions import PositionTracker, StreamPosition
 
 EVENT_END = b"\n\n"
 ID_LINE = re.compile(rb"^id: (\d{1,12})$", re.MULTILINE)
@@ -17,7 +17,6 @@
 # Lines may end in LF or CRLF; an empty line ends an event.
 LAST_LINE_ENDS = (b"\n\n", b"\n\r\n")
 ANY_EVENT = re.compile(rb".*?\n\r?\n", re.DOTALL)
-SPARSE_ID_LINE = re.compile(rb"^id: ?(\d{1,12})\r?$", re.MULTILINE)
 # Comments keep a connection open; a few bytes at a time do.
 MAX_EVENTLESS_BYTES = 64 * 1024
 
@@ -128,21 +127,30 @@
 class SparseEventSplitter:
     """Split a byte stream into complete events whose ids may have gaps.
 
-    Events with ids up to ``last_id`` are dropped as repeats, and what holds
-    neither data nor an id as no event. ``incomplete`` holds the received bytes
-    of an event that has not ended yet, ``count`` is how many have ended.
+    Events up to the ``start`` are dropped as repeats, and what holds neither
+    data nor an id as no event. ``incomplete`` holds the received bytes of an
+    event that has not ended yet, ``count`` is how many have ended.
     """
 
-    last_id: int = -1
+    start: StreamPosition = field(factory=StreamPosition)
     incomplete: bytes = b""
     count: int = 0
     _eventless_bytes: int = 0
+    _tracker: PositionTracker = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._tracker = PositionTracker(self.start)
+
+    @property
+    def position(self) -> StreamPosition:
+        """Return the position after the last event that was returned."""
+        return self._tracker.position
 
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes and return the new events that they complete.
 
-        Raise UpstreamInvalid for an event that is too large, and for too many
-        bytes without one.
+        Raise UpstreamInvalid for an event that is too large, for too many
+        bytes without one, and for events that do not go on at the start.
         """
         data = self.incomplete + chunk
         end = max(_end_of_last(data, line_ends) for line_ends in LAST_LINE_ENDS)
@@ -151,46 +159,33 @@
             raise UpstreamInvalid(
                 f"an event is larger than {MAX_EVENT_BYTES} bytes", step="stream"
             )
-        events = data[:end]
-        numbers = [int(number) for number in SPARSE_ID_LINE.findall(events)]
-        count = len(ANY_EVENT.findall(events))
-        self.count += count
-        if len(numbers) < count:
-            events = self._drop_eventless(events)
-        if not numbers:
-            return events
-        is_new = numbers[0] > self.last_id
-        if is_new and all(a < b for a, b in itertools.pairwise(numbers)):
-            self.last_id = numbers[-1]
-            return events
-        return self._drop_repeats(events)
-
-    def _drop_eventless(self, blocks: bytes) -> bytes:
-        kept = []
-        for block in ANY_EVENT.findall(blocks):
-            if EVENT_LINE.search(block):
-                kept.append(block)
-                self._eventless_bytes = 0
-                continue
-            self._eventless_bytes += len(block)
-            if self._eventless_bytes > MAX_EVENTLESS_BYTES:
-                raise UpstreamInvalid(
-                    f"received {self._eventless_bytes} bytes without an event",
-                    step="stream",
-                )
-        return b"".join(kept)
-
-    def _drop_repeats(self, events: bytes) -> bytes:
-        kept = []
-        for event in ANY_EVENT.findall(events):
-            found = SPARSE_ID_LINE.findall(event)
-            number = int(found[0]) if len(found) == 1 else None
-            if number is not None and number <= self.last_id:
-                continue
-            if number is not None:
-                self.last_id = number
-            kept.append(event)
-        return b"".join(kept)
+        blocks = ANY_EVENT.findall(data[:end])
+        self.count += len(blocks)
+        return self._tracker.take_new([each for each in blocks if self._is_event(each)])
+
+    def check_end(self) -> None:
+        """Raise UpstreamBroken if the stream is not whole at its end."""
+        if self.incomplete:
+            raise UpstreamBroken(
+                "the stream ended in the middle of an event", step="stream"
+            )
+        if self._tracker.is_behind:
+            raise UpstreamBroken(
+                "the stream ended before the event that it goes on after",
+                step="stream",
+            )
+
+    def _is_event(self, block: bytes) -> bool:
+        if EVENT_LINE.search(block):
+            self._eventless_bytes = 0
+            return True
+        self._eventless_bytes += len(block)
+        if self._eventless_bytes > MAX_EVENTLESS_BYTES:
+            raise UpstreamInvalid(
+                f"received {self._eventless_bytes} bytes without an event",
+                step="stream",
+            )
+        return False
 
 
 def _end_of_last(data: bytes, line_ends: bytes) -> int:
--- a/packages/teaselpond/tests/gateway/test_crash_reports.py
+++ b/packages/teaselpond/tests/gateway/test_crash_reports.py
@@ -52,7 +52,7 @@
         engine = make_engine(f"e{number}")
         placement = Placement(EngineRecord(engine, 0.0, 0.0), 0, 0.0, 1, 0)
         attempt = Attempt(placement, self.now)
-        return call, Progress(traits_of(call), None), attempt
+        return call, Progress(traits_of(call)), attempt
 
     def refused_scopes(self) -> list[Scope]:
         """Return the scopes of a new prompt's traits that are refused."""
@@ -186,7 +186,7 @@
 
         async def is_sent(number: int) -> bool:
             traits = make_prompt_traits("first", "part", number=number)
-            progress = Progress(traits, None)
+            progress = Progress(traits)
             await hosts[number].space_trials(progress)
             now = time.monotonic()
             return not hosts[number].is_refused(make_call(), progress, now)
--- a/packages/teaselpond/tests/gateway/test_liveness.py
+++ b/packages/teaselpond/tests/gateway/test_liveness.py
@@ -64,7 +64,7 @@
             lambda: self.now,
         )
         self.call = make_call()
-        self.progress = Progress(traits_of(self.call), None)
+        self.progress = Progress(traits_of(self.call))
 
     def end_process(self, engine: Engine) -> None:
         """End a process under the call, and let some time pass."""
--- a/packages/teaselpond/tests/gateway/test_next_attempts.py
+++ b/packages/teaselpond/tests/gateway/test_next_attempts.py
@@ -17,6 +17,7 @@
 from teaselpond.gateway.replies import Refusal
 from teaselpond.gateway.routing_state import EngineRecord
 from teaselpond.gateway.traits import traits_of
+from teaselpond.upstreams.positions import UNKNOWN_POSITION
 from teaselpond_standins.testing import AsyncTestCase
 from teaselpond_standins.testing.exchanges import SilentJournal, SimulatedFleet
 from teaselpond_standins.testing.gateways import make_call, make_engine, make_route
@@ -80,7 +81,7 @@
             self.peer.host.host_count,
         )
         self.call = make_call(self.fleet.now, route=make_route(max_attempts=3))
-        self.progress = Progress(traits_of(self.call), None)
+        self.progress = Progress(traits_of(self.call))
 
     async def decide(self, open_count: int = 0) -> Placement | Wait | NoAttempt:
         """Return the next step of the call."""
@@ -131,6 +132,21 @@
         self.assertIs(PLACEMENT, await self.decide(open_count=1))
         self.assertEqual(NoAttempt(Refusal.BROKEN), await self.decide(open_count=2))
 
+    async def test_stream_at_an_unknown_position(self) -> None:
+        """Guards against a stream that is begun again (ORDER)."""
+        self.progress.position = UNKNOWN_POSITION
+        self.assertEqual(NoAttempt(Refusal.BROKEN), await self.decide())
+        self.assertEqual(NoAttempt(Refusal.BROKEN), await self.decide(open_count=1))
+
+    async def test_stream_that_goes_on_before_its_next_attempt(self) -> None:
+        """Guards against one that is begun again by then (ORDER)."""
+
+        async def send_more(progress: Progress) -> None:
+            progress.position = UNKNOWN_POSITION
+
+        self.next_attempts.crash_reports.space_trials = send_more
+        self.assertEqual(NoAttempt(Refusal.BROKEN), await self.decide(open_count=1))
+
     async def test_call_that_must_not_run_twice(self) -> None:
         """It has one attempt at a time."""
         self.call = make_call(
--- a/packages/teaselpond/tests/gateway/test_stream_endings.py
+++ b/packages/teaselpond/tests/gateway/test_stream_endings.py
@@ -39,12 +39,15 @@
             for start, end in zip(offsets, offsets[1:], strict=False)
         ]
         self.assertEqual(stream, b"".join(returned))
-        self.assertEqual((b"", EVENT_COUNT), (splitter.incomplete, splitter.last_id))
+        self.assertEqual(
+            (b"", str(EVENT_COUNT)), (splitter.incomplete, splitter.position.event_id)
+        )
 
     def test_repeats_with_other_line_ends(self) -> None:
         """A resumed stream may come from an upstream with other line ends."""
-        splitter = SparseEventSplitter()
-        splitter.feed(events("\r\n", 2).encode())
+        first = SparseEventSplitter()
+        first.feed(events("\r\n", 2).encode())
+        splitter = SparseEventSplitter(first.position)
         rest = events(count=3).encode().partition(b"\n\n")[2].partition(b"\n\n")[2]
         self.assertEqual(rest, splitter.feed(events(count=3).encode()))
 
