Keep the attempt that goes on with a stream when the other was given up

Callers could lose a stream for which two attempts were open: the first one went on, which gave up the second, and if the second's time for an overlap was over before it had ended, the first was given up as well, possibly while it wrote.

Cause: an attempt that was given up still counted as the newest one until its task had ended.

Change: an attempt that was given up is not the newest. The new test fails without it; test_attempts and test_slow_upstreams hold.

--- a/packages/teaselpond/src/teaselpond/gateway/attempts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/attempts.py
@@ -155,8 +155,9 @@
 
     @property
     def newest(self) -> Attempt | None:
-        """Return the attempt that was sent last."""
-        return self._open[-1] if self._open else None
+        """Return the attempt that was sent last and is not given up."""
+        attempts = (each for each in reversed(self._open) if not each.is_given_up)
+        return next(attempts, None)
 
     def are_overdue(self) -> bool:
         """Return whether all attempts are silent for too long."""
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -152,11 +152,12 @@
 
         Return after how many seconds to do so, None if there are none.
         """
-        if len(attempts) < 2 or not sink.has_begun:
+        newest = attempts.newest
+        if len(attempts) < 2 or newest is None or not sink.has_begun:
             return None
-        seconds = attempts.newest.sent_at + OVERLAP_SECONDS - self.clock()
+        seconds = newest.sent_at + OVERLAP_SECONDS - self.clock()
         if seconds <= 0.0:
-            attempts.give_up_others(attempts.newest)
+            attempts.give_up_others(newest)
             return None
         return seconds
 
--- a/packages/teaselpond/tests/gateway/test_attempts.py
+++ b/packages/teaselpond/tests/gateway/test_attempts.py
@@ -84,6 +84,21 @@
             self.assertIs(Result.SILENT, raised.exception.result)
         self.assertEqual(["e1", "e2"], self.ended)
 
+    async def test_given_up_attempt_is_not_the_newest(self) -> None:
+        """Guards against a stream whose both attempts are given up (ORDER).
+
+        An attempt that was given up takes some turns of the event loop to end.
+        """
+        loop = asyncio.get_running_loop()
+        async with OpenAttempts() as attempts:
+            first = self.add(attempts, "e1", loop.create_future())
+            self.add(attempts, "e2", loop.create_future())
+            await asyncio.sleep(0)
+            self.assertTrue(attempts.claim_caller(first))
+            self.assertIs(first, attempts.newest)
+            attempts.give_up_others(attempts.newest)
+            self.assertFalse(first.is_given_up)
+
     async def test_no_attempt_writes_beside_a_whole_answer(self) -> None:
         """Guard against events and a whole answer for one caller."""
         answer = asyncio.get_running_loop().create_future()
