Refuse a crashing part at any place of prompts with any number of parts

Callers lost more than half of their answers, and upstreams ended one after another, when a part of long prompts crashed them that stood before the last 32 shared parts: it was never refused.

Cause: what one prompt may accuse was bounded by leaving out all parts but the last ones, because each part that is accused costs memory, time and bytes to peers. Moving or raising the bound moves the place that is not seen.

Change: hosts keep of a long prompt that crashed an upstream three bytes of each part's fingerprint, and pass these on. A part is accused once it may be in two such prompts; what these have in common is little. Parts of answers are remembered in two generations, peers' answers are told beside the evidence instead of after it, and rivals are compared only if they tell a prompt apart. Lines of the log name 16 traits and 32 parts at most.

--- a/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
+++ b/packages/teaselpond/src/teaselpond/gateway/crash_reports.py
@@ -1,6 +1,7 @@
 """Report what attempts tell of requests that crash upstreams."""
 
 import asyncio
+import heapq
 import random
 from collections.abc import Callable, Iterable
 
@@ -24,6 +25,8 @@
 # An upstream that may still answer is suspected to have ended only if it is
 # later than it should be by this time.
 SLOW_SECONDS = 1.5
+# Bounds a line of the log: those that ended most processes are named.
+MAX_LOGGED_TRAITS = 16
 
 
 @define(eq=False)
@@ -139,6 +142,7 @@
         traits = tuple(traits)
         engine = attempt.engine
         refused = self.poison.record_own(traits, engine, attempt.sent_at, now)
+        suspected = heapq.nlargest(MAX_LOGGED_TRAITS, traits, self.poison.count_ends)
         self.journal.write(
             "process-ended",
             now,
@@ -149,9 +153,10 @@
             path=call.head.path,
             suspected=[
                 f"{trait.scope.name.lower()} {trait.fingerprint.hex()}"
-                for trait in traits
+                for trait in suspected
             ],
-            ends=[self.poison.count_ends(trait) for trait in traits],
+            ends=[self.poison.count_ends(trait) for trait in suspected],
+            trait_count=len(traits),
         )
         changes = [QuarantineChange(trait, True) for trait in refused]
         self._log_changes(call, changes, now)
--- a/packages/teaselpond/src/teaselpond/gateway/host.py
+++ b/packages/teaselpond/src/teaselpond/gateway/host.py
@@ -91,6 +91,7 @@
         )
         self.members = Members(settings.host)
         self.topics.add(SlownessTopic(self.loads))
+        self.topics.add(self.poison.accused_prompts)
         self.loads.response_times.host = settings.host
         self.topics.add(ResponseTimesTopic(self.loads))
         self.metrics.balancing.response_times = self.loads.response_times
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -28,10 +28,12 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 
 from attrs import define, field, frozen
 
+from .accused_prompts import AccusedPrompt, AccusedPrompts, FragmentIndex
+from .answered_parts import AnsweredParts
 from .departures import process_key
 from .engines import Engine
 from .poison_news import (
@@ -62,11 +64,14 @@
 # Bounds memory: some hundred bytes per trait. Every upstream that fails breaks
 # off many harmless requests, which must not displace the others.
 MAX_SUSPECTS = 4096
-MAX_REPEATED_SUSPECTS = 1024
+MAX_REPEATED_SUSPECTS = 4096
 MAX_QUARANTINED = 1024
-MAX_BEGUN = 8192
-# Bounds a heartbeat: together below a kilobyte.
+# Of a prompt with more parts, only those are accused that may be in other
+# prompts that crashed upstreams, or are suspected already.
+MAX_LONE_PARTS = 8
+# Bounds a heartbeat: together hardly above a kilobyte.
 MAX_RELAYED = 32
+MAX_RELAYED_CLEARED = 16
 MAX_REMINDERS = 16
 # Hosts that missed the answer remind others of the quarantine. They are told
 # of the answer for this long.
@@ -116,10 +121,11 @@
         factory=lambda: deque(maxlen=MAX_QUARANTINED)
     )
     probation: Probation = field(factory=Probation)
+    accused_prompts: AccusedPrompts = field(factory=AccusedPrompts)
     _single: SuspectTable = field(factory=lambda: SuspectTable(MAX_SUSPECTS))
     _repeated: SuspectTable = field(factory=lambda: SuspectTable(MAX_REPEATED_SUSPECTS))
     _quarantined: SuspectTable = field(factory=lambda: SuspectTable(MAX_QUARANTINED))
-    _begun_at_by_fingerprint: OrderedDict[bytes, float] = field(factory=OrderedDict)
+    _answered: AnsweredParts = field(factory=AnsweredParts)
     _newest: deque[EndedProcess] = field(
         factory=lambda: deque(maxlen=MAX_SUSPECTS), init=False
     )
@@ -135,6 +141,9 @@
     def _make_rivals(self) -> RivalParts:
         return RivalParts((self._quarantined, self._repeated), self._cleared_at)
 
+    def __attrs_post_init__(self) -> None:
+        self.accused_prompts.on_new = self._accuse_known_parts
+
     def record_own(
         self, traits: Iterable[Trait], engine: Engine, sent_at: float, now: float
     ) -> list[Trait]:
@@ -144,8 +153,22 @@
         Return those that are quarantined from now on.
         """
         key = process_key(engine) & PROCESS_KEY_MASK
+        traits = tuple(traits)
+        parts = [trait for trait in traits if trait.is_part]
+        earlier = self._earlier_ends(parts)
+        if len(parts) > MAX_LONE_PARTS:
+            found = {ended.trait.fingerprint for ended in earlier}
+            traits = tuple(
+                trait
+                for trait in traits
+                if not trait.is_part
+                or trait.fingerprint in found
+                or self._find(trait.fingerprint) is not None
+            )
+            prompt = AccusedPrompt.of_parts(parts, key, sent_at, now)
+            self.accused_prompts.add(prompt)
         ends = [EndedProcess(trait, key, sent_at, now) for trait in traits]
-        quarantined = self._record_all(ends, now, is_own=True)
+        quarantined = self._record_all(ends, now, is_own=True, earlier=earlier)
         if quarantined:
             self.announce()
         return quarantined
@@ -157,14 +180,63 @@
         """
         return self._record_all((ended,), now, is_own=False)
 
+    def _earlier_ends(self, parts: Iterable[Trait]) -> list[EndedProcess]:
+        """Return the evidence of accused prompts against parts.
+
+        That against parts with repeated ends is known already.
+        """
+        unknown = [part for part in parts if not self._is_followed(part)]
+        return [
+            ended
+            for ended in self.accused_prompts.find_ends(unknown)
+            if ended.sent_at
+            > (self._answered.get(ended.trait.fingerprint) or -math.inf)
+        ]
+
+    def _accuse_known_parts(self, prompt: AccusedPrompt, now: float) -> None:
+        """Add a peer's accused prompt to the evidence against known parts."""
+        tables = (self._quarantined, self._repeated)
+        parts = (
+            suspect.trait
+            for table in tables
+            for suspect in table.suspects_by_fingerprint.values()
+            if suspect.trait.is_part
+        )
+        found = prompt.may_have(FragmentIndex(tuple(parts)))
+        self._record_all(map(prompt.accuse, found), now, is_own=False)
+
+    def _is_followed(self, part: Trait) -> bool:
+        """Return whether evidence against a part is added as it comes."""
+        return any(
+            part.fingerprint in table.suspects_by_fingerprint
+            for table in (self._quarantined, self._repeated)
+        )
+
     def _record_all(
-        self, ends: Iterable[EndedProcess], now: float, *, is_own: bool
+        self,
+        ends: Iterable[EndedProcess],
+        now: float,
+        *,
+        is_own: bool,
+        earlier: Iterable[EndedProcess] = (),
     ) -> list[Trait]:
         # Which trait explains them best shows only when all are known.
         added = [ended for ended in ends if self._add(ended, now, is_own=is_own)]
+        for ended in earlier:
+            self._add(ended, now, is_own=False)
+        self._newest.extend(self._choose_news(added))
         judged = (self._judge(ended, is_own=is_own) for ended in added)
         return [trait for trait in judged if trait is not None]
 
+    def _choose_news(self, ends: Sequence[EndedProcess]) -> Sequence[EndedProcess]:
+        """Return the new evidence that peers are told one by one."""
+        if len(ends) <= MAX_RELAYED:
+            return ends
+        # Peers that have answered a part tell so once they hear of it.
+        return heapq.nlargest(
+            MAX_RELAYED, ends, key=lambda ended: self.count_ends(ended.trait)
+        )
+
     def _add(self, ended: EndedProcess, now: float, *, is_own: bool) -> bool:
         """Add evidence against a trait; return whether it is new and valid."""
         suspect = self._find(ended.trait.fingerprint) or Suspect(ended.trait)
@@ -177,7 +249,6 @@
             return False
         suspect.add(ended)
         suspect.is_own |= is_own
-        self._newest.append(ended)
         was_answered_here = cleared_at > suspect.cleared_at
         if suspect.is_repeated and was_answered_here and math.isinf(suspect.cleared_at):
             # No peer seems to know that it was ever answered.
@@ -220,14 +291,12 @@
         or not any more.
         """
         parts = [trait for trait in traits if trait.is_part]
-        for trait in parts:
-            self._begun_at_by_fingerprint[trait.fingerprint] = now
-            self._begun_at_by_fingerprint.move_to_end(trait.fingerprint)
-        while len(self._begun_at_by_fingerprint) > MAX_BEGUN:
-            self._begun_at_by_fingerprint.popitem(last=False)
+        self._answered.record([part.fingerprint for part in parts], now)
         return self._clear_own(parts, now)
 
     def _clear_own(self, traits: Iterable[Trait], now: float) -> list[QuarantineChange]:
+        if not any(table.suspects_by_fingerprint for table in self._tables()):
+            return []
         traits = tuple(traits)
         rivals = [
             rival
@@ -376,6 +445,7 @@
         """Forget traits that have ended no process for a long time."""
         for table in self._tables():
             table.expire(now - POISON_SECONDS)
+        self.accused_prompts.expire(now - POISON_SECONDS)
 
     def _merge(self, news: News, now: float) -> bool:
         if news.kind is NewsKind.QUARANTINED:
@@ -424,8 +494,8 @@
 
     def _cleared_at(self, suspect: Suspect) -> float:
         """Return when an answer last showed that a trait is harmless."""
-        begun_at = self._begun_at_by_fingerprint.get(suspect.trait.fingerprint)
-        return max(suspect.cleared_at, begun_at or -math.inf)
+        answered_at = self._answered.get(suspect.trait.fingerprint)
+        return max(suspect.cleared_at, answered_at or -math.inf)
 
     def _tables(self) -> tuple[SuspectTable, ...]:
         on_probation = self.probation.table
@@ -513,7 +583,7 @@
         single = [news for count, news in reversed(ends) if count == 1]
         yield from itertools.islice(
             (*(news for _, (_, news) in most), *cleared.values(), *single),
-            MAX_RELAYED,
+            MAX_RELAYED + min(MAX_RELAYED_CLEARED, len(cleared)),
         )
 
     def _reminders(self, now: float) -> Iterator[News]:
--- a/packages/teaselpond/src/teaselpond/gateway/relay.py
+++ b/packages/teaselpond/src/teaselpond/gateway/relay.py
@@ -50,6 +50,8 @@
 # An upstream that sheds a call does so within this time. No two upstreams may
 # work on the rest of a begun stream for longer.
 OVERLAP_SECONDS = 0.3
+# Bounds a line of the log, as prompts may have a thousand parts.
+MAX_LOGGED_PARTS = 32
 # These statuses promise the caller that the call did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -409,7 +411,8 @@
 
 def _shared_part_ids(call: Call) -> list[str]:
     prompt = call.head.prompt
-    return [part.part_id for part in prompt.shared_parts] if prompt else []
+    shared = prompt.shared_parts if prompt else ()
+    return [part.part_id for part in shared[-MAX_LOGGED_PARTS:]]
 
 
 def _first_limit_seconds(call: Call) -> float:
--- a/packages/teaselpond/src/teaselpond/gateway/rival_parts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/rival_parts.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 
 from attrs import define
 
@@ -28,14 +28,7 @@
 
     def of(self, suspect: Suspect) -> list[Suspect]:
         """Return the other parts that explain all evidence against a part."""
-        if not suspect.trait.is_part or not suspect.ends:
-            return []
-        return [
-            other
-            for table in self.tables
-            for other in table.suspects_by_fingerprint.values()
-            if other.trait.is_part and other is not suspect and other.explains(suspect)
-        ]
+        return [other for other in self._others(suspect) if other.explains(suspect)]
 
     def likeliest_culprit(self, suspect: Suspect) -> Suspect:
         """Return what to refuse if the evidence is enough for a trait.
@@ -72,10 +65,11 @@
         fingerprints = {trait.fingerprint for trait in traits}
         was_answered = self._was_answered(suspect)
         return any(
-            rival.trait.fingerprint not in fingerprints
-            and rival.has_enough_ends(Scope.LAST_SHARED_PART)
-            and (was_answered or not self._was_answered(rival))
-            for rival in self.of(suspect)
+            other.trait.fingerprint not in fingerprints
+            and other.explains(suspect)
+            and other.has_enough_ends(Scope.LAST_SHARED_PART)
+            and (was_answered or not self._was_answered(other))
+            for other in self._others(suspect)
         )
 
     def is_explained(self, suspect: Suspect) -> bool:
@@ -85,10 +79,21 @@
         may have decided at the same time, with different evidence.
         """
         return self._was_answered(suspect) and any(
-            rival.quarantined_at is not None and not self._was_answered(rival)
-            for rival in self.of(suspect)
+            other.quarantined_at is not None
+            and other.explains(suspect)
+            and not self._was_answered(other)
+            for other in self._others(suspect)
         )
 
+    def _others(self, suspect: Suspect) -> Iterator[Suspect]:
+        """Yield the other parts, if the suspect is an accused part."""
+        if not suspect.trait.is_part or not suspect.ends:
+            return
+        for table in self.tables:
+            for other in table.suspects_by_fingerprint.values():
+                if other.trait.is_part and other is not suspect:
+                    yield other
+
     def _most_accused(self, suspects: Iterable[Suspect]) -> Suspect | None:
         """Return the one with most ends of those that were never answered."""
         never_answered = (each for each in suspects if not self._was_answered(each))
--- a/packages/teaselpond/src/teaselpond/gateway/traits.py
+++ b/packages/teaselpond/src/teaselpond/gateway/traits.py
@@ -14,8 +14,7 @@
 from .calls import Call
 
 FINGERPRINT_BYTES = 8
-# Bounds what one request can accuse. Prompts have a handful of parts.
-MAX_PARTS = 32
+PART_DIGEST = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=b"part")
 
 
 class Scope(enum.IntEnum):
@@ -46,7 +45,7 @@
     @property
     def is_part(self) -> bool:
         """Return whether it is a part of a prompt."""
-        return self.scope in (Scope.LAST_SHARED_PART, Scope.EARLIER_PART)
+        return self.scope is Scope.EARLIER_PART or self.scope is Scope.LAST_SHARED_PART
 
 
 def traits_of(call: Call) -> tuple[Trait, ...]:
@@ -56,11 +55,10 @@
     """
     traits = [Trait(fingerprint_of(call), Scope.REQUEST)]
     prompt = call.head.prompt
-    shared = prompt.shared_parts[-MAX_PARTS:] if prompt is not None else ()
-    scope = Scope.LAST_SHARED_PART
-    for part in reversed(shared):
-        traits.append(Trait(part_fingerprint(part.part_id), scope))
-        scope = Scope.EARLIER_PART
+    if prompt is not None and prompt.shared_parts:
+        *earlier, last = prompt.shared_parts
+        traits.append(_last_part_trait(last.part_id))
+        traits += [_earlier_part_trait(part.part_id) for part in reversed(earlier)]
     traits.append(Trait(path_fingerprint_of(call), Scope.PATH))
     return tuple(traits)
 
@@ -82,12 +80,22 @@
     )
 
 
-@functools.lru_cache(maxsize=4096)
 def part_fingerprint(part_id: str) -> bytes:
     """Return a hash that identifies a part of prompts at all services."""
-    return hashlib.blake2b(
-        part_id.lower().encode(), digest_size=FINGERPRINT_BYTES, person=b"part"
-    ).digest()
+    digest = PART_DIGEST.copy()
+    digest.update(part_id.lower().encode())
+    return digest.digest()
+
+
+# Most parts come often, and prompts may have many.
+@functools.lru_cache(maxsize=4096)
+def _last_part_trait(part_id: str) -> Trait:
+    return Trait(part_fingerprint(part_id), Scope.LAST_SHARED_PART)
+
+
+@functools.lru_cache(maxsize=16384)
+def _earlier_part_trait(part_id: str) -> Trait:
+    return Trait(part_fingerprint(part_id), Scope.EARLIER_PART)
 
 
 def _caller_of(call: Call) -> bytes:
