Report quarantines that began by a peer's long prompt

A part that was refused because a peer told of a long prompt had no line in the log: such prompts are merged apart from the other news. The changes are kept until the next news of evidence are merged, which reports them.

The selection of a long prompt's parts is a method of its own. LongPromptTests, AccusedPartTests and the tests of the evidence hold.

--- a/packages/teaselpond/src/teaselpond/gateway/accused_prompts.py
+++ b/packages/teaselpond/src/teaselpond/gateway/accused_prompts.py
@@ -89,9 +89,9 @@
         """Return what is the same at all hosts that know of the prompt."""
         return self.process_key, self.fragments
 
-    def may_have(self, parts: "FragmentIndex") -> list[Trait]:
-        """Return those of the parts whose fragments the prompt has."""
-        parts_by_fragment = parts.at_place(self.process_key % PLACE_COUNT)
+    def may_have(self, index: FragmentIndex) -> list[Trait]:
+        """Return the indexed parts whose fragments the prompt has."""
+        parts_by_fragment = index.at_place(self.process_key % PLACE_COUNT)
         return [
             part
             for (fragment,) in FRAGMENT.iter_unpack(self.fragments)
--- a/packages/teaselpond/src/teaselpond/gateway/poison.py
+++ b/packages/teaselpond/src/teaselpond/gateway/poison.py
@@ -135,6 +135,7 @@
     _denied_until_by_fingerprint: OrderedDict[bytes, float] = field(
         factory=OrderedDict, init=False
     )
+    _heard_changes: list[QuarantineChange] = field(factory=list, init=False)
     _rivals: RivalParts = field(init=False)
 
     @_rivals.default
@@ -157,16 +158,9 @@
         parts = [trait for trait in traits if trait.is_part]
         earlier = self._earlier_ends(parts)
         if len(parts) > MAX_LONE_PARTS:
-            found = {ended.trait.fingerprint for ended in earlier}
-            traits = tuple(
-                trait
-                for trait in traits
-                if not trait.is_part
-                or trait.fingerprint in found
-                or self._find(trait.fingerprint) is not None
-            )
             prompt = AccusedPrompt.of_parts(parts, key, sent_at, now)
             self.accused_prompts.add(prompt)
+            traits = self._without_lone_parts(traits, earlier)
         ends = [EndedProcess(trait, key, sent_at, now) for trait in traits]
         quarantined = self._record_all(ends, now, is_own=True, earlier=earlier)
         if quarantined:
@@ -180,10 +174,23 @@
         """
         return self._record_all((ended,), now, is_own=False)
 
+    def _without_lone_parts(
+        self, traits: Iterable[Trait], earlier: Iterable[EndedProcess]
+    ) -> tuple[Trait, ...]:
+        """Leave out the parts that no other crash is known to accuse."""
+        found = {ended.trait.fingerprint for ended in earlier}
+        return tuple(
+            trait
+            for trait in traits
+            if not trait.is_part
+            or trait.fingerprint in found
+            or self._find(trait.fingerprint) is not None
+        )
+
     def _earlier_ends(self, parts: Iterable[Trait]) -> list[EndedProcess]:
-        """Return the evidence of accused prompts against parts.
+        """Return what earlier prompts tell against parts of a new one.
 
-        That against parts with repeated ends is known already.
+        What they tell against parts that are followed is known already.
         """
         unknown = [part for part in parts if not self._is_followed(part)]
         return [
@@ -203,7 +210,8 @@
             if suspect.trait.is_part
         )
         found = prompt.may_have(FragmentIndex(tuple(parts)))
-        self._record_all(map(prompt.accuse, found), now, is_own=False)
+        refused = self._record_all(map(prompt.accuse, found), now, is_own=False)
+        self._heard_changes += [QuarantineChange(trait, True) for trait in refused]
 
     def _is_followed(self, part: Trait) -> bool:
         """Return whether evidence against a part is added as it comes."""
@@ -427,8 +435,11 @@
         return b"".join(pack_news(each, now) for each in news)
 
     def merge_news(self, packed: bytes, now: float) -> list[QuarantineChange]:
-        """Record a peer's news; return what is refused, or served, by them."""
-        changes = []
+        """Record a peer's news; return what is refused, or served, by them.
+
+        That includes what was refused since by prompts that peers told of.
+        """
+        changes, self._heard_changes = self._heard_changes, []
         ends = []
         for news in unpack_news(packed, now):
             if news.kind is NewsKind.ENDED_PROCESS:
--- a/packages/teaselpond/tests/gateway/test_accused_prompts.py
+++ b/packages/teaselpond/tests/gateway/test_accused_prompts.py
@@ -179,6 +179,25 @@
         counts = [tracker.count_ends(trait) for trait in traits]
         self.assertEqual([1, *[0] * 1000, 1], counts)
 
+    def test_part_that_is_refused_by_prompts_of_peers_is_reported(self) -> None:
+        """Guards against quarantines that no line of the log tells of."""
+        tracker = PoisonTracker()
+        bad = make_prompt_traits("bad", "other", number=99)
+        for number in range(4):
+            traits = make_prompt_traits("bad", f"last{number}", number=number)
+            now = NOW + number
+            tracker.record_own(traits, make_engine(f"e{number}"), now - 0.1, now)
+        self.assertFalse(tracker.is_poisonous(bad, NOW + 4))
+        peer = AccusedPrompts()
+        names = ("bad", *numbered(40))
+        peer.add(accuse(*names, key=12345, sent_at=NOW + 4, at=NOW + 4.1))
+        packed = peer.pack(NOW + 4.2)
+        tracker.accused_prompts.merge(packed, "host", NOW + 4.2)
+        self.assertTrue(tracker.is_poisonous(bad, NOW + 4.2))
+        changes = tracker.merge_news(b"", NOW + 4.3)
+        self.assertEqual([True], [change.is_quarantined for change in changes])
+        self.assertEqual([], tracker.merge_news(b"", NOW + 4.4))
+
     def test_long_and_short_prompts_accuse_the_same_part(self) -> None:
         """Evidence of both kinds adds up, in any order."""
         rng = random.Random(1)
