Play short crashing prompts beside answered long ones

The parts of 30 long prompts a second fill the memory of answered parts within seconds; short prompts that share a document with crashing ones are served all the same. The test holds; whether it would have failed before was not run. Plans of plays may have a further kind of sound prompts for it.

--- a/packages/teaselpond-standins/src/teaselpond_standins/testing/accused_parts.py
+++ b/packages/teaselpond-standins/src/teaselpond_standins/testing/accused_parts.py
@@ -50,7 +50,7 @@
     """Describe a play: its prompts, hosts and upstreams, and its times.
 
     ``other_crashes`` upstreams crash for another reason as the trouble begins,
-    one after another.
+    one after another. Sound prompts of the kind ``beside`` come throughout.
     """
 
     crashing: Kind
@@ -65,6 +65,7 @@
     trouble_seconds: float = 24.0
     is_answered_in_calm: bool = False
     other_crashes: int = 0
+    beside: Kind | None = None
 
 
 @frozen
@@ -153,6 +154,8 @@
 
     def _send_for(self, seconds: float, kinds: list[tuple[Kind, bool]]) -> None:
         end = self.fleet.now + seconds
+        if self.plan.beside is not None:
+            kinds = [*kinds, (self.plan.beside, False)]
         while self.fleet.now < end:
             for kind, crashes in kinds:
                 if self.rng.random() < kind.per_second * STEP_SECONDS:
--- a/packages/teaselpond/tests/gateway/test_long_prompts.py
+++ b/packages/teaselpond/tests/gateway/test_long_prompts.py
@@ -93,6 +93,18 @@
             crashing = Kind(("bad", "document*"), per_second, 50)
             self.check(evolve(CASE, crashing=crashing, sound=sound, engines=engines))
 
+    def test_short_prompts_beside_answered_long_ones(self) -> None:
+        """Answers to many new parts do not hide which parts were answered."""
+        plan = evolve(
+            CASE,
+            crashing=Kind(("bad", "document", "chapter"), 3.0),
+            sound=Kind(("first", "document", "chapter"), 3.0),
+            beside=Kind(turns(1000), 30.0, ANY),
+            engines=12,
+        )
+        for seed in range(2):
+            self.check(plan, seed)
+
     def test_long_prompts_that_are_always_the_same(self) -> None:
         """A caller sends them while upstreams crash, and is never answered."""
         same = Kind(tuple(f"part{number}" for number in range(1300)), 20.0)
