--- a/packages/teaselpond/src/teaselpond/gateway/traits.py
+++ b/packages/teaselpond/src/teaselpond/gateway/traits.py
@@ -14,6 +14,8 @@
 from .calls import Call
 
 FINGERPRINT_BYTES = 8
+# Bounds memory: callers may send ids as long as the head of a request.
+MAX_CACHED_CHARACTERS = 64
 PART_DIGEST = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=b"part")
 
 
@@ -87,14 +89,26 @@
     return digest.digest()
 
 
+def _last_part_trait(part_id: str) -> Trait:
+    if len(part_id) > MAX_CACHED_CHARACTERS:
+        return Trait(part_fingerprint(part_id), Scope.LAST_SHARED_PART)
+    return _cached_last_part_trait(part_id)
+
+
+def _earlier_part_trait(part_id: str) -> Trait:
+    if len(part_id) > MAX_CACHED_CHARACTERS:
+        return Trait(part_fingerprint(part_id), Scope.EARLIER_PART)
+    return _cached_earlier_part_trait(part_id)
+
+
 # Most parts come often, and prompts may have many.
 @functools.lru_cache(maxsize=4096)
-def _last_part_trait(part_id: str) -> Trait:
+def _cached_last_part_trait(part_id: str) -> Trait:
     return Trait(part_fingerprint(part_id), Scope.LAST_SHARED_PART)
 
 
 @functools.lru_cache(maxsize=16384)
-def _earlier_part_trait(part_id: str) -> Trait:
+def _cached_earlier_part_trait(part_id: str) -> Trait:
     return Trait(part_fingerprint(part_id), Scope.EARLIER_PART)
 
 
--- a/packages/teaselpond/tests/gateway/test_traits.py
+++ b/packages/teaselpond/tests/gateway/test_traits.py
@@ -1,5 +1,7 @@
 """Test what requests are found to have in common."""
 
+import tracemalloc
+
 import testtools
 from multidict import CIMultiDict
 
@@ -31,6 +33,18 @@
         self.assertEqual(traits[1].fingerprint, other[2].fingerprint)
         self.assertNotEqual(traits[0].fingerprint, other[0].fingerprint)
 
+    def test_long_ids_of_parts_are_not_kept(self) -> None:
+        """Guards against callers that fill a host's memory with them."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(300):
+            long_id = f"{number:015000x}"
+            traits = make_prompt_traits(long_id, long_id + "0", number=number)
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertEqual(4, len(traits))
+        self.assertLess(after - before, 1_000_000)
+
     def test_request_without_a_prompt(self) -> None:
         """The whole request, or its path and body, is all they share."""
         self.assertEqual(
